--- /dev/null
+++ b/src/agatevane/base/enum_names.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace agatevane {
+
+//! The wire names of an enumeration. Specialise with `static constexpr std::array<std::pair<E, std::string_view>, N>
+//! table`.
+template <typename E> struct EnumNames;
+
+//! The name of `value`; "unknown" for a value outside the table.
+template <typename E> constexpr std::string_view nameOf(E value)
+{
+    for (const auto& [candidate, name] : EnumNames<E>::table) {
+        if (candidate == value)
+            return name;
+    }
+    return "unknown";
+}
+
+//! The value called `name`; nothing if the table has no such name.
+template <typename E> constexpr std::optional<E> fromName(std::string_view name)
+{
+    for (const auto& [value, candidate] : EnumNames<E>::table) {
+        if (candidate == name)
+            return value;
+    }
+    return std::nullopt;
+}
+
+} // namespace agatevane
--- /dev/null
+++ b/src/agatevane/base/error.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <string>
+#include <system_error>
+#include <type_traits>
+
+namespace agatevane {
+
+//! Errors shared by the edges. `Timeout` and `Disconnected` leave open whether the other side acted.
+enum class Errc {
+    Ok,
+    Timeout, //!< no answer before the deadline; the effect is unknown
+    Disconnected, //!< the connection broke after sending; the effect is unknown
+    Unreachable, //!< no connection was made; there was no effect
+    Malformed, //!< the answer could not be decoded
+    TooLarge, //!< a bound on size was exceeded
+    Conflict, //!< a compare in a transaction failed
+    StaleEpoch, //!< the other side has seen a higher epoch
+    NotOwner, //!< this process does not own the data centre
+    Refused, //!< the other side refused before any effect
+    Unavailable //!< a needed service is down; there was no effect
+};
+
+namespace detail {
+
+    class ErrorCategory : public std::error_category {
+    public:
+        const char* name() const noexcept override { return "agatevane"; }
+
+        std::string message(int value) const override
+        {
+            switch (static_cast<Errc>(value)) {
+            case Errc::Ok:
+                return "ok";
+            case Errc::Timeout:
+                return "timeout";
+            case Errc::Disconnected:
+                return "connection broken after sending";
+            case Errc::Unreachable:
+                return "no connection";
+            case Errc::Malformed:
+                return "malformed answer";
+            case Errc::TooLarge:
+                return "size bound exceeded";
+            case Errc::Conflict:
+                return "transaction conflict";
+            case Errc::StaleEpoch:
+                return "stale epoch";
+            case Errc::NotOwner:
+                return "not the owner";
+            case Errc::Refused:
+                return "refused";
+            case Errc::Unavailable:
+                return "unavailable";
+            }
+            return "unknown error";
+        }
+    };
+
+} // namespace detail
+
+inline const std::error_category& errorCategory()
+{
+    static const detail::ErrorCategory category;
+    return category;
+}
+
+inline std::error_code make_error_code(
+    Errc errc) // NOLINT(readability-identifier-naming): found by argument-dependent lookup
+{
+    return { static_cast<int>(errc), errorCategory() };
+}
+
+} // namespace agatevane
+
+template <> struct std::is_error_code_enum<agatevane::Errc> : std::true_type {
+};
--- /dev/null
+++ b/src/agatevane/base/id.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+
+namespace agatevane {
+
+//! A string identifier that cannot be mixed up with one of another kind.
+template <typename Tag> struct Id {
+    std::string value;
+
+    auto operator<=>(const Id&) const = default;
+    bool empty() const { return value.empty(); }
+
+    //! cereal support; include <cereal/types/string.hpp> where an archive is used.
+    template <typename Archive> void serialize(Archive& archive) { archive(value); }
+};
+
+template <typename Tag> std::ostream& operator<<(std::ostream& stream, const Id<Tag>& id)
+{
+    return stream << id.value;
+}
+
+using RegionId = Id<struct RegionTag>;
+using DataCentreId = Id<struct DataCentreTag>;
+using RackId = Id<struct RackTag>;
+using WorkerId = Id<struct WorkerTag>;
+using WorkspaceId = Id<struct WorkspaceTag>;
+using CallerId = Id<struct CallerTag>;
+using ServiceId = Id<struct ServiceTag>;
+using JobId = Id<struct JobTag>;
+//! One try to run a job or a request; never reused, so a late answer cannot be taken for that of another try.
+using AttemptId = Id<struct AttemptTag>;
+//! One entry VM.
+using MemberId = Id<struct MemberTag>;
+
+} // namespace agatevane
+
+template <typename Tag> struct std::hash<agatevane::Id<Tag>> {
+    std::size_t operator()(const agatevane::Id<Tag>& id) const { return std::hash<std::string> {}(id.value); }
+};
--- /dev/null
+++ b/src/agatevane/base/random.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "agatevane/base/hash.h"
+#include <random>
+#include <string>
+
+namespace agatevane {
+
+using Random = std::mt19937_64;
+
+//! A uniform integer in [low, high].
+inline std::int64_t uniform(Random& random, std::int64_t low, std::int64_t high)
+{
+    return std::uniform_int_distribution<std::int64_t>(low, high)(random);
+}
+
+//! A generator seeded by the operating system, for programs; tests pass a fixed seed.
+inline Random makeRandom()
+{
+    std::random_device device;
+    std::seed_seq seed { device(), device(), device(), device() };
+    return Random(seed);
+}
+
+//! 32 hexadecimal digits, unique with overwhelming probability.
+inline std::string randomToken(Random& random)
+{
+    return toHex(random()) + toHex(random());
+}
+
+} // namespace agatevane
--- /dev/null
+++ b/tests/base/base_tests.cpp
@@ -0,0 +1,44 @@
+#include "agatevane/base/enum_names.h"
+#include "agatevane/base/error.h"
+#include "agatevane/base/finding.h"
+#include "agatevane/base/job.h"
+#include "agatevane/base/outcome.h"
+#include "agatevane/base/random.h"
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace agatevane;
+
+// Guards against a name table that misses an enumerator, which would reach the wire as "unknown".
+BOOST_AUTO_TEST_CASE(Every_job_state_has_a_name_that_reads_back, *boost::unit_test::label("names"))
+{
+    for (int value = 0; value <= static_cast<int>(JobState::Impossible); ++value) {
+        auto state = static_cast<JobState>(value);
+        BOOST_TEST((fromName<JobState>(nameOf(state)) == state));
+    }
+    for (int value = 0; value <= static_cast<int>(Outcome::Unknown); ++value)
+        BOOST_TEST((fromName<Outcome>(nameOf(static_cast<Outcome>(value))) == static_cast<Outcome>(value)));
+    BOOST_TEST(!fromName<WorkClass>("no such class").has_value());
+}
+
+// Guards against findings that lose their place when they are printed together.
+BOOST_AUTO_TEST_CASE(Findings_are_printed_one_a_line_with_their_place, *boost::unit_test::label("findings"))
+{
+    Findings findings { { "--port", "out of range" }, { "entry a, field b", "missing" } };
+    BOOST_TEST(format(findings) == "--port: out of range\nentry a, field b: missing\n");
+}
+
+BOOST_AUTO_TEST_CASE(Error_codes_carry_a_message, *boost::unit_test::label("errors"))
+{
+    std::error_code code = Errc::StaleEpoch;
+    BOOST_TEST(code.message() == "stale epoch");
+    BOOST_TEST((code == Errc::StaleEpoch));
+}
+
+RC_BOOST_PROP(a_digest_depends_on_every_byte, (std::string text, unsigned char flip))
+{
+    RC_PRE(!text.empty() && flip != 0);
+    auto changed = text;
+    changed[changed.size() / 2] = static_cast<char>(changed[changed.size() / 2] ^ flip);
+    RC_ASSERT(digestOf(text) != digestOf(changed));
+}
