Add the codecs, the RPC layer and the shared interfaces

Cause: entry, scheduler and tools are written in parallel and need the same messages and types first.

--- a/src/agatevane/base/error.h
+++ b/src/agatevane/base/error.h
@@ -65,8 +65,7 @@
     return category;
 }
 
-inline std::error_code make_error_code(
-    Errc errc) // NOLINT(readability-identifier-naming): found by argument-dependent lookup
+inline std::error_code make_error_code(Errc errc)
 {
     return { static_cast<int>(errc), errorCategory() };
 }
--- /dev/null
+++ b/src/agatevane/catalogue/entries.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "agatevane/base/enum_names.h"
+#include "agatevane/base/id.h"
+#include "agatevane/base/resources.h"
+#include "agatevane/base/work_class.h"
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+//! The operators' catalogue. Each entry is one JSON object under `/agatevane/catalogue/<kind>/<name>`.
+namespace agatevane {
+
+enum class EntryKind { Workspace, Caller, Service, DataCentre, Link, Policy };
+
+template <> struct EnumNames<EntryKind> {
+    static constexpr std::array<std::pair<EntryKind, std::string_view>, 6> table { {
+        { EntryKind::Workspace, "workspaces" },
+        { EntryKind::Caller, "callers" },
+        { EntryKind::Service, "services" },
+        { EntryKind::DataCentre, "data_centres" },
+        { EntryKind::Link, "links" },
+        { EntryKind::Policy, "policies" },
+    } };
+};
+
+struct Guarantee {
+    DataCentreId dataCentre;
+    int accelerators = 0;
+
+    bool operator==(const Guarantee&) const = default;
+};
+
+struct WorkspaceEntry {
+    WorkspaceId id;
+    std::string owner; //!< who may change this entry
+    double weight = 1; //!< fair share, 0.01 to 1,000
+    std::vector<Guarantee> guarantees;
+    int quotaAccelerators = 0; //!< upper bound in use at the same time in each data centre; 0: none
+    double requestsPerSecond = 0; //!< over all entry VMs; 0: none
+    double floorShare = 0; //!< share of each service's slots that no other workspace can take, 0 to 1
+
+    bool operator==(const WorkspaceEntry&) const = default;
+};
+
+struct CallerEntry {
+    CallerId id;
+    WorkspaceId workspace;
+    std::string owner;
+    std::string tokenDigest; //!< digestOf(bearer token)
+    WorkClass highestClass = WorkClass::Urgent; //!< requests of a more urgent class are lowered to this one
+    double requestsPerSecond = 0; //!< over all entry VMs; 0: none
+    bool isOperator = false; //!< may use the administration API
+
+    bool operator==(const CallerEntry&) const = default;
+};
+
+struct ServiceEntry {
+    ServiceId id;
+    std::string owner;
+    std::array<double, 3> classFloors { 0.1, 0.1, 0.1 }; //!< by WorkClass: share of slots that no other class can take
+    int maxQueued = 1000; //!< for each class and entry VM
+    std::int64_t maxQueuedMs = 5000;
+    double requestsPerSecond = 0; //!< over all entry VMs; 0: none
+
+    bool operator==(const ServiceEntry&) const = default;
+};
+
+struct WorkerEntry {
+    WorkerId id;
+    RackId rack;
+    std::string address; //!< "ip:port" of its HTTP interface
+    ServiceId service; //!< whose short requests it serves
+    Resources capacity;
+    int slots = 8;
+    int connections = 64;
+
+    bool operator==(const WorkerEntry&) const = default;
+};
+
+struct DataCentreEntry {
+    DataCentreId id;
+    RegionId region;
+    std::string owner;
+    std::vector<WorkerEntry> workers;
+
+    bool operator==(const DataCentreEntry&) const = default;
+};
+
+struct LinkEntry {
+    std::string id;
+    std::string owner;
+    RegionId from;
+    RegionId to;
+    double oneWayMs = 0;
+    double billingMsPerRequest = 0; //!< waiting time that is worth as much as the billed traffic of one request
+
+    bool operator==(const LinkEntry&) const = default;
+};
+
+//! Settings of the whole deployment; the entry's name is "default".
+struct PolicyEntry {
+    std::string id = "default";
+    std::string owner;
+    std::int64_t reclaimDeadlineMs = 30000;
+    std::int64_t urgentReclaimDeadlineMs = 5000;
+    std::int64_t reservationAfterMs = 60000; //!< a gang that has waited this long gets a reservation
+    double fairnessWeight = 1; //!< 0: order by age only; 1: order by dominant share only
+    bool defragment = true;
+
+    bool operator==(const PolicyEntry&) const = default;
+};
+
+} // namespace agatevane
--- a/src/agatevane/http/server.cpp
+++ b/src/agatevane/http/server.cpp
@@ -90,7 +90,7 @@
         to.status = from.status;
         for (const auto& [name, value] : from.headers)
             to.set_header(name, value);
-        to.set_content(std::move(from.body), from.contentType);
+        to.set_content(from.body, from.contentType);
     }
 
     void writeError(httplib::Response& to, int status, const std::string& title, std::optional<Outcome> outcome)
--- /dev/null
+++ b/src/agatevane/net/rpc.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "agatevane/base/instant.h"
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+//! Request and reply between agatevane's own processes over TCP, and single datagrams over UDP.
+//! A TCP frame is: u32 length of the rest, u64 request id, u16 kind, payload. Length at most `maxFrameBytes`.
+namespace agatevane::net {
+
+constexpr std::size_t maxFrameBytes = 1 << 20;
+constexpr std::size_t maxDatagramBytes = 1200;
+
+//! Address of a peer; `address` is an IP number.
+struct PeerAddress {
+    std::string address;
+    int port = 0;
+
+    auto operator<=>(const PeerAddress&) const = default;
+};
+
+//! Sends the reply to one request; may be called later, from any thread, at most once.
+using Reply = std::function<void(std::string payload)>;
+using RequestHandler = std::function<void(std::uint16_t kind, std::string_view payload, Reply reply)>;
+
+//! Listens for requests. Handlers run on the threads of the io_context. Destroy it only after the context has stopped.
+class RpcServer {
+public:
+    RpcServer(asio::io_context& context, RequestHandler handler);
+    ~RpcServer();
+
+    //! Port 0 chooses a free port.
+    std::error_code listen(const PeerAddress& address);
+    int port() const;
+    void close();
+
+    struct State;
+
+private:
+    std::shared_ptr<State> state_;
+};
+
+//! `error` is `Unreachable` if nothing was sent, else `Timeout` or `Disconnected`: the effect is then unknown.
+using CallResult = std::function<void(std::error_code error, std::string payload)>;
+
+//! One connection to one peer, opened at the first call and again after a failure. Thread-safe.
+class RpcClient {
+public:
+    RpcClient(asio::io_context& context, const PeerAddress& peer);
+    ~RpcClient();
+
+    //! `done` is called exactly once, on a thread of the io_context.
+    void call(std::uint16_t kind, std::string payload, Instant deadline, CallResult done);
+
+    //! Blocks; not to be called on a thread of the io_context.
+    std::error_code callAndWait(std::uint16_t kind, std::string payload, Instant deadline, std::string& reply);
+
+    struct State;
+
+private:
+    std::shared_ptr<State> state_;
+};
+
+using DatagramHandler = std::function<void(std::string_view bytes, const PeerAddress& from)>;
+
+//! Sends and receives datagrams of at most `maxDatagramBytes`; loss is silent.
+class DatagramSocket {
+public:
+    DatagramSocket(asio::io_context& context, DatagramHandler handler);
+    ~DatagramSocket();
+
+    std::error_code bind(const PeerAddress& address);
+    int port() const;
+    void send(std::string bytes, const PeerAddress& to);
+    void close();
+
+    struct State;
+
+private:
+    std::shared_ptr<State> state_;
+};
+
+} // namespace agatevane::net
--- /dev/null
+++ b/src/agatevane/net/rpc_client.cpp
@@ -0,0 +1,218 @@
+#include "agatevane/net/frame.h"
+#include "agatevane/net/rpc.h"
+
+#include "agatevane/base/error.h"
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/write.hpp>
+#include <deque>
+#include <future>
+#include <map>
+
+namespace agatevane::net {
+
+using asio::ip::tcp;
+
+//! All members are touched on the strand only.
+struct RpcClient::State : std::enable_shared_from_this<RpcClient::State> {
+    struct Pending {
+        CallResult done;
+        std::shared_ptr<asio::steady_timer> timer;
+        bool written = false;
+    };
+
+    struct Outgoing {
+        std::uint64_t id;
+        std::string bytes;
+    };
+
+    enum class Link { Closed, Connecting, Open };
+
+    State(asio::io_context& context, const PeerAddress& peerAddress)
+        : strand(asio::make_strand(context))
+        , socket(strand)
+        , peer(peerAddress)
+    {
+    }
+
+    void call(std::uint16_t kind, const std::string& payload, Instant deadline, CallResult done)
+    {
+        if (payload.size() + headerBytes > maxFrameBytes)
+            return done(Errc::TooLarge, {});
+        auto id = nextId++;
+        auto timer = std::make_shared<asio::steady_timer>(strand);
+        timer->expires_at(deadline);
+        timer->async_wait([self = shared_from_this(), id](std::error_code error) {
+            if (!error)
+                self->expire(id);
+        });
+        pending.emplace(id, Pending { std::move(done), std::move(timer) });
+        outgoing.push_back({ id, encodeFrame(id, kind, payload) });
+        if (link == Link::Closed)
+            connect();
+        else if (link == Link::Open && !writing)
+            writeNext();
+    }
+
+    void expire(std::uint64_t id)
+    {
+        auto found = pending.find(id);
+        if (found == pending.end())
+            return;
+        // A frame still in the queue is withdrawn, so that a call reported as without effect can have none later.
+        bool sent = found->second.written;
+        if (!sent)
+            std::erase_if(outgoing, [id](const Outgoing& frame) { return frame.id == id; });
+        finish(id, sent ? Errc::Timeout : Errc::Unreachable, {});
+    }
+
+    void finish(std::uint64_t id, std::error_code error, std::string payload)
+    {
+        auto found = pending.find(id);
+        if (found == pending.end())
+            return;
+        auto call = std::move(found->second);
+        pending.erase(found);
+        call.timer->cancel();
+        call.done(error, std::move(payload));
+    }
+
+    void connect()
+    {
+        std::error_code error;
+        auto ip = asio::ip::make_address(peer.address, error);
+        if (error)
+            return fail();
+        link = Link::Connecting;
+        ++generation;
+        socket = tcp::socket(strand);
+        tcp::endpoint endpoint(ip, static_cast<unsigned short>(peer.port));
+        socket.async_connect(endpoint, [self = shared_from_this(), current = generation](std::error_code failure) {
+            if (current != self->generation)
+                return;
+            if (failure)
+                return self->fail();
+            std::error_code ignored;
+            self->socket.set_option(tcp::no_delay(true), ignored);
+            self->link = Link::Open;
+            self->readHeader();
+            if (!self->outgoing.empty())
+                self->writeNext();
+        });
+    }
+
+    void writeNext()
+    {
+        writing = true;
+        current = std::move(outgoing.front());
+        outgoing.pop_front();
+        if (auto found = pending.find(current.id); found != pending.end())
+            found->second.written = true;
+        asio::async_write(socket, asio::buffer(current.bytes),
+            [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
+                if (started != self->generation)
+                    return;
+                self->writing = false;
+                if (error)
+                    return self->fail();
+                if (!self->outgoing.empty())
+                    self->writeNext();
+            });
+    }
+
+    void readHeader()
+    {
+        asio::async_read(socket, asio::buffer(header),
+            [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
+                if (started != self->generation)
+                    return;
+                if (error || !decodeHeader(self->header, self->frame))
+                    return self->fail();
+                self->readPayload();
+            });
+    }
+
+    void readPayload()
+    {
+        incoming.resize(frame.payloadBytes);
+        asio::async_read(socket, asio::buffer(incoming),
+            [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
+                if (started != self->generation)
+                    return;
+                if (error)
+                    return self->fail();
+                self->finish(self->frame.requestId, {}, std::move(self->incoming));
+                self->incoming.clear();
+                self->readHeader();
+            });
+    }
+
+    //! Ends every call in progress; the next call connects again.
+    void fail()
+    {
+        ++generation;
+        link = Link::Closed;
+        writing = false;
+        std::error_code ignored;
+        socket.close(ignored);
+        outgoing.clear();
+        auto calls = std::exchange(pending, {});
+        for (auto& [id, call] : calls) {
+            call.timer->cancel();
+            call.done(call.written ? Errc::Disconnected : Errc::Unreachable, {});
+        }
+    }
+
+    asio::strand<asio::io_context::executor_type> strand;
+    tcp::socket socket;
+    PeerAddress peer;
+    Link link = Link::Closed;
+    bool writing = false;
+    std::uint64_t generation = 0; //!< completions of an earlier connection are ignored
+    std::uint64_t nextId = 1;
+    std::map<std::uint64_t, Pending> pending;
+    std::deque<Outgoing> outgoing;
+    Outgoing current {};
+    std::array<char, headerBytes> header {};
+    FrameHeader frame;
+    std::string incoming;
+};
+
+RpcClient::RpcClient(asio::io_context& context, const PeerAddress& peer)
+    : state_(std::make_shared<State>(context, peer))
+{
+}
+
+RpcClient::~RpcClient()
+{
+    asio::post(state_->strand, [state = state_] { state->fail(); });
+}
+
+void RpcClient::call(std::uint16_t kind, std::string payload, Instant deadline, CallResult done)
+{
+    asio::post(state_->strand,
+        [state = state_, kind, payload = std::move(payload), deadline, done = std::move(done)]() mutable {
+            state->call(kind, payload, deadline, std::move(done));
+        });
+}
+
+std::error_code RpcClient::callAndWait(std::uint16_t kind, std::string payload, Instant deadline, std::string& reply)
+{
+    auto promise = std::make_shared<std::promise<std::pair<std::error_code, std::string>>>();
+    auto future = promise->get_future();
+    call(kind, std::move(payload), deadline, [promise](std::error_code error, std::string bytes) {
+        promise->set_value({ error, std::move(bytes) });
+    });
+    // The call ends by itself at its deadline; the margin covers an io_context that has stopped.
+    constexpr Millis stoppedContextMargin { 500 };
+    if (future.wait_until(deadline + stoppedContextMargin) != std::future_status::ready)
+        return Errc::Timeout;
+    auto [error, bytes] = future.get();
+    reply = std::move(bytes);
+    return error;
+}
+
+} // namespace agatevane::net
