--- a/src/agatevane/http/client.cpp
+++ b/src/agatevane/http/client.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <httplib.h>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace agatevane::http {
@@ -64,6 +65,7 @@
     Endpoint endpoint;
     std::mutex mutex;
     std::vector<std::unique_ptr<httplib::Client>> idle;
+    std::set<httplib::Client*> streaming;
 
     std::unique_ptr<httplib::Client> take()
     {
@@ -159,10 +161,25 @@
     request.set_header("Content-Type", "application/json");
     request.content_receiver
         = [&](const char* data, size_t size, uint64_t, uint64_t) { return onChunk(std::string_view(data, size)); };
+    {
+        std::lock_guard lock(state_->mutex);
+        state_->streaming.insert(client.get());
+    }
     auto result = client->send(request);
+    {
+        std::lock_guard lock(state_->mutex);
+        state_->streaming.erase(client.get());
+    }
     if (!result)
         return result.error() == httplib::Error::Canceled ? std::error_code() : toError(result.error());
     return {};
 }
 
+void Client::abortStreams()
+{
+    std::lock_guard lock(state_->mutex);
+    for (auto* client : state_->streaming)
+        client->stop();
+}
+
 } // namespace agatevane::http
--- a/src/agatevane/http/client.h
+++ b/src/agatevane/http/client.h
@@ -46,6 +46,10 @@
     std::error_code stream(const std::string& method, const std::string& path, const std::string& body,
         Millis idleTimeout, const std::function<bool(std::string_view)>& onChunk);
 
+    //! Breaks the streams that are open now, so that a thread blocked in one can end. A stream that is still connecting
+    //! is not affected; repeat the call until the thread has ended.
+    void abortStreams();
+
     const Endpoint& endpoint() const;
 
 private:
