--- /dev/null
+++ b/standins/store/main.cpp
@@ -0,0 +1,42 @@
+#include "standins/store/store_server.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+using namespace agatevane;
+
+int main(int argc, char** argv)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+
+    standin::StoreSettings settings;
+    CLI::App app { "Stand-in for the platform's key-value store, for tests and the demo" };
+    app.add_option("--address", settings.address, "IP number to listen on");
+    app.add_option("--port", settings.port, "port of the gateway; 0: any");
+    app.add_option("--control-port", settings.controlPort, "port of the control path; 0: any");
+    app.add_option("--threads", settings.threads, "calls and watches served at the same time");
+    app.add_option("--writes-per-second", settings.writesPerSecond, "cap; 0: none");
+    app.add_option("--reads-per-second", settings.readsPerSecond, "cap; 0: none");
+    app.add_option("--progress-ms", settings.progressMs, "interval of progress messages on a quiet watch");
+    app.add_option("--lost-answer-ms", settings.lostAnswerMs, "how long a lost answer is withheld");
+    app.add_option("--max-value-bytes", settings.limits.maxValueBytes, "longest value");
+    app.add_option("--history-revisions", settings.limits.historyRevisions, "revisions kept before compaction");
+    CLI11_PARSE(app, argc, argv);
+
+    standin::StoreServer server(settings);
+    if (auto error = server.start()) {
+        std::cerr << "cannot listen on " << settings.address << ": " << error.message() << "\n";
+        return 1;
+    }
+    std::cout << standin::Json { { "port", server.port() }, { "control", server.controlPort() } }.dump() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    server.stop();
+    return 0;
+}
