--- /dev/null
+++ b/standins/worker/task_table.cpp
@@ -0,0 +1,252 @@
+#include "standins/worker/task_table.h"
+
+#include <algorithm>
+
+namespace agatevane::standin {
+
+namespace {
+
+    constexpr std::int64_t failAfterMs = 50;
+
+    bool isActive(const Task& task)
+    {
+        return task.report.state == TaskState::Reserved || task.report.state == TaskState::Running;
+    }
+
+    void end(TaskTable& table, Task& task, TaskState state, std::int64_t atMs)
+    {
+        if (task.report.state == TaskState::Running) {
+            table.runs[task.run].endedMs = atMs;
+            table.runs[task.run].state = state;
+        }
+        task.report.state = state;
+        task.checkpointAtMs = -1;
+    }
+
+    //! Progress until `toMs`, at most to the end of the work.
+    void work(Task& task, std::int64_t toMs)
+    {
+        auto gained = (toMs - task.updatedMs) * (100 - task.throttlePercent);
+        task.progressUnits = std::min(task.durationMs * 100, task.progressUnits + gained);
+        task.report.progressMs = task.progressUnits / 100;
+        task.updatedMs = toMs;
+    }
+
+    std::int64_t finishTime(const Task& task)
+    {
+        auto left = task.durationMs * 100 - task.progressUnits;
+        auto speed = 100 - task.throttlePercent;
+        return speed == 0 ? INT64_MAX : task.updatedMs + (left + speed - 1) / speed;
+    }
+
+    void advanceRunning(TaskTable& table, Task& task, std::int64_t clockMs)
+    {
+        while (task.report.state == TaskState::Running) {
+            auto finish = finishTime(task);
+            auto fail = task.failAtMs < 0 ? INT64_MAX : task.failAtMs;
+            auto save = task.checkpointAtMs < 0 ? INT64_MAX : task.checkpointAtMs;
+            // The lease ends before anything else of the same millisecond.
+            auto lease = task.report.leaseUntilClockMs;
+            auto next = std::min({ finish, fail, save, lease });
+            if (next > clockMs) {
+                work(task, clockMs);
+                return;
+            }
+            work(task, std::max(next, task.updatedMs));
+            if (next == lease) {
+                end(table, task, TaskState::Stopped, next);
+            } else if (next == save) {
+                task.report.checkpointedMs = task.report.progressMs;
+                task.checkpointAtMs = -1;
+            } else if (next == fail) {
+                end(table, task, TaskState::Failed, next);
+            } else {
+                task.report.progressMs = task.durationMs;
+                task.report.checkpointedMs = task.durationMs;
+                end(table, task, TaskState::Finished, next);
+            }
+        }
+    }
+
+    //! False if the epoch is below the highest seen.
+    bool accepts(TaskTable& table, Epoch epoch, std::int64_t clockMs)
+    {
+        advance(table, clockMs);
+        if (epoch < table.epoch)
+            return false;
+        table.epoch = epoch;
+        return true;
+    }
+
+    //! The task that the command is about. Null if it is unknown.
+    Task* find(TaskTable& table, const AttemptId& attempt, Epoch epoch)
+    {
+        auto found = table.tasks.find(attempt);
+        if (found == table.tasks.end())
+            return nullptr;
+        found->second.report.epoch = epoch;
+        return &found->second;
+    }
+
+    int freeAccelerators(const TaskTable& table)
+    {
+        return table.accelerators - acceleratorsUsed(table);
+    }
+
+} // namespace
+
+int acceleratorsUsed(const TaskTable& table)
+{
+    int used = 0;
+    for (const auto& [attempt, task] : table.tasks) {
+        if (isActive(task))
+            used += task.report.accelerators;
+    }
+    return used;
+}
+
+void advance(TaskTable& table, std::int64_t clockMs)
+{
+    for (auto it = table.tasks.begin(); it != table.tasks.end();) {
+        auto& task = it->second;
+        if (task.report.state == TaskState::Reserved && task.report.leaseUntilClockMs <= clockMs) {
+            it = table.tasks.erase(it);
+            continue;
+        }
+        advanceRunning(table, task, clockMs);
+        ++it;
+    }
+}
+
+CommandStatus prepare(TaskTable& table, const PrepareCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    if (auto* task = find(table, command.attempt, command.epoch))
+        return isActive(*task) ? CommandStatus::Done : CommandStatus::Ended;
+    if (table.leaving)
+        return CommandStatus::Leaving;
+    if (table.rejectsAll || command.accelerators > freeAccelerators(table))
+        return CommandStatus::Full;
+    if (command.reserveUntilClockMs <= clockMs)
+        return CommandStatus::Ended;
+    Task task;
+    task.report = { .job = command.job,
+        .attempt = command.attempt,
+        .epoch = command.epoch,
+        .state = TaskState::Reserved,
+        .accelerators = command.accelerators,
+        .part = command.part,
+        .parts = command.parts,
+        .leaseUntilClockMs = command.reserveUntilClockMs };
+    table.tasks.emplace(command.attempt, std::move(task));
+    return CommandStatus::Done;
+}
+
+CommandStatus start(TaskTable& table, const StartCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    auto* task = find(table, command.attempt, command.epoch);
+    if (!task)
+        return CommandStatus::Unknown;
+    auto state = task->report.state;
+    if (state == TaskState::Running || state == TaskState::Finished)
+        return CommandStatus::Done;
+    if (state != TaskState::Reserved)
+        return CommandStatus::Unknown;
+    if (command.leaseUntilClockMs <= clockMs)
+        return CommandStatus::Ended;
+    task->report.state = TaskState::Running;
+    task->report.leaseUntilClockMs = command.leaseUntilClockMs;
+    task->report.progressMs = std::min(command.restoredMs, command.durationMs);
+    task->progressUnits = task->report.progressMs * 100;
+    task->report.checkpointedMs = task->report.progressMs;
+    task->durationMs = command.durationMs;
+    task->canCheckpoint = command.canCheckpoint;
+    task->updatedMs = clockMs;
+    task->failAtMs = table.failsAll ? clockMs + failAfterMs : -1;
+    task->run = table.runs.size();
+    table.runs.push_back({ task->report.job, command.attempt, task->report.part, task->report.parts,
+        task->report.accelerators, command.epoch, table.instance, clockMs, -1, TaskState::Running });
+    return CommandStatus::Done;
+}
+
+CommandStatus renew(TaskTable& table, const RenewCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    for (const auto& attempt : command.attempts) {
+        auto* task = find(table, attempt, command.epoch);
+        if (task && isActive(*task))
+            task->report.leaseUntilClockMs = std::max(task->report.leaseUntilClockMs, command.untilClockMs);
+    }
+    return CommandStatus::Done;
+}
+
+CommandStatus checkpoint(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    auto* task = find(table, command.attempt, command.epoch);
+    if (!task)
+        return CommandStatus::Unknown;
+    if (task->report.state == TaskState::Finished)
+        return CommandStatus::Done;
+    if (!task->canCheckpoint || task->report.state != TaskState::Running)
+        return CommandStatus::NotPossible;
+    if (task->checkpointAtMs < 0)
+        task->checkpointAtMs = clockMs + table.checkpointMs;
+    return CommandStatus::Done;
+}
+
+CommandStatus stop(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    auto* task = find(table, command.attempt, command.epoch);
+    if (!task)
+        return CommandStatus::Unknown;
+    if (isActive(*task))
+        end(table, *task, TaskState::Stopped, clockMs);
+    return CommandStatus::Done;
+}
+
+CommandStatus throttle(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    auto* task = find(table, command.attempt, command.epoch);
+    if (!task)
+        return CommandStatus::Unknown;
+    task->throttlePercent = command.throttlePercent;
+    return CommandStatus::Done;
+}
+
+CommandStatus forget(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
+{
+    if (!accepts(table, command.epoch, clockMs))
+        return CommandStatus::StaleEpoch;
+    auto* task = find(table, command.attempt, command.epoch);
+    if (!task)
+        return CommandStatus::Unknown;
+    if (isActive(*task))
+        return CommandStatus::NotPossible;
+    table.tasks.erase(command.attempt);
+    return CommandStatus::Done;
+}
+
+void restart(TaskTable& table, const std::string& instance, bool keepsEpoch, std::int64_t clockMs)
+{
+    advance(table, clockMs);
+    for (auto& [attempt, task] : table.tasks) {
+        if (isActive(task))
+            end(table, task, TaskState::Stopped, clockMs);
+    }
+    table.tasks.clear();
+    table.instance = instance;
+    if (!keepsEpoch)
+        table.epoch = 0;
+}
+
+} // namespace agatevane::standin
