Add a first scheduler of one data centre

Others link scheduling/shard.h, which had no implementation.

Jobs are queued by workspace, caller, class and shape; a start pass serves the workspace with the lowest weighted share first and places each gang in the tightest worker, rack or set of racks.

--- /dev/null
+++ b/src/agatevane/scheduling/start.cpp
@@ -0,0 +1,129 @@
+#include "agatevane/scheduling/start.h"
+#include "agatevane/scheduling/accounts.h"
+#include "agatevane/scheduling/reservation.h"
+#include <algorithm>
+
+namespace agatevane::scheduling {
+
+namespace {
+
+    struct Candidate {
+        int job = -1;
+        int shape = -1;
+    };
+
+    //! The oldest job at the head of one of the caller's queues whose shape may still fit.
+    Candidate oldestHead(const Shard& shard, const StartPass& pass, const Workspace& workspace, const Caller& caller,
+        int workClass, const IndexSet& feasible)
+    {
+        Candidate best;
+        QueueKey bestKey;
+        for (const auto& [shape, queue] : caller.queues[workClass]) {
+            const QueueKey& key = *queue.begin();
+            if (!feasible.contains(shape) || (best.job >= 0 && bestKey < key))
+                continue;
+            if (!mayCharge(shard, workspace, shard.shapes[shape]))
+                continue;
+            if (pass.isEligible && !pass.isEligible(workspace, shard.jobs[key.job]))
+                continue;
+            best = { key.job, shape };
+            bestKey = key;
+        }
+        return best;
+    }
+
+    Candidate nextOf(
+        const Shard& shard, const StartPass& pass, const Workspace& workspace, const FeasibleShapes& feasible)
+    {
+        std::array<bool, classCount> mayFit {};
+        bool mayAnyFit = false;
+        for (int workClass = 0; workClass < classCount; ++workClass) {
+            mayFit[workClass] = pass.classes[workClass] && intersects(workspace.shapes[workClass], feasible.shapes);
+            mayAnyFit |= mayFit[workClass];
+        }
+        if (!mayAnyFit)
+            return {};
+        for (const auto& key : workspace.waitingCallers) {
+            const Caller& caller = shard.callers[key.caller];
+            for (int workClass = 0; workClass < classCount; ++workClass) {
+                if (!mayFit[workClass] || !intersects(caller.shapes[workClass], feasible.shapes))
+                    continue;
+                Candidate candidate = oldestHead(shard, pass, workspace, caller, workClass, feasible.shapes);
+                if (candidate.job >= 0)
+                    return candidate;
+            }
+        }
+        return {};
+    }
+
+} // namespace
+
+FeasibleShapes feasibleShapes(const Shard& shard)
+{
+    FeasibleShapes feasible;
+    for (int shape = 0; shape < static_cast<int>(shard.shapes.size()); ++shape) {
+        if (shard.queuedOfShape[shape] > 0 && shard.shapes[shape].accelerators <= shard.fleet.free)
+            feasible.shapes.insert(shape);
+    }
+    return feasible;
+}
+
+void markInfeasible(const Shard& shard, FeasibleShapes& feasible, int failed)
+{
+    const Shape& least = shard.shapes[failed];
+    for (int shape = feasible.shapes.next(0); shape >= 0; shape = feasible.shapes.next(shape + 1)) {
+        const Shape& other = shard.shapes[shape];
+        if (other.perWorker == least.perWorker && other.accelerators >= least.accelerators
+            && other.maxSpread <= least.maxSpread)
+            feasible.shapes.erase(shape);
+    }
+}
+
+Placement placementOf(const Shard& shard, const Slots& slots)
+{
+    Placement placement;
+    placement.reserve(slots.size());
+    for (const auto& part : slots)
+        placement.push_back({ shard.fleet.workers[part.worker].id, part.accelerators });
+    return placement;
+}
+
+void startGang(Shard& shard, int job, Slots slots, Instant at, std::vector<Decision>& decisions)
+{
+    dropReservation(shard, job);
+    removeFromQueue(shard, job);
+    decisions.emplace_back(StartGang { shard.jobs[job].id, placementOf(shard, slots) });
+    chargeGang(shard, job, std::move(slots), at);
+}
+
+void runStartPass(
+    Shard& shard, const StartPass& pass, FeasibleShapes& feasible, Instant at, std::vector<Decision>& decisions)
+{
+    if (feasible.shapes.empty())
+        return;
+    std::vector<std::pair<double, int>> order; // a heap with the lowest score first
+    for (int slot = 0; slot < static_cast<int>(shard.workspaces.size()); ++slot) {
+        if (shard.workspaces[slot].queuedJobs > 0)
+            order.emplace_back(score(shard, shard.workspaces[slot], at), slot);
+    }
+    std::make_heap(order.begin(), order.end(), std::greater<>());
+    while (!order.empty() && !(pass.isDone && pass.isDone())) {
+        std::pop_heap(order.begin(), order.end(), std::greater<>());
+        int slot = order.back().second;
+        order.pop_back();
+        Candidate next = nextOf(shard, pass, shard.workspaces[slot], feasible);
+        if (next.job < 0)
+            continue;
+        Slots slots = fit(shard.fleet, shard.shapes[next.shape]);
+        if (slots.empty()) {
+            markInfeasible(shard, feasible, next.shape);
+        } else {
+            startGang(shard, next.job, std::move(slots), at, decisions);
+            shard.jobs[next.job].backfills = pass.backfills;
+        }
+        order.emplace_back(score(shard, shard.workspaces[slot], at), slot);
+        std::push_heap(order.begin(), order.end(), std::greater<>());
+    }
+}
+
+} // namespace agatevane::scheduling
--- /dev/null
+++ b/tests/scheduling/fixture.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "agatevane/scheduling/shard.h"
+#include <string>
+#include <vector>
+
+//! Builders shared by the scheduling tests.
+namespace agatevane::scheduling::testing {
+
+inline Instant at(double seconds)
+{
+    return Instant {} + std::chrono::hours(1) + Millis(static_cast<std::int64_t>(seconds * 1000));
+}
+
+inline WorkerState worker(int rack, int number, int accelerators = 8)
+{
+    return { .id = { "w" + std::to_string(rack) + "-" + std::to_string(number) },
+        .rack = { "r" + std::to_string(rack) },
+        .capacity = { .accelerators = accelerators } };
+}
+
+inline void addRacks(Shard& shard, int racks, int workersPerRack, int accelerators = 8)
+{
+    for (int rack = 0; rack < racks; ++rack) {
+        for (int number = 0; number < workersPerRack; ++number)
+            setWorker(shard, worker(rack, number, accelerators));
+    }
+}
+
+inline JobSpec job(const std::string& id, int accelerators, const std::string& workspace = "a",
+    WorkClass workClass = WorkClass::Standard)
+{
+    return { .id = { id },
+        .workspace = { workspace },
+        .caller = { workspace + "-caller" },
+        .kind = "kind",
+        .workClass = workClass,
+        .accelerators = accelerators,
+        .expectedMs = 60000,
+        .canCheckpoint = true };
+}
+
+template <typename T> std::vector<T> only(const std::vector<Decision>& decisions)
+{
+    std::vector<T> found;
+    for (const auto& decision : decisions) {
+        if (const auto* match = std::get_if<T>(&decision))
+            found.push_back(*match);
+    }
+    return found;
+}
+
+} // namespace agatevane::scheduling::testing
