Silence a clang-tidy false positive on Id comparisons

Cause: clang-tidy 14 reports modernize-use-nullptr at the defaulted operator<=> of Id in every file that orders ids in a std::map, since the rewritten comparison holds a literal zero. Change: NOLINT for that check on that line. Ruled out: turning the check off for the repository, which would lose its true findings.

--- a/src/agatevane/base/id.h
+++ b/src/agatevane/base/id.h
@@ -11,7 +11,8 @@
 template <typename Tag> struct Id {
     std::string value;
 
-    auto operator<=>(const Id&) const = default;
+    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const Id&) const = default; // NOLINT(modernize-use-nullptr)
     bool empty() const { return value.empty(); }
 
     //! cereal support; include <cereal/types/string.hpp> where an archive is used.
