Add a thin agatevane-entry

Cause: callers need one HTTP entry for short calls and for jobs. A job id is derived from workspace and Idempotency-Key; the data centre is chosen by weighted rendezvous hashing of that token, so that every VM chooses the same one. Settings report all findings at once and exit with 2. SIGTERM drains. Not yet: admission, limits, retries, catalogue feed, idempotency, metrics.

--- /dev/null
+++ b/src/entry/job_handler.cpp
@@ -0,0 +1,205 @@
+#include "entry/job_handler.h"
+
+#include "agatevane/base/hash.h"
+#include "agatevane/base/random.h"
+#include "agatevane/http/problem.h"
+#include "agatevane/json/reader.h"
+#include "entry/identity.h"
+#include "entry/job_request.h"
+#include <algorithm>
+#include <future>
+
+namespace agatevane::entry {
+
+namespace {
+
+    nlohmann::json toJson(const JobView& view)
+    {
+        nlohmann::json workers = nlohmann::json::array();
+        for (const auto& worker : view.workers)
+            workers.push_back(worker.value);
+        return { { "id", view.spec.id.value }, { "state", nameOf(view.state) },
+            { "workspace", view.spec.workspace.value }, { "caller", view.spec.caller.value },
+            { "dataCentre", view.spec.dataCentre.value }, { "kind", view.spec.kind },
+            { "class", nameOf(view.spec.workClass) }, { "accelerators", view.spec.accelerators },
+            { "expectedSeconds", view.spec.expectedMs / 1000 }, { "canCheckpoint", view.spec.canCheckpoint },
+            { "attempt", view.attempt.value }, { "workers", workers }, { "queuedForMs", view.queuedForMs },
+            { "runningForMs", view.runningForMs }, { "checkpointedMs", view.checkpointedMs },
+            { "reason", view.reason } };
+    }
+
+    std::string linkOf(const JobId& id)
+    {
+        return "/v1/jobs/" + id.value;
+    }
+
+    void refuse(http::Response& response, int status, const std::string& title, const std::string& detail,
+        std::optional<Outcome> outcome)
+    {
+        http::Problem problem { .status = status, .title = title, .detail = detail, .outcome = outcome };
+        if (status == 503)
+            problem.retryAfterSeconds = 1;
+        http::writeProblem(problem, response);
+    }
+
+    void writeSubmission(const JobSpec& spec, const SubmitJobReply& reply, http::Response& response)
+    {
+        http::Problem problem { .title = std::string(nameOf(reply.result)), .detail = reply.reason };
+        problem.outcome = Outcome::NotRun;
+        auto retryAfter = static_cast<int>(std::clamp<std::int64_t>((reply.retryAfterMs + 999) / 1000, 1, 3600));
+        switch (reply.result) {
+        case SubmitResult::Accepted:
+        case SubmitResult::Duplicate:
+            response.status = 202;
+            response.headers.emplace("Location", linkOf(spec.id));
+            response.body = json::dump({ { "id", spec.id.value }, { "dataCentre", spec.dataCentre.value },
+                { "result", nameOf(reply.result) } });
+            return;
+        case SubmitResult::Impossible:
+            problem.status = 422;
+            break;
+        case SubmitResult::QuotaExceeded:
+            problem.status = 429;
+            problem.retryAfterSeconds = retryAfter;
+            break;
+        case SubmitResult::Overloaded:
+        case SubmitResult::Unavailable:
+        case SubmitResult::NotOwner:
+            problem.status = 503;
+            problem.retryAfterSeconds = retryAfter;
+            break;
+        case SubmitResult::Unknown:
+            problem.status = 504;
+            problem.outcome = Outcome::Unknown;
+            problem.resultLink = linkOf(spec.id);
+            break;
+        }
+        http::writeProblem(problem, response);
+    }
+
+    //! Whether another data centre may be tried without the risk that the job runs twice.
+    bool isRefusedForNow(SubmitResult result)
+    {
+        return result == SubmitResult::Overloaded || result == SubmitResult::Unavailable
+            || result == SubmitResult::NotOwner || result == SubmitResult::Impossible;
+    }
+
+    void writeJob(
+        const JobReply& reply, const CallerEntry& caller, const JobId& id, int foundStatus, http::Response& response)
+    {
+        bool isVisible = caller.isOperator || reply.job.spec.workspace == caller.workspace;
+        if (reply.status == JobReplyStatus::Found && isVisible) {
+            response.status = foundStatus;
+            response.body = json::dump(toJson(reply.job));
+        } else if (reply.status == JobReplyStatus::Found || reply.status == JobReplyStatus::NotFound) {
+            refuse(response, 404, "no such job", "", std::nullopt);
+        } else if (reply.status == JobReplyStatus::Unknown) {
+            http::Problem problem { .status = 504, .title = "no answer from the owner of the data centre" };
+            problem.outcome = Outcome::Unknown;
+            problem.resultLink = linkOf(id);
+            http::writeProblem(problem, response);
+        } else {
+            refuse(response, 503, "the owner of the data centre is not available", "", Outcome::NotRun);
+        }
+    }
+
+} // namespace
+
+void submitJob(JobContext& context, const http::Request& request, http::Response& response)
+{
+    auto arrival = now();
+    auto deadline = arrival + context.defaultTimeout;
+    auto catalogue = context.catalogue.load();
+    auto caller = authenticate(request, *catalogue, response);
+    if (!caller)
+        return;
+    JobSpec spec;
+    if (auto findings = readJobRequest(request.body, *caller, *catalogue, spec); !findings.empty()) {
+        http::Problem problem { .status = 400, .title = "invalid job", .outcome = Outcome::NotRun };
+        problem.findings = std::move(findings);
+        return http::writeProblem(problem, response);
+    }
+    spec.workClass = lowerClass(spec.workClass, caller->highestClass);
+    spec.idempotencyKey = http::headerOf(request.headers, "Idempotency-Key");
+    thread_local Random random = makeRandom();
+    auto token = jobTokenOf(spec.workspace, spec.idempotencyKey, randomToken(random));
+    auto candidates = spec.dataCentre.empty() ? rankDataCentres(spec, token, *catalogue)
+                                              : std::vector<DataCentreId> { spec.dataCentre };
+    if (candidates.empty())
+        return refuse(response, 422, "impossible", "no data centre has so many accelerators", Outcome::NotRun);
+    // With a key, a second data centre could accept a job that the first accepted at an earlier try.
+    if (!spec.idempotencyKey.empty())
+        candidates.resize(1);
+    SubmitJobReply reply;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        spec.dataCentre = candidates[i];
+        spec.id = { spec.dataCentre.value + "." + token };
+        // Each data centre gets an equal part of the time that is left.
+        auto left = elapsed(now(), deadline) / static_cast<int>(candidates.size() - i);
+        reply = context.schedulers.submit(spec, now() + left);
+        if (!isRefusedForNow(reply.result))
+            break;
+    }
+    writeSubmission(spec, reply, response);
+}
+
+void listJobs(JobContext& context, const http::Request& request, http::Response& response)
+{
+    auto deadline = now() + context.defaultTimeout / 4;
+    auto catalogue = context.catalogue.load();
+    auto caller = authenticate(request, *catalogue, response);
+    if (!caller)
+        return;
+    WorkspaceId workspace = caller->workspace;
+    if (caller->isOperator)
+        workspace = { http::parameterOf(request, "workspace") };
+    nlohmann::json jobs = nlohmann::json::array();
+    nlohmann::json incomplete = nlohmann::json::array();
+    for (const auto& [id, dataCentre] : catalogue->dataCentres) {
+        ListJobsRequest query { id, workspace };
+        auto reply = context.schedulers.list(query, std::min(deadline, now() + Millis(3000)));
+        if (reply.status != JobReplyStatus::Found)
+            incomplete.push_back(id.value);
+        for (const auto& job : reply.jobs)
+            jobs.push_back(toJson(job));
+    }
+    response.body = json::dump({ { "jobs", jobs }, { "dataCentresWithoutAnswer", incomplete } });
+}
+
+void showJob(JobContext& context, const http::Request& request, http::Response& response)
+{
+    auto catalogue = context.catalogue.load();
+    auto caller = authenticate(request, *catalogue, response);
+    if (!caller)
+        return;
+    JobId id { request.matches.at(1) };
+    if (!catalogue->dataCentres.contains(dataCentreOf(id)))
+        return refuse(response, 404, "no such job", "", std::nullopt);
+    auto reply = context.schedulers.status({ dataCentreOf(id), id }, now() + context.defaultTimeout);
+    // Reading has no effect, so a lost reply is not an unknown outcome.
+    if (reply.status == JobReplyStatus::Unknown)
+        reply.status = JobReplyStatus::Unavailable;
+    writeJob(reply, *caller, id, 200, response);
+}
+
+void cancelJob(JobContext& context, const http::Request& request, http::Response& response)
+{
+    auto deadline = now() + context.defaultTimeout;
+    auto catalogue = context.catalogue.load();
+    auto caller = authenticate(request, *catalogue, response);
+    if (!caller)
+        return;
+    JobId id { request.matches.at(1) };
+    if (!catalogue->dataCentres.contains(dataCentreOf(id)))
+        return refuse(response, 404, "no such job", "", std::nullopt);
+    // The owner does not know who asks, so the job's workspace is compared first.
+    auto job = context.schedulers.status({ dataCentreOf(id), id }, deadline);
+    if (job.status == JobReplyStatus::Unknown)
+        job.status = JobReplyStatus::Unavailable;
+    bool isVisible = caller->isOperator || job.job.spec.workspace == caller->workspace;
+    if (job.status != JobReplyStatus::Found || !isVisible)
+        return writeJob(job, *caller, id, 200, response);
+    writeJob(context.schedulers.cancel({ dataCentreOf(id), id }, deadline), *caller, id, 202, response);
+}
+
+} // namespace agatevane::entry
--- /dev/null
+++ b/src/entry/job_handler.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "agatevane/http/message.h"
+#include "entry/catalogue_snapshot.h"
+#include "entry/scheduler_client.h"
+
+namespace agatevane::entry {
+
+//! What the job routes need. The references outlive the HTTP server.
+struct JobContext {
+    CatalogueHolder& catalogue;
+    SchedulerClient& schedulers;
+    Millis defaultTimeout;
+};
+
+void submitJob(JobContext& context, const http::Request& request, http::Response& response);
+void listJobs(JobContext& context, const http::Request& request, http::Response& response);
+void showJob(JobContext& context, const http::Request& request, http::Response& response);
+void cancelJob(JobContext& context, const http::Request& request, http::Response& response);
+
+} // namespace agatevane::entry
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,45 @@
+#include "entry/entry_server.h"
+
+#include <csignal>
+#include <glog/logging.h>
+#include <iostream>
+
+using namespace agatevane;
+
+int main(int argc, char** argv)
+{
+    auto parsed = entry::parseSettings(argc, argv);
+    if (parsed.help) {
+        std::cout << *parsed.help;
+        return 0;
+    }
+    if (!parsed.findings.empty()) {
+        std::cerr << format(parsed.findings);
+        return 2;
+    }
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    // Blocked before any thread starts, so that only sigwait below receives them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    auto drainWait = parsed.settings.drainWait;
+    entry::EntryServer server(std::move(parsed.settings));
+    if (auto error = server.start()) {
+        LOG(ERROR) << "cannot listen: " << error.message();
+        return 1;
+    }
+    LOG(INFO) << "serving on port " << server.port();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    LOG(INFO) << "signal " << signal << ": draining";
+    server.drain();
+    std::this_thread::sleep_for(drainWait);
+    server.stop();
+    LOG(INFO) << "stopped";
+    return 0;
+}
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "agatevane/base/finding.h"
+#include "agatevane/base/id.h"
+#include "agatevane/base/instant.h"
+#include "agatevane/http/client.h"
+#include "agatevane/http/server.h"
+#include "agatevane/net/rpc.h"
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace agatevane::entry {
+
+using MemberAddresses = std::map<MemberId, net::PeerAddress>;
+
+struct Settings {
+    MemberId name;
+    RegionId region;
+    DataCentreId dataCentre;
+    net::PeerAddress listen { "127.0.0.1", 8080 };
+    net::PeerAddress rpcListen { "127.0.0.1", 0 }; //!< for other entry VMs
+    std::vector<http::Endpoint> stores;
+    std::optional<http::Endpoint> vmList;
+    MemberAddresses schedulers;
+    MemberAddresses peers; //!< RPC addresses of the other entry VMs
+    std::optional<http::TlsFiles> tls;
+    int threads = 256; //!< requests in progress or waiting at the same time
+    Millis defaultTimeout { 30000 }; //!< for callers that send no deadline
+    Millis reportInterval { 1000 }; //!< between two reports of a worker
+    Millis drainWait { 2000 }; //!< for the balancer to notice /readyz
+};
+
+//! What to do after the command line was read.
+struct ParsedSettings {
+    Settings settings;
+    Findings findings; //!< not empty: print them and exit with 2
+    std::optional<std::string> help; //!< text asked for by --help
+};
+
+//! Reads flags and AGATEVANE_* environment variables; a flag goes before its variable. All findings are collected.
+ParsedSettings parseSettings(int argc, const char* const* argv);
+
+} // namespace agatevane::entry
