Add the timeline library

An operator has to see what happened in which order over several processes whose clocks differ. Each process keeps a bounded ring of typed events with Lamport clocks; pages of several rings merge by clock, process and sequence.

--- /dev/null
+++ b/src/agatevane/timeline/ring.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "agatevane/base/finding.h"
+#include "agatevane/http/server.h"
+#include "agatevane/timeline/event.h"
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace agatevane::timeline {
+
+//! Some events of one process, oldest first.
+struct Page {
+    std::string process;
+    std::uint64_t next = 0; //!< pass as `since` to get what follows
+    std::uint64_t dropped = 0; //!< events between `since` and the first one here that the ring no longer holds
+    std::vector<Event> events;
+
+    bool operator==(const Page&) const = default;
+};
+
+constexpr std::size_t defaultRingEvents = 8192;
+constexpr std::size_t maxPageEvents = 10000;
+constexpr std::size_t maxDetailBytes = 256;
+
+//! The latest events of this process. Thread-safe; memory is bounded.
+class Ring {
+public:
+    explicit Ring(std::string process, std::size_t capacity = defaultRingEvents);
+
+    //! Fills in clock, sequence, process and wall clock. Longer details are cut at `maxDetailBytes`.
+    void record(Event event);
+
+    //! Events whose sequence is larger than `since`, at most `limit`.
+    Page since(std::uint64_t since, std::size_t limit = maxPageEvents) const;
+
+    LamportClock& clock() { return clock_; }
+
+private:
+    const std::string process_;
+    const std::size_t capacity_;
+    LamportClock clock_;
+    mutable std::mutex mutex_;
+    std::vector<Event> events_; //!< event `sequence` is at (sequence - 1) % capacity
+    std::uint64_t recorded_ = 0;
+};
+
+std::string encode(const Page& page);
+Findings decode(const std::string& text, Page& page);
+
+//! Adds `GET /v1/timeline?since=<sequence>&limit=<events>`. The ring must outlive the server.
+void registerTimelineRoute(http::Server& server, const Ring& ring);
+
+} // namespace agatevane::timeline
