--- /dev/null
+++ b/tests/catalogue/entry_tests.cpp
@@ -0,0 +1,121 @@
+#include "agatevane/catalogue/catalogue.h"
+#include "agatevane/catalogue/codec.h"
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace agatevane;
+
+namespace {
+
+WorkerEntry worker(const std::string& id, const std::string& rack, int accelerators = 8)
+{
+    return { .id = { id }, .rack = { rack }, .address = id + ":1", .capacity = { accelerators, 1, 1 } };
+}
+
+//! Two racks of 16 and 8 accelerators, so that 8 can be guaranteed.
+Catalogue sampleCatalogue()
+{
+    Catalogue catalogue;
+    insert(catalogue,
+        DataCentreEntry {
+            { "harju" }, { "north" }, "", { worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r2") } });
+    insert(catalogue, WorkspaceEntry { .id = { "small" }, .guarantees = { { { "harju" }, 8 } } });
+    insert(catalogue, CallerEntry { .id = { "c" }, .workspace = { "small" }, .tokenDigest = "00000000000000aa" });
+    return catalogue;
+}
+
+std::string textOf(const Findings& findings)
+{
+    return format(findings);
+}
+
+bool mentions(const Findings& findings, const std::string& text)
+{
+    return textOf(findings).find(text) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(Every_kind_of_entry_reads_back_as_it_was_written, *boost::unit_test::label("codec"))
+{
+    std::vector<Entry> entries { WorkspaceEntry { { "a" }, "o", 2.5, { { { "d" }, 3 } }, 9, 1.5, 0.25 },
+        CallerEntry { { "c" }, { "a" }, "o", "0123456789abcdef", WorkClass::Batch, 3, true },
+        ServiceEntry { { "s" }, "o", { 0.2, 0.3, 0.4 }, 7, 8, 9 },
+        DataCentreEntry { { "d" }, { "r" }, "o", { worker("w", "k") } },
+        LinkEntry { "l", "o", { "r" }, { "q" }, 8, 0.5 }, PolicyEntry { "default", "o", 1000, 500, 7, 0.5, false } };
+    for (const auto& entry : entries) {
+        Entry result;
+        auto findings = decodeEntry(keyOf(entry).kind, encodeEntry(entry), result);
+        BOOST_TEST(textOf(findings) == "");
+        BOOST_TEST((result == entry));
+        BOOST_TEST((entryKeyOf(storeKeyOf(keyOf(entry))) == keyOf(entry)));
+    }
+}
+
+// Guards against operators who have to repair a file one message at a time.
+BOOST_AUTO_TEST_CASE(All_faults_of_an_entry_are_reported_together, *boost::unit_test::label("codec"))
+{
+    Entry entry;
+    auto findings = decodeEntry(EntryKind::DataCentre,
+        R"({"id":"bad name","regoin":"x","workers":[
+            {"id":"w","rack":"r","address":"a:1","capacity":{"accelerators":-1}},
+            {"id":"w","rack":"","address":"a:1","slots":"8","capacity":{"accelerators":1,"gpus":2}}]})",
+        entry);
+    for (const auto* expected : { "/id: must be", "/region: missing", "/regoin: unknown field",
+             "/workers/0/capacity/accelerators: -1 is outside", "/workers/1/id: \"w\" is used twice",
+             "/workers/1/rack: must be", "/workers/1/address: \"a:1\" is used twice", "/workers/1/slots: must be",
+             "/workers/1/capacity/gpus: unknown field" })
+        BOOST_TEST(mentions(findings, expected), expected << " not in\n" << textOf(findings));
+    findings = decodeEntry(EntryKind::Workspace,
+        R"({"id":"a","weight":0,"quotaAccelerators":4,"guarantees":[{"dataCentre":"d","accelerators":5},
+            {"dataCentre":"d","accelerators":1}]})",
+        entry);
+    for (const auto* expected :
+        { "/weight: ", "/guarantees/0/accelerators: above", "/guarantees/1/dataCentre: listed" })
+        BOOST_TEST(mentions(findings, expected), expected << " not in\n" << textOf(findings));
+    findings = decodeEntry(EntryKind::Service, R"({"id":"s","classFloors":{"urgent":0.6,"batch":0.6}})", entry);
+    BOOST_TEST(mentions(findings, "/classFloors: add up to more than 1"));
+}
+
+RC_BOOST_PROP(decoding_any_text_never_throws, (const std::string& text))
+{
+    Entry entry;
+    for (const auto& [kind, name] : EnumNames<EntryKind>::table)
+        RC_ASSERT(!decodeEntry(kind, text, entry).empty());
+}
+
+// Guards against a guarantee that cannot be honoured after the failure of one rack.
+BOOST_AUTO_TEST_CASE(Guarantees_must_fit_without_the_largest_rack, *boost::unit_test::label("validation"))
+{
+    auto before = sampleCatalogue();
+    BOOST_TEST(textOf(validate(before)) == "");
+    auto after = before;
+    insert(after, WorkspaceEntry { .id = { "large" }, .guarantees = { { { "harju" }, 1 } } });
+    BOOST_TEST(mentions(newFindings(before, after),
+        "data_centres/harju/workers: guarantees of 9 accelerators exceed the 8 that remain"));
+    // A fault that exists already does not block other changes.
+    auto unrelated = after;
+    insert(unrelated, ServiceEntry { .id = { "s" } });
+    BOOST_TEST(newFindings(after, unrelated).empty());
+}
+
+BOOST_AUTO_TEST_CASE(References_and_doubles_are_checked, *boost::unit_test::label("validation"))
+{
+    auto catalogue = sampleCatalogue();
+    insert(catalogue, CallerEntry { .id = { "d" }, .workspace = { "gone" }, .tokenDigest = "00000000000000aa" });
+    auto twice = worker("w1", "r9");
+    twice.service = { "missing" };
+    insert(catalogue, DataCentreEntry { { "tartu" }, { "south" }, "", { twice } });
+    insert(catalogue, LinkEntry { "l", "", { "north" }, { "west" }, 8, 0 });
+    insert(catalogue, WorkspaceEntry { .id = { "x" }, .guarantees = { { { "nowhere" }, 1 } }, .floorShare = 0.6 });
+    insert(catalogue, WorkspaceEntry { .id = { "y" }, .floorShare = 0.6 });
+    auto findings = validate(catalogue);
+    for (const auto* expected : { "callers/d/workspace: workspace \"gone\"", "callers/d/tokenDigest: caller \"c\"",
+             "data_centres/tartu/workers/0/id: worker \"w1\"", "data_centres/tartu/workers/0/address",
+             "data_centres/tartu/workers/0/service: service \"missing\"", "links/l/to: no data centre is in region",
+             "workspaces/x/guarantees/0/dataCentre", "floors add up to 1.2" })
+        BOOST_TEST(mentions(findings, expected), expected << " not in\n" << textOf(findings));
+    erase(catalogue, { EntryKind::DataCentre, "harju" });
+    BOOST_TEST(mentions(validate(catalogue), "workspaces/small/guarantees/0/dataCentre"));
+}
--- a/tests/store/codec_tests.cpp
+++ b/tests/store/codec_tests.cpp
@@ -102,8 +102,8 @@
     TxnResult txn;
     WatchResponse watch;
     Revision revision = 0;
-    RC_ASSERT(!decode(text, range, revision) || !text.empty());
-    RC_ASSERT(!decode(text, txn, revision) || !text.empty());
-    RC_ASSERT(!decode(text, watch) || !text.empty());
+    RC_ASSERT((!decode(text, range, revision) || !text.empty()));
+    RC_ASSERT((!decode(text, txn, revision) || !text.empty()));
+    RC_ASSERT((!decode(text, watch) || !text.empty()));
     errorText(text);
 }
