Add the catalogue feed

Cause: each VM has to hold every accepted change within 10 s, with the store reachable or not, and to know when it cannot be sure of it. Change: a watch for speed, small reads of the store as proofs, pulls from peers whose heartbeat shows a newer revision, proofs through peers and, without the store, by all VMs together; the catalogue is published by read-copy-update. Ruled out: a proof from heartbeats; a datagram may be old when it arrives, only an answer to a question dates the proof.

--- a/src/agatevane/catalogue/view.cpp
+++ b/src/agatevane/catalogue/view.cpp
@@ -15,6 +15,7 @@
     bool wasLive = found != entries_.end() && !found->second.isDeleted;
     live_ += (update.isDeleted ? 0 : 1) - (wasLive ? 1 : 0);
     entries_[update.key] = update;
+    highest_ = std::max(highest_, update.revision);
     unreadable_.erase(update.key);
     if (!key)
         return true; // kept for the count and for peers that know its kind
@@ -66,6 +67,7 @@
 void CatalogueView::advance(std::int64_t revision)
 {
     catalogue_.revision = std::max(catalogue_.revision, revision);
+    highest_ = std::max(highest_, revision);
 }
 
 std::vector<EntryUpdate> CatalogueView::changesSince(std::int64_t revision, std::size_t maxBytes, bool& hasMore) const
--- a/src/agatevane/catalogue/view.h
+++ b/src/agatevane/catalogue/view.h
@@ -38,6 +38,8 @@
 
     //! Every change up to this revision is included.
     std::int64_t revision() const { return catalogue_.revision; }
+    //! The highest revision of any applied entry; above `revision()` while earlier changes may be missing.
+    std::int64_t highestRevision() const { return highest_; }
     const Catalogue& catalogue() const { return catalogue_; }
 
     //! Entries and tombstones after `revision`, oldest first, up to about `maxBytes`. `hasMore` if that cut off some.
@@ -56,6 +58,7 @@
     std::map<std::string, EntryUpdate> entries_; //!< with tombstones, by store key
     std::map<std::string, Findings> unreadable_;
     Catalogue catalogue_;
+    std::int64_t highest_ = 0;
     std::int64_t live_ = 0; //!< entries that are no tombstones
     std::int64_t tombstonesSince_ = 0;
 };
--- /dev/null
+++ b/src/agatevane/catalogue_feed/pull.cpp
@@ -0,0 +1,30 @@
+#include "agatevane/catalogue_feed/pull.h"
+
+#include "agatevane/base/error.h"
+#include "agatevane/peer_api/messages.h"
+
+namespace agatevane {
+
+std::error_code RpcPuller::operator()(
+    const CataloguePeer& peer, const CataloguePullRequest& request, Instant deadline, CataloguePullReply& reply)
+{
+    // VMs are replaced all the time; the connections of those that are gone are dropped now and then.
+    constexpr std::size_t maxClients = 256;
+    std::shared_ptr<net::RpcClient> client;
+    {
+        std::lock_guard lock(mutex_);
+        if (clients_.size() >= maxClients && !clients_.contains(peer.address))
+            clients_.clear();
+        auto& slot = clients_[peer.address];
+        if (!slot)
+            slot = std::make_shared<net::RpcClient>(context_, peer.address);
+        client = slot;
+    }
+    std::string bytes;
+    auto kind = static_cast<std::uint16_t>(MessageKind::CataloguePull);
+    if (auto error = client->callAndWait(kind, net::encode(request), deadline, bytes))
+        return error;
+    return net::decode(bytes, reply) ? std::error_code() : Errc::Malformed;
+}
+
+} // namespace agatevane
