--- a/src/agatevane/catalogue_feed/pull.cpp
+++ b/src/agatevane/catalogue_feed/pull.cpp
@@ -13,9 +13,10 @@
     std::shared_ptr<net::RpcClient> client;
     {
         std::lock_guard lock(mutex_);
-        if (clients_.size() >= maxClients && !clients_.contains(peer.address))
+        std::pair key { peer.address.address, peer.address.port };
+        if (clients_.size() >= maxClients && !clients_.contains(key))
             clients_.clear();
-        auto& slot = clients_[peer.address];
+        auto& slot = clients_[key];
         if (!slot)
             slot = std::make_shared<net::RpcClient>(context_, peer.address);
         client = slot;
--- a/src/agatevane/catalogue_feed/pull.h
+++ b/src/agatevane/catalogue_feed/pull.h
@@ -59,7 +59,7 @@
 private:
     asio::io_context& context_;
     std::mutex mutex_;
-    std::map<net::PeerAddress, std::shared_ptr<net::RpcClient>> clients_;
+    std::map<std::pair<std::string, int>, std::shared_ptr<net::RpcClient>> clients_; //!< by address and port
 };
 
 } // namespace agatevane
--- a/standins/worker/worker.cpp
+++ b/standins/worker/worker.cpp
@@ -223,6 +223,12 @@
         return;
     }
     std::unique_lock lock(mutex_);
+    // A restart loses what was forbidden, so a call that was meant for an earlier instance must not start.
+    auto expected = http::headerOf(request.headers, "Agatevane-Instance");
+    if (!expected.empty() && expected != tasks_.instance) {
+        writeRefusal(response, 503, "other_instance");
+        return;
+    }
     if (tasks_.leaving) {
         writeRefusal(response, 503, "leaving");
         return;
