--- /dev/null
+++ b/src/agatevane/claim_store/claim_runner.cpp
@@ -0,0 +1,86 @@
+#include "agatevane/claim_store/claim_runner.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace agatevane {
+
+namespace {
+
+    // Kept back from the time for sending, so that an answer that arrives late can still be recorded.
+    constexpr Millis recordingReserve { 500 };
+    constexpr Millis questionTimeout { 1000 };
+
+    class Runner {
+    public:
+        Runner(ClaimStore& store, const ClaimPorts& ports, const ClaimRequest& request)
+            : store_(store)
+            , ports_(ports)
+            , key_(claimStoreKey(request.workspace, request.idempotencyKey))
+            , deadline_(request.deadline)
+        {
+            sendDeadline_ = deadline_ - std::min<Instant::duration>(recordingReserve, (deadline_ - now()) / 5);
+        }
+
+        ClaimInput operator()(const WriteClaim& action) { return store_.write(key_, action, deadline_); }
+
+        ClaimInput operator()(const SendAttempt& action) { return ports_.send(action, sendDeadline_); }
+
+        ClaimInput operator()(const AskWorker& action)
+        {
+            std::this_thread::sleep_until(std::min(action.notBefore, deadline_));
+            return ports_.ask(action, std::min(deadline_, now() + questionTimeout));
+        }
+
+        ClaimInput operator()(const ChooseWorker& action) { return WorkerChosen { ports_.choose(action.refusedBy) }; }
+
+        ClaimInput operator()(const FinishClaim&) { return WorkerChosen {}; }
+
+    private:
+        ClaimStore& store_;
+        const ClaimPorts& ports_;
+        std::string key_;
+        Instant deadline_;
+        Instant sendDeadline_;
+    };
+
+} // namespace
+
+FinishClaim runClaim(ClaimStore& store, const ClaimPorts& ports, const ClaimRequest& request, Random& random,
+    const ClaimOptions& options)
+{
+    ClaimFlow flow;
+    flow.options = options;
+    Runner runner(store, ports, request);
+    auto action = begin(flow, request.idempotencyKey, requestDigestOf(request.service, request.body), request.worker,
+        request.deadline, random);
+    while (!std::holds_alternative<FinishClaim>(action)) {
+        auto input = std::visit(runner, action);
+        action = advance(flow, input, now(), random);
+    }
+    return std::get<FinishClaim>(std::move(action));
+}
+
+std::optional<FinishClaim> lookUpClaim(
+    ClaimStore& store, const ClaimPorts& ports, const WorkspaceId& workspace, const std::string& key, Instant deadline)
+{
+    auto read = store.read(claimStoreKey(workspace, key), deadline);
+    if (read.error)
+        return FinishClaim { ClaimOutcome::Unknown, {}, "the store cannot be read: " + read.error.message() };
+    if (!read.claim || read.claim->key != key)
+        return std::nullopt;
+    const auto& claim = *read.claim;
+    if (claim.state == ClaimState::NotRun)
+        return FinishClaim { ClaimOutcome::NotRun, {}, "the attempt was not run" };
+    if (claim.state == ClaimState::Done && claim.answer.hasBody)
+        return FinishClaim { ClaimOutcome::Done, claim.answer, "" };
+    auto asked = ports.ask({ claim.attempt, claim.worker, false, now() }, deadline);
+    bool isRecorded = claim.state == ClaimState::Done;
+    if (asked.state == AttemptState::Done && (!isRecorded || asked.answer.digest == claim.answer.digest))
+        return FinishClaim { ClaimOutcome::Done, asked.answer, "" };
+    if (asked.state == AttemptState::Running)
+        return FinishClaim { ClaimOutcome::InProgress, {}, "the request is still running" };
+    return FinishClaim { ClaimOutcome::Unknown, {}, "the outcome is not known yet" };
+}
+
+} // namespace agatevane
--- a/src/agatevane/idempotency/claim.h
+++ b/src/agatevane/idempotency/claim.h
@@ -57,7 +57,7 @@
 };
 
 //! Longest body kept in a record. The store limits values to 1 MB, and several records share a transaction.
-constexpr std::size_t maxRecordedBody = 512 * 1024;
+constexpr std::size_t maxRecordedBody = 512 << 10;
 constexpr std::size_t maxIdempotencyKey = 256;
 
 //! Under "/agatevane/claims/<workspace>/". Two different keys may in theory share it; the record holds the key itself.
--- a/standins/worker/call_table.cpp
+++ b/standins/worker/call_table.cpp
@@ -56,12 +56,13 @@
 {
     nlohmann::json answer { { "service", service.value }, { "requestDigest", digestOf(body) },
         { "requestLength", body.size() } };
-    auto text = json::dump(answer);
-    if (text.size() < work.answerBytes) {
-        answer["padding"] = std::string(work.answerBytes - text.size(), 'x');
-        text = json::dump(answer);
+    if (work.answerBytes > 0) {
+        answer["padding"] = "";
+        auto length = json::dump(answer).size();
+        if (length < work.answerBytes)
+            answer["padding"] = std::string(work.answerBytes - length, 'x');
     }
-    return { work.status, std::move(text) };
+    return { work.status, json::dump(answer) };
 }
 
 } // namespace agatevane::standin
