Add the shared limits

Cause: a limit holds over all entry VMs, no VM coordinates them, and a fixed split wastes the share of idle VMs. Change: base share limit / n and grants of at most 5 s with stored deadlines. The borrower counts from before it asked, the lender from the receipt plus 1 % of drift. A restarted process keeps to a quarter of its share for one term, since it has forgotten what it lent; no VM lends more than three quarters. Ruled out: letting a restarted VM use its whole share at once; the sum then reached more than the limit.

--- /dev/null
+++ b/tests/limits/limits_tests.cpp
@@ -0,0 +1,171 @@
+#include "agatevane/limits/limits.h"
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <rapidcheck/boost_test.h>
+
+using namespace agatevane;
+using namespace agatevane::limits;
+
+namespace {
+
+struct Message {
+    bool isReply = false;
+    int from = 0;
+    int to = 0;
+    GrantId id;
+    double rate = 0;
+    Instant arrives;
+};
+
+//! Several VMs with a network that loses, delays and doubles messages. Each VM reads its own clock.
+struct Cluster {
+    explicit Cluster(int members, double totalLimit, std::uint64_t seed)
+        : random(seed)
+        , limit(totalLimit)
+    {
+        for (int i = 0; i < members; ++i) {
+            vms.push_back(makeLimit(limit, members, Instant()));
+            // One part in 200 fast or slow, hence at most 1 % apart.
+            drift.push_back(1 + static_cast<double>(uniform(random, -500, 500)) / 100000);
+        }
+    }
+
+    Instant clockOf(int vm) const
+    {
+        return Instant() + std::chrono::duration_cast<Instant::duration>((time - Instant()) * drift[vm]);
+    }
+
+    void send(Message message)
+    {
+        auto copies = isLossy ? uniform(random, 0, 3) : 1; // 0: lost; 3: doubled
+        for (int i = 0; i < (copies == 3 ? 2 : std::min<int>(1, copies)); ++i) {
+            message.arrives = time + Millis(uniform(random, 0, isLossy && uniform(random, 0, 4) == 0 ? 7000 : 50));
+            network.push_back(message);
+        }
+    }
+
+    void deliver()
+    {
+        for (std::size_t i = 0; i < network.size();) {
+            if (network[i].arrives > time) {
+                ++i;
+                continue;
+            }
+            auto message = network[i];
+            network.erase(network.begin() + static_cast<std::ptrdiff_t>(i));
+            auto clock = clockOf(message.to);
+            if (message.isReply) {
+                onBorrowReply(vms[message.to], message.id, message.rate, clock);
+            } else {
+                auto granted = onBorrowRequest(vms[message.to], message.id, message.rate, clock);
+                send({ true, message.to, message.from, message.id, granted, {} });
+            }
+        }
+    }
+
+    void ask(int vm)
+    {
+        auto clock = clockOf(vm);
+        double wanted = wantedRate(vms[vm], clock);
+        if (wanted <= 0)
+            return;
+        GrantId id { std::to_string(vm), ++numbers };
+        onAsk(vms[vm], id, clock);
+        auto lender = (vm + 1 + numbers % (vms.size() - 1)) % vms.size(); // Each peer in turn.
+        send({ false, vm, static_cast<int>(lender), id, wanted, {} });
+    }
+
+    double rateSum() const
+    {
+        double sum = 0;
+        for (std::size_t i = 0; i < vms.size(); ++i)
+            sum += rateOf(vms[i], clockOf(static_cast<int>(i)));
+        return sum;
+    }
+
+    Random random;
+    double limit;
+    Instant time;
+    std::vector<Limit> vms;
+    std::vector<double> drift;
+    std::deque<Message> network;
+    std::uint64_t numbers = 0;
+    bool isLossy = true;
+};
+
+} // namespace
+
+// Guards against shares that add up above the limit when messages are lost, late or doubled, VMs restart and forget
+// what they lent, and clocks run apart; and against admissions beyond limit * (time + burst) in total.
+RC_BOOST_PROP(the_rates_never_add_up_above_the_limit, (std::uint64_t seed))
+{
+    int members = *rc::gen::inRange(2, 9);
+    Cluster cluster(members, 80, seed);
+    int admitted = 0;
+    for (int step = 0; step < 600; ++step) {
+        cluster.time += Millis(50);
+        cluster.deliver();
+        for (int vm = 0; vm < members; ++vm) {
+            // Demand moves from VM to VM.
+            int arrivals = (step / 100) % members == vm ? 8 : (uniform(cluster.random, 0, 9) == 0 ? 1 : 0);
+            for (int i = 0; i < arrivals; ++i)
+                admitted += tryAdmit(cluster.vms[vm], cluster.clockOf(vm)) ? 1 : 0;
+            cluster.ask(vm);
+        }
+        if (uniform(cluster.random, 0, 150) == 0) {
+            auto vm = static_cast<int>(uniform(cluster.random, 0, members - 1));
+            cluster.vms[vm] = makeLimit(cluster.limit, members, cluster.clockOf(vm));
+        }
+        RC_ASSERT(cluster.rateSum() <= cluster.limit * (1 + 1e-9));
+        double seconds = std::chrono::duration<double>(cluster.time - Instant()).count();
+        RC_ASSERT(admitted <= cluster.limit * (seconds * 1.01 + 1) + 1e-6);
+    }
+}
+
+// Guards against a fixed split, which wastes the shares of idle VMs.
+BOOST_AUTO_TEST_CASE(One_busy_VM_gets_most_of_an_idle_fleets_limit, *boost::unit_test::label("borrowing"))
+{
+    const int members = 8;
+    Cluster cluster(members, 80, 1);
+    cluster.isLossy = false;
+    cluster.time += Millis(6000);
+    int admitted = 0;
+    for (int step = 0; step < 400; ++step) { // 20 s, 200 requests/s at one VM
+        cluster.time += Millis(50);
+        for (int i = 0; i < 10; ++i)
+            admitted += tryAdmit(cluster.vms[0], cluster.clockOf(0)) ? 1 : 0;
+        cluster.ask(0);
+        cluster.deliver();
+    }
+    BOOST_TEST_MESSAGE("admitted/s at one of 8 VMs with a limit of 80/s: " << admitted / 20.0);
+    BOOST_TEST(admitted / 20.0 > 40); // A fixed split gives 10.
+}
+
+// Guards against a dead VM's share that never comes back.
+BOOST_AUTO_TEST_CASE(A_dead_borrowers_grant_returns_at_its_deadline, *boost::unit_test::label("borrowing"))
+{
+    Instant start;
+    auto lender = makeLimit(80, 8, start);
+    auto clock = start + lendTerm;
+    BOOST_TEST(onBorrowRequest(lender, { "dead", 1 }, 5, clock) == 5);
+    BOOST_TEST(onBorrowRequest(lender, { "dead", 1 }, 5, clock) == 5);
+    BOOST_TEST(rateOf(lender, clock) == 5);
+    BOOST_TEST(rateOf(lender, clock + lendTerm) == 10);
+    update(lender, 80, 7, clock + lendTerm);
+    BOOST_TEST(rateOf(lender, clock + lendTerm) == 80.0 / 7);
+}
+
+BOOST_AUTO_TEST_CASE(A_late_or_doubled_reply_changes_nothing, *boost::unit_test::label("borrowing"))
+{
+    Instant start;
+    auto borrower = makeLimit(80, 8, start);
+    auto clock = start + lendTerm;
+    onAsk(borrower, { "me", 1 }, clock);
+    onBorrowReply(borrower, { "me", 1 }, 5, clock + Millis(10));
+    onBorrowReply(borrower, { "me", 1 }, 5, clock + Millis(20));
+    BOOST_TEST(rateOf(borrower, clock + Millis(30)) == 15);
+    BOOST_TEST(rateOf(borrower, clock + grantTerm) == 10);
+    onAsk(borrower, { "me", 2 }, clock);
+    onBorrowReply(borrower, { "me", 2 }, 5, clock + grantTerm);
+    BOOST_TEST(rateOf(borrower, clock + grantTerm) == 10);
+}
