--- /dev/null
+++ b/src/agatevane/gang/gang.cpp
@@ -0,0 +1,325 @@
+#include "agatevane/gang/gang.h"
+
+#include <algorithm>
+
+namespace agatevane::gang {
+
+namespace {
+
+    Part* findPart(Gang& gang, const WorkerId& worker)
+    {
+        auto found = std::find_if(
+            gang.parts.begin(), gang.parts.end(), [&](const Part& part) { return part.worker == worker; });
+        return found == gang.parts.end() ? nullptr : &*found;
+    }
+
+    bool isEveryPart(const Gang& gang, PartState least)
+    {
+        return std::all_of(gang.parts.begin(), gang.parts.end(), [&](const Part& part) { return part.state >= least; });
+    }
+
+    bool isActive(const Gang& gang)
+    {
+        return gang.phase == Phase::Preparing || gang.phase == Phase::Starting || gang.phase == Phase::Running;
+    }
+
+    //! The part is known to have ended, or will be refused if a delayed command arrives.
+    void endPart(Gang& gang, Part& part, Cause cause, const std::string& reason, Instant at)
+    {
+        if (part.state == PartState::Ended)
+            return;
+        part.state = PartState::Ended;
+        if (isActive(gang)) {
+            gang.failedWorker = part.worker;
+            stop(gang, cause, reason + " on " + part.worker.value, at);
+        }
+    }
+
+    void advancePhase(Gang& gang, Instant at)
+    {
+        if (gang.phase == Phase::Preparing && isEveryPart(gang, PartState::Prepared)) {
+            gang.phase = Phase::Starting;
+            gang.startedAt = at;
+            for (auto& part : gang.parts)
+                part.nextSend = at;
+        }
+        if (gang.phase == Phase::Starting && isEveryPart(gang, PartState::Running))
+            gang.phase = Phase::Running;
+        if (gang.phase == Phase::Running && std::all_of(gang.parts.begin(), gang.parts.end(), [](const Part& part) {
+                return part.state == PartState::Finished;
+            }))
+            gang.phase = Phase::Finished;
+        if (gang.phase == Phase::Stopping && std::all_of(gang.parts.begin(), gang.parts.end(), [](const Part& part) {
+                return part.state == PartState::Ended;
+            }))
+            gang.phase = Phase::Over;
+    }
+
+    std::int64_t leaseEnd(const Timing& timing, const WorkerClock& clock)
+    {
+        return clock.clockMs + timing.term.count();
+    }
+
+    void sendPrepare(Gang& gang, const Timing& timing, Part& part, const WorkerClock& clock, std::vector<Command>& out)
+    {
+        if (part.instance.empty())
+            part.instance = clock.instance;
+        part.endsBy = std::max(part.endsBy, leaseBound(timing, clock.receivedAt));
+        out.push_back({ part.worker,
+            PrepareCommand { .job = gang.job,
+                .attempt = gang.attempt,
+                .epoch = gang.epoch,
+                .accelerators = part.accelerators,
+                .part = static_cast<int>(&part - gang.parts.data()),
+                .parts = static_cast<int>(gang.parts.size()),
+                .reserveUntilClockMs = leaseEnd(timing, clock) } });
+    }
+
+    void sendStart(Gang& gang, const Timing& timing, Part& part, const WorkerClock& clock, std::vector<Command>& out)
+    {
+        // A repeat carries the same lease end: the other parts are not known to run.
+        if (!part.mayBeStarted) {
+            part.startLeaseMs = leaseEnd(timing, clock);
+            part.endsBy = std::max(part.endsBy, leaseBound(timing, clock.receivedAt));
+        }
+        part.mayBeStarted = true;
+        part.state = PartState::Starting;
+        out.push_back({ part.worker,
+            StartCommand { .attempt = gang.attempt,
+                .epoch = gang.epoch,
+                .leaseUntilClockMs = part.startLeaseMs,
+                .durationMs = gang.durationMs,
+                .restoredMs = gang.restoredMs,
+                .canCheckpoint = gang.canCheckpoint,
+                .payload = gang.payload } });
+    }
+
+    void sendOrder(const Gang& gang, const Part& part, Verb verb, std::vector<Command>& out)
+    {
+        out.push_back({ part.worker, AttemptOrder { verb, { .attempt = gang.attempt, .epoch = gang.epoch } } });
+    }
+
+    void checkLimits(Gang& gang, const Timing& timing, Instant at)
+    {
+        if (gang.phase == Phase::Preparing && elapsed(gang.createdAt, at) >= timing.prepareLimit)
+            stop(gang, Cause::Refused, "not every worker answered the reservation", at);
+        if (gang.phase == Phase::Starting && elapsed(gang.startedAt, at) >= timing.startLimit)
+            stop(gang, Cause::Refused, "not every worker answered the start", at);
+        if (gang.phase != Phase::Running)
+            return;
+        for (const auto& part : gang.parts) {
+            if (part.state != PartState::Ended && elapsed(part.provenAt, at) > timing.lossAfter) {
+                gang.failedWorker = part.worker;
+                stop(gang, Cause::Lost, "no report from " + part.worker.value, at);
+                return;
+            }
+        }
+        bool isKept = gang.stopAt && std::all_of(gang.parts.begin(), gang.parts.end(), [](const Part& part) {
+            return part.isCheckpointSent && part.checkpointedMs >= part.checkpointTargetMs;
+        });
+        if (gang.stopAt && (isKept || at >= *gang.stopAt))
+            stop(gang, Cause::Preempted, gang.reason, at);
+    }
+
+    void advancePart(
+        Gang& gang, const Timing& timing, Part& part, const WorkerClock* clock, Instant at, std::vector<Command>& out)
+    {
+        if (gang.phase == Phase::Stopping && at >= part.endsBy)
+            part.state = PartState::Ended;
+        if (part.state == PartState::Ended || at < part.nextSend || !clock)
+            return;
+        part.nextSend = at + timing.resend;
+        switch (gang.phase) {
+        case Phase::Preparing:
+            if (part.state == PartState::Unprepared)
+                sendPrepare(gang, timing, part, *clock, out);
+            break;
+        case Phase::Starting:
+            if (part.state == PartState::Prepared || part.state == PartState::Starting)
+                sendStart(gang, timing, part, *clock, out);
+            break;
+        case Phase::Running:
+            if (gang.stopAt && part.checkpointedMs < part.checkpointTargetMs && part.state == PartState::Running) {
+                part.isCheckpointSent = true;
+                sendOrder(gang, part, Verb::Checkpoint, out);
+            }
+            break;
+        case Phase::Stopping:
+            sendOrder(gang, part, Verb::Stop, out);
+            break;
+        case Phase::Finished:
+        case Phase::Over:
+            break;
+        }
+    }
+
+} // namespace
+
+Instant leaseBound(const Timing& timing, Instant receivedAt)
+{
+    return receivedAt + timing.term + timing.term * timing.driftPercent / 100;
+}
+
+Gang makeGang(const JobId& job, const AttemptId& attempt, Epoch epoch, std::vector<Part> parts, Instant at)
+{
+    Gang gang { .job = job, .attempt = attempt, .epoch = epoch, .parts = std::move(parts) };
+    gang.createdAt = gang.startedAt = at;
+    for (auto& part : gang.parts)
+        part.nextSend = part.provenAt = part.confirmedAt = part.endsBy = at;
+    return gang;
+}
+
+void stop(Gang& gang, Cause cause, const std::string& reason, Instant at)
+{
+    if (gang.phase == Phase::Stopping || gang.phase == Phase::Over)
+        return;
+    gang.phase = Phase::Stopping;
+    gang.cause = cause;
+    gang.reason = reason;
+    for (auto& part : gang.parts) {
+        part.nextSend = at;
+        if (part.state == PartState::Finished)
+            part.state = PartState::Ended; // holds nothing on its worker any more
+    }
+    advancePhase(gang, at);
+}
+
+void preempt(Gang& gang, Instant deadline, const std::string& reason, Instant at)
+{
+    if (gang.phase != Phase::Running || !gang.canCheckpoint) {
+        stop(gang, Cause::Preempted, reason, at);
+        return;
+    }
+    if (gang.stopAt && *gang.stopAt <= deadline)
+        return;
+    gang.stopAt = deadline;
+    gang.reason = reason;
+    for (auto& part : gang.parts) {
+        part.checkpointTargetMs = part.state == PartState::Finished ? part.checkpointedMs : part.progressMs;
+        part.isCheckpointSent = part.checkpointedMs >= part.checkpointTargetMs;
+        part.nextSend = at;
+    }
+}
+
+void onTask(Gang& gang, const WorkerId& worker, const TaskReport& task, Instant sentAt)
+{
+    auto* part = findPart(gang, worker);
+    if (!part || part->state == PartState::Ended)
+        return;
+    part->progressMs = std::max(part->progressMs, task.progressMs);
+    part->checkpointedMs = std::max(part->checkpointedMs, task.checkpointedMs);
+    switch (task.state) {
+    case TaskState::Reserved:
+        if (part->state == PartState::Unprepared)
+            part->state = PartState::Prepared;
+        break;
+    case TaskState::Running:
+        part->provenAt = std::max(part->provenAt, sentAt);
+        if (part->state < PartState::Running)
+            part->state = PartState::Running;
+        break;
+    case TaskState::Finished:
+        part->provenAt = std::max(part->provenAt, sentAt);
+        part->state = gang.phase == Phase::Stopping ? PartState::Ended : PartState::Finished;
+        break;
+    case TaskState::Failed:
+        endPart(gang, *part, Cause::Failed, "failed", sentAt);
+        break;
+    case TaskState::Stopped:
+        endPart(gang, *part, Cause::Lost, "stopped by its worker", sentAt);
+        break;
+    }
+    advancePhase(gang, sentAt);
+}
+
+void onAbsent(Gang& gang, const WorkerId& worker, const std::string& instance, Instant sentAt)
+{
+    auto* part = findPart(gang, worker);
+    if (!part || part->state == PartState::Ended)
+        return;
+    if (!part->instance.empty() && part->instance != instance) {
+        endPart(gang, *part, Cause::Lost, "worker restarted", sentAt);
+    } else if (part->state >= PartState::Running && sentAt > part->confirmedAt) {
+        if (gang.phase == Phase::Finished)
+            return; // the outcome is known; the worker may have dropped it
+        endPart(gang, *part, Cause::Lost, "task disappeared", sentAt);
+    }
+    advancePhase(gang, sentAt);
+}
+
+void onPrepareReply(Gang& gang, const WorkerId& worker, ReplyStatus status)
+{
+    auto* part = findPart(gang, worker);
+    if (!part || gang.phase != Phase::Preparing || part->state != PartState::Unprepared)
+        return;
+    if (status == ReplyStatus::Ok)
+        part->state = PartState::Prepared;
+    else if (status == ReplyStatus::Refused)
+        endPart(gang, *part, Cause::Refused, "reservation refused", gang.createdAt);
+}
+
+void onStartReply(Gang& gang, const WorkerId& worker, ReplyStatus status, Instant sentAt, Instant at)
+{
+    auto* part = findPart(gang, worker);
+    if (!part || part->state != PartState::Starting || gang.phase != Phase::Starting)
+        return;
+    if (status == ReplyStatus::Ok) {
+        part->state = PartState::Running;
+        part->provenAt = std::max(part->provenAt, sentAt);
+        part->confirmedAt = at;
+    } else if (status == ReplyStatus::NotFound || status == ReplyStatus::Refused) {
+        // The start had no effect, but an earlier one may have had: `endsBy` decides.
+        gang.failedWorker = worker;
+        stop(gang, Cause::Refused, "start refused by " + worker.value, at);
+    }
+    advancePhase(gang, at);
+}
+
+void onStopReply(Gang& gang, const WorkerId& worker, ReplyStatus status)
+{
+    auto* part = findPart(gang, worker);
+    if (!part || gang.phase != Phase::Stopping)
+        return;
+    // A worker keeps a stopped task and refuses to start it again; an unknown one might still be started by a delayed
+    // command until its lease end has passed.
+    if (status == ReplyStatus::Ok || (status == ReplyStatus::NotFound && !part->mayBeStarted))
+        part->state = PartState::Ended;
+    advancePhase(gang, gang.createdAt);
+}
+
+std::vector<Command> advance(Gang& gang, const Timing& timing, const ClockLookup& clockOf, Instant at)
+{
+    std::vector<Command> commands;
+    advancePhase(gang, at);
+    checkLimits(gang, timing, at);
+    for (auto& part : gang.parts)
+        advancePart(gang, timing, part, clockOf(part.worker), at, commands);
+    advancePhase(gang, at);
+    return commands;
+}
+
+bool isRenewable(const Gang& gang, const Timing& timing, Instant at)
+{
+    if (gang.phase != Phase::Running)
+        return false;
+    return std::all_of(gang.parts.begin(), gang.parts.end(), [&](const Part& part) {
+        return part.state >= PartState::Running && part.state != PartState::Ended
+            && elapsed(part.provenAt, at) < timing.freshness;
+    });
+}
+
+void onRenewed(Gang& gang, const Timing& timing, const WorkerId& worker, const WorkerClock& clock)
+{
+    if (auto* part = findPart(gang, worker))
+        part->endsBy = std::max(part->endsBy, leaseBound(timing, clock.receivedAt));
+}
+
+std::int64_t keptWorkMs(const Gang& gang)
+{
+    std::int64_t kept = gang.parts.empty() ? 0 : gang.parts.front().checkpointedMs;
+    for (const auto& part : gang.parts)
+        kept = std::min(kept, part.checkpointedMs);
+    return kept;
+}
+
+} // namespace agatevane::gang
--- /dev/null
+++ b/src/agatevane/journal/compaction.cpp
@@ -0,0 +1,71 @@
+#include "agatevane/base/hash.h"
+#include "agatevane/journal/journal.h"
+#include <algorithm>
+
+namespace agatevane::journal {
+
+namespace {
+
+    //! Forgets the oldest outcomes beyond the limit. Only those already compacted: an Accepted record of the job that
+    //! is still in some batch would otherwise bring the job back.
+    void forgetOldOutcomes(State& state)
+    {
+        std::vector<std::pair<std::uint64_t, JobId>> finals;
+        std::size_t count = 0;
+        for (const auto& [id, job] : state.jobs) {
+            count += job.final ? 1 : 0;
+            if (job.isFinalCompacted)
+                finals.emplace_back(job.finalOrder, id);
+        }
+        if (count <= state.timing.finalsKept)
+            return;
+        auto excess = std::min(count - state.timing.finalsKept, finals.size());
+        std::sort(finals.begin(), finals.end());
+        for (std::size_t i = 0; i < excess; ++i)
+            state.jobs.erase(finals[i].second);
+    }
+
+} // namespace
+
+void planCompaction(State& state)
+{
+    forgetOldOutcomes(state);
+    auto generation = ++state.snapshotGeneration;
+    // Generations of a later epoch sort after those of an earlier one.
+    auto generationPrefix = snapshotPrefix(state.dataCentre) + toHex(state.epoch) + "-" + toHex(generation) + "-";
+    std::vector<std::string> chunk;
+    std::size_t bytes = 128;
+    std::uint64_t chunks = 0;
+    auto flush = [&] {
+        if (chunk.empty())
+            return;
+        StoreCall call;
+        call.puts.emplace_back(generationPrefix + toHex(chunks++), encodeBatch("snapshot", chunk));
+        state.compaction.push_back(std::move(call));
+        chunk.clear();
+        bytes = 128;
+    };
+    std::vector<std::pair<std::uint64_t, const FoldedJob*>> ordered;
+    for (const auto& [id, job] : state.jobs)
+        ordered.emplace_back(job.final ? job.finalOrder : 0, &job);
+    std::sort(ordered.begin(), ordered.end());
+    for (const auto& [order, job] : ordered) {
+        auto text = job->final ? encode(*job->final) : encode({ .kind = RecordKind::Accepted, .spec = job->spec });
+        if (bytes + text.size() + 1 > maxBatchBytes)
+            flush();
+        bytes += text.size() + 1;
+        chunk.push_back(std::move(text));
+        if (job->final)
+            state.compactedFinals.push_back(job->final->spec.id);
+    }
+    flush();
+    // The deletions come last: a crash between any two steps leaves a superset, which folds to the same state.
+    StoreCall removal;
+    auto journal = journalPrefix(state.dataCentre);
+    removal.deletes.emplace_back(journal, journal + toHex(state.epoch) + "-" + toHex(state.nextSequence));
+    removal.deletes.emplace_back(snapshotPrefix(state.dataCentre), generationPrefix);
+    state.compaction.push_back(std::move(removal));
+    state.batchesSinceCompaction = 0;
+}
+
+} // namespace agatevane::journal
--- /dev/null
+++ b/src/agatevane/journal/journal.cpp
@@ -0,0 +1,286 @@
+#include "agatevane/journal/journal.h"
+
+#include "agatevane/base/hash.h"
+#include <algorithm>
+
+namespace agatevane::journal {
+
+namespace {
+
+    StoreCall& guard(const State& state, StoreCall& call)
+    {
+        call.compares.push_back({ state.ownerKey, state.ownerRevision });
+        return call;
+    }
+
+    StoreCall send(State& state, StoreCall call, Phase phase, Instant at)
+    {
+        call.id = state.nextCallId++;
+        state.callId = call.id;
+        state.phase = phase;
+        state.sentAt = at;
+        return call;
+    }
+
+    void formBatch(State& state)
+    {
+        std::vector<std::string> encoded;
+        std::size_t bytes = 128; // braces, token and field names
+        while (!state.pending.empty()) {
+            bytes += state.pending.front().encoded.size() + 1;
+            if (bytes > maxBatchBytes && !state.batch.empty())
+                break;
+            encoded.push_back(state.pending.front().encoded);
+            state.batch.push_back(std::move(state.pending.front()));
+            state.pending.pop_front();
+        }
+        auto sequence = state.nextSequence++;
+        state.batchKey = journalPrefix(state.dataCentre) + toHex(state.epoch) + "-" + toHex(sequence);
+        state.batchToken = state.tokenPrefix + "/" + std::to_string(sequence);
+        state.batchValue = encodeBatch(state.batchToken, encoded);
+        state.mayHaveEffect = false;
+        state.mustRead = false;
+        state.hasConflict = false;
+    }
+
+    void commit(State& state, Result& result)
+    {
+        for (const auto& pending : state.batch)
+            fold(state, pending.record);
+        result.committed = std::move(state.batch);
+        state.batch.clear();
+        ++state.batchesSinceCompaction;
+    }
+
+    void drop(State& state, Result& result)
+    {
+        for (auto& pending : state.batch)
+            result.dropped.push_back(std::move(pending));
+        state.batch.clear();
+    }
+
+    void beFenced(State& state, Result& result)
+    {
+        state.isFenced = true;
+        result.fenced = true;
+        drop(state, result);
+    }
+
+    //! The store was not reached and never saw the batch: its new jobs are refused, the outcomes are kept.
+    void refuseNewJobs(State& state, Result& result)
+    {
+        for (auto entry = state.batch.rbegin(); entry != state.batch.rend(); ++entry) {
+            if (entry->record.kind == RecordKind::Accepted)
+                result.dropped.push_back(std::move(*entry));
+            else
+                state.pending.push_front(std::move(*entry));
+        }
+        state.batch.clear();
+    }
+
+    void onWritten(State& state, const StoreReply& reply, Result& result)
+    {
+        switch (reply.outcome) {
+        case StoreOutcome::Done:
+            commit(state, result);
+            break;
+        case StoreOutcome::Conflict:
+            // An earlier or repeated delivery may have written the batch; the key's token tells.
+            state.mustRead = true;
+            state.hasConflict = true;
+            break;
+        case StoreOutcome::NoEffect:
+            if (!state.mayHaveEffect)
+                refuseNewJobs(state, result);
+            break;
+        case StoreOutcome::Unknown:
+            state.mayHaveEffect = true;
+            state.mustRead = true;
+            break;
+        }
+    }
+
+    void onReadBack(State& state, const StoreReply& reply, Result& result)
+    {
+        if (reply.outcome != StoreOutcome::Done)
+            return;
+        const StoreValue* ownBatch = nullptr;
+        for (const auto& value : reply.values) {
+            if (value.key == state.batchKey)
+                ownBatch = &value;
+        }
+        auto stored = ownBatch ? decodeBatch(ownBatch->value) : std::nullopt;
+        if (stored && stored->token == state.batchToken)
+            commit(state, result);
+        else if (state.hasConflict)
+            beFenced(state, result); // the owner record has changed, so no delayed write can succeed either
+        else
+            state.mustRead = false; // written again under the same key: a delayed first write cannot add a second batch
+    }
+
+    void onReplayPage(State& state, const StoreReply& reply, Result& result)
+    {
+        if (reply.outcome != StoreOutcome::Done)
+            return;
+        for (const auto& value : reply.values) {
+            if (auto batch = decodeBatch(value.value)) {
+                for (const auto& record : batch->records)
+                    fold(state, record);
+            }
+            if (value.key.starts_with(journalPrefix(state.dataCentre)))
+                ++state.batchesSinceCompaction;
+        }
+        if (!reply.values.empty()) {
+            state.replayFrom = reply.values.back().key + '\0';
+            return;
+        }
+        if (state.replayFrom.starts_with(snapshotPrefix(state.dataCentre))) {
+            state.replayFrom = journalPrefix(state.dataCentre);
+            return;
+        }
+        state.isReplayed = true;
+        result.replayed = true;
+    }
+
+    StoreCall replayCall(const State& state)
+    {
+        auto prefix = state.replayFrom.starts_with(snapshotPrefix(state.dataCentre)) ? snapshotPrefix(state.dataCentre)
+                                                                                     : journalPrefix(state.dataCentre);
+        return { .readFrom = state.replayFrom, .readEnd = prefixEnd(prefix) };
+    }
+
+} // namespace
+
+std::string journalPrefix(const DataCentreId& dataCentre)
+{
+    return "/agatevane/journal/" + dataCentre.value + "/";
+}
+
+std::string snapshotPrefix(const DataCentreId& dataCentre)
+{
+    return "/agatevane/snapshot/" + dataCentre.value + "/";
+}
+
+State makeState(const DataCentreId& dataCentre, const std::string& ownerKey, Epoch epoch, std::int64_t ownerRevision,
+    const std::string& tokenPrefix, Instant at)
+{
+    State state { .dataCentre = dataCentre, .ownerKey = ownerKey };
+    state.epoch = epoch;
+    state.ownerRevision = ownerRevision;
+    state.tokenPrefix = tokenPrefix;
+    state.nextCommit = state.nextTry = at;
+    state.replayFrom = snapshotPrefix(dataCentre);
+    return state;
+}
+
+std::uint64_t append(State& state, Record record)
+{
+    auto ticket = state.nextTicket++;
+    auto encoded = encode(record);
+    state.pending.push_back({ ticket, std::move(record), std::move(encoded) });
+    return ticket;
+}
+
+bool isAvailable(const State& state)
+{
+    return state.isReplayed && !state.isFenced && !state.isStoreDown;
+}
+
+Result tick(State& state, Instant at)
+{
+    Result result;
+    if (state.phase != Phase::Idle && elapsed(state.sentAt, at) > state.timing.answerTimeout)
+        result = onStoreReply(state, { .id = state.callId, .outcome = StoreOutcome::Unknown }, at);
+    if (state.isFenced || state.phase != Phase::Idle || at < state.nextTry)
+        return result;
+    if (!state.isReplayed) {
+        result.call = send(state, replayCall(state), Phase::Replaying, at);
+        return result;
+    }
+    if (!state.batch.empty() && state.mustRead) {
+        result.call = send(state, { .readFrom = state.batchKey }, Phase::Reading, at);
+        return result;
+    }
+    if (state.batch.empty() && !state.pending.empty() && at >= state.nextCommit) {
+        formBatch(state);
+        state.nextCommit = at + state.timing.commitInterval;
+    }
+    if (!state.batch.empty()) {
+        StoreCall call;
+        guard(state, call).compares.push_back({ state.batchKey, 0 });
+        call.puts.emplace_back(state.batchKey, state.batchValue);
+        result.call = send(state, std::move(call), Phase::Writing, at);
+        return result;
+    }
+    if (state.compaction.empty() && state.batchesSinceCompaction > state.timing.batchesBeforeCompaction)
+        planCompaction(state);
+    if (!state.compaction.empty()) {
+        auto call = state.compaction.front();
+        result.call = send(state, std::move(guard(state, call)), Phase::Compacting, at);
+    }
+    return result;
+}
+
+Result onStoreReply(State& state, const StoreReply& reply, Instant at)
+{
+    Result result;
+    if (state.phase == Phase::Idle || reply.id != state.callId)
+        return result;
+    auto phase = state.phase;
+    state.phase = Phase::Idle;
+    bool isAnswered = reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict;
+    state.isStoreDown = !isAnswered;
+    if (!isAnswered)
+        state.nextTry = at + state.timing.retry;
+    switch (phase) {
+    case Phase::Writing:
+        onWritten(state, reply, result);
+        break;
+    case Phase::Reading:
+        onReadBack(state, reply, result);
+        break;
+    case Phase::Compacting:
+        if (reply.outcome == StoreOutcome::Conflict) {
+            beFenced(state, result);
+        } else if (reply.outcome == StoreOutcome::Done) {
+            state.compaction.pop_front();
+            if (state.compaction.empty()) {
+                for (const auto& job : state.compactedFinals)
+                    state.jobs[job].isFinalCompacted = true;
+                state.compactedFinals.clear();
+            }
+        }
+        break;
+    case Phase::Replaying:
+        onReplayPage(state, reply, result);
+        break;
+    case Phase::Idle:
+        break;
+    }
+    return result;
+}
+
+std::vector<Pending> takeUnsent(State& state)
+{
+    std::vector<Pending> unsent(
+        std::make_move_iterator(state.pending.begin()), std::make_move_iterator(state.pending.end()));
+    state.pending.clear();
+    return unsent;
+}
+
+void fold(State& state, const Record& record)
+{
+    auto& job = state.jobs[record.spec.id];
+    if (record.kind == RecordKind::Accepted) {
+        job.isAccepted = true;
+        if (!job.final)
+            job.spec = record.spec;
+        return;
+    }
+    if (job.final)
+        return;
+    job.final = record;
+    job.finalOrder = state.nextFinalOrder++;
+}
+
+} // namespace agatevane::journal
--- /dev/null
+++ b/src/agatevane/shard_owner/gangs.cpp
@@ -0,0 +1,237 @@
+#include "agatevane/shard_owner/parts.h"
+
+namespace agatevane::shard_owner {
+
+namespace {
+
+    scheduling::Placement placementOf(const gang::Gang& gang)
+    {
+        scheduling::Placement placement;
+        for (const auto& part : gang.parts) {
+            if (part.state != gang::PartState::Ended)
+                placement.push_back({ part.worker, part.accelerators });
+        }
+        return placement;
+    }
+
+    void release(State& state, OwnedGang& owned, scheduling::EndReason reason, Instant at)
+    {
+        if (!state.shard || owned.charge.empty())
+            return;
+        scheduling::markEnded(*state.shard, owned.charge, reason, at);
+        owned.charge = {};
+        owned.placement.clear();
+        state.isDirty = true;
+    }
+
+    bool hasOtherGang(const State& state, const JobId& job, const AttemptId& attempt)
+    {
+        for (const auto& [id, owned] : state.gangs) {
+            if (id != attempt && owned.gang.job == job)
+                return true;
+        }
+        return false;
+    }
+
+    void onRunning(State& state, OwnedGang& owned, Instant at, Actions& actions)
+    {
+        owned.isMarkedRunning = true;
+        ++state.counters.gangsStarted;
+        if (state.shard && !owned.charge.empty())
+            scheduling::markRunning(*state.shard, owned.charge, at);
+        auto job = state.jobs.find(owned.gang.job);
+        if (job != state.jobs.end()) {
+            job->second.state = JobState::Running;
+            job->second.startedAt = at;
+        }
+        actions.emplace_back(Event { EventKind::GangStarted, owned.gang.job.value,
+            owned.gang.attempt.value + " on " + std::to_string(owned.gang.parts.size()) + " workers" });
+    }
+
+    void onFinished(State& state, OwnedGang& owned, Instant at)
+    {
+        release(state, owned, scheduling::EndReason::Finished, at);
+        if (owned.isFinishRecorded || state.stage != Stage::Deciding)
+            return;
+        owned.isFinishRecorded = true;
+        for (const auto& part : owned.gang.parts)
+            countSuccess(state, part.worker);
+        auto job = state.jobs.find(owned.gang.job);
+        if (job == state.jobs.end()) {
+            owned.gang.phase = gang::Phase::Over; // cancelled in the meantime
+            return;
+        }
+        recordFinal(state, owned.gang.job,
+            { .kind = journal::RecordKind::Finished, .spec = { .id = owned.gang.job }, .attempt = owned.gang.attempt });
+    }
+
+    //! The job of an ended gang waits again, unless it has an outcome or failed too often.
+    void onOver(State& state, OwnedGang& owned, Instant at, Actions& actions)
+    {
+        auto& gang = owned.gang;
+        bool isFailure = gang.cause == gang::Cause::Failed;
+        release(state, owned, isFailure ? scheduling::EndReason::Failed : scheduling::EndReason::Stopped, at);
+        ++state.counters.gangsEnded;
+        actions.emplace_back(Event { EventKind::GangEnded, gang.job.value, gang.reason });
+        if (isFailure)
+            countFailure(state, gang.failedWorker, at, actions);
+        auto position = state.jobs.find(gang.job);
+        if (position == state.jobs.end() || hasOtherGang(state, gang.job, gang.attempt))
+            return;
+        auto& job = position->second;
+        if (!job.attempt.empty() && job.attempt != gang.attempt)
+            return;
+        job.attempt = {};
+        job.keptMs = std::max(job.keptMs, gang::keptWorkMs(gang));
+        if (isFailure && ++job.failedAttempts >= state.timing.attemptsPerJob) {
+            recordFinal(state, gang.job,
+                { .kind = journal::RecordKind::Failed, .spec = { .id = gang.job }, .reason = gang.reason });
+            return;
+        }
+        auto delay = isFailure                   ? state.timing.failedRetry
+            : gang.cause == gang::Cause::Refused ? state.timing.refusedRetry
+                                                 : Millis { 0 };
+        requeue(state, job, delay, at);
+    }
+
+    void reportCheckpoint(State& state, OwnedGang& owned, Instant at)
+    {
+        auto kept = gang::keptWorkMs(owned.gang);
+        if (!state.shard || owned.charge.empty() || kept <= owned.reportedCheckpointMs)
+            return;
+        owned.reportedCheckpointMs = kept;
+        scheduling::recordCheckpoint(*state.shard, owned.charge, kept, at);
+    }
+
+    //! True if the gang is over and is to be removed.
+    bool advanceGang(State& state, OwnedGang& owned, Instant at, Actions& actions)
+    {
+        auto clockOf = [&](const WorkerId& worker) -> const gang::WorkerClock* {
+            auto link = state.workers.find(worker);
+            return link != state.workers.end() && link->second.isReachable ? &link->second.clock : nullptr;
+        };
+        for (auto& command : gang::advance(owned.gang, state.gangTiming, clockOf, at))
+            send(state, std::move(command), at, actions);
+        if (owned.gang.phase == gang::Phase::Running && !owned.isMarkedRunning && state.stage == Stage::Deciding)
+            onRunning(state, owned, at, actions);
+        reportCheckpoint(state, owned, at);
+        if (owned.gang.phase == gang::Phase::Finished)
+            onFinished(state, owned, at);
+        auto job = state.jobs.find(owned.gang.job);
+        bool isStopping = owned.gang.phase == gang::Phase::Stopping;
+        if (isStopping && job != state.jobs.end() && job->second.attempt == owned.gang.attempt)
+            job->second.state = JobState::Stopping;
+        if (owned.gang.phase != gang::Phase::Over)
+            return false;
+        onOver(state, owned, at, actions);
+        return true;
+    }
+
+    void removeGang(State& state, const AttemptId& attempt)
+    {
+        for (const auto& part : state.gangs.at(attempt).gang.parts) {
+            auto link = state.workers.find(part.worker);
+            if (link != state.workers.end())
+                link->second.attempts.erase(attempt);
+        }
+        state.gangs.erase(attempt);
+    }
+
+    void start(State& state, const scheduling::StartGang& decision, Instant at)
+    {
+        auto position = state.jobs.find(decision.job);
+        if (position == state.jobs.end()) {
+            scheduling::markEnded(*state.shard, decision.job, scheduling::EndReason::Stopped, at);
+            return;
+        }
+        auto& job = position->second;
+        AttemptId attempt { state.owner.dataCentre.value + "/" + std::to_string(state.owner.epoch) + "/"
+            + state.owner.incarnation + "/" + std::to_string(++state.attemptCounter) };
+        std::vector<gang::Part> parts;
+        for (const auto& placed : decision.placement)
+            parts.push_back({ .worker = placed.worker, .accelerators = placed.accelerators });
+        auto gang = gang::makeGang(job.spec.id, attempt, state.owner.epoch, std::move(parts), at);
+        gang.durationMs = job.spec.expectedMs;
+        gang.restoredMs = job.keptMs;
+        gang.canCheckpoint = job.spec.canCheckpoint;
+        gang.payload = job.spec.payload;
+        job.attempt = attempt;
+        job.state = JobState::Starting;
+        auto& owned = addGang(state, std::move(gang));
+        owned.charge = job.spec.id;
+        owned.placement = decision.placement;
+        owned.reportedCheckpointMs = job.keptMs;
+    }
+
+    void carryOut(State& state, const scheduling::Decision& decision, Instant at)
+    {
+        if (const auto* startGang = std::get_if<scheduling::StartGang>(&decision)) {
+            start(state, *startGang, at);
+        } else if (const auto* preempt = std::get_if<scheduling::PreemptGang>(&decision)) {
+            auto job = state.jobs.find(preempt->job);
+            auto owned = job == state.jobs.end() ? state.gangs.end() : state.gangs.find(job->second.attempt);
+            if (owned == state.gangs.end())
+                return;
+            gang::preempt(owned->second.gang, preempt->deadline, preempt->reason, at);
+            state.touched.insert(owned->first);
+        } else if (const auto* impossible = std::get_if<scheduling::JobImpossible>(&decision)) {
+            if (state.jobs.contains(impossible->job))
+                recordFinal(state, impossible->job,
+                    { .kind = journal::RecordKind::Impossible,
+                        .spec = { .id = impossible->job },
+                        .reason = impossible->reason });
+        }
+    }
+
+} // namespace
+
+OwnedGang& addGang(State& state, gang::Gang gang)
+{
+    auto attempt = gang.attempt;
+    for (const auto& part : gang.parts) {
+        auto link = state.workers.find(part.worker);
+        if (link != state.workers.end())
+            link->second.attempts.insert(attempt);
+    }
+    auto& owned = state.gangs[attempt];
+    owned.gang = std::move(gang);
+    state.touched.insert(attempt);
+    return owned;
+}
+
+void charge(State& state, OwnedGang& owned, const JobSpec& spec)
+{
+    owned.charge = spec.id;
+    owned.placement = placementOf(owned.gang);
+    owned.reportedCheckpointMs = gang::keptWorkMs(owned.gang);
+    scheduling::adopt(*state.shard, spec, owned.placement, owned.gang.startedAt, owned.reportedCheckpointMs);
+}
+
+void advanceGangs(State& state, bool isAll, Instant at, Actions& actions)
+{
+    auto attempts = std::move(state.touched);
+    state.touched.clear();
+    if (isAll) {
+        for (const auto& [attempt, owned] : state.gangs)
+            attempts.insert(attempts.end(), attempt);
+    }
+    for (const auto& attempt : attempts) {
+        auto owned = state.gangs.find(attempt);
+        if (owned != state.gangs.end() && advanceGang(state, owned->second, at, actions))
+            removeGang(state, attempt);
+    }
+}
+
+void decideNow(State& state, Instant at, Actions& actions)
+{
+    bool isDue = at >= state.nextDecide + (state.isDirty ? Millis { 0 } : state.timing.idleDecideInterval);
+    if (!isDue || !ownership::mayAct(state.owner, at))
+        return;
+    state.nextDecide = at + state.timing.decideInterval;
+    state.isDirty = false;
+    for (const auto& decision : scheduling::decide(*state.shard, at))
+        carryOut(state, decision, at);
+    advanceGangs(state, false, at, actions);
+}
+
+} // namespace agatevane::shard_owner
--- /dev/null
+++ b/src/agatevane/shard_owner/jobs.cpp
@@ -0,0 +1,225 @@
+#include "agatevane/shard_owner/parts.h"
+#include <algorithm>
+
+namespace agatevane::shard_owner {
+
+namespace {
+
+    void refuse(State& state, RequestId request, SubmitResult result, const std::string& reason, Millis retryAfter,
+        Actions& actions)
+    {
+        ++state.counters.jobsRefused;
+        actions.emplace_back(AnswerSubmit { request,
+            { .result = result,
+                .reason = reason,
+                .retryAfterMs = retryAfter.count(),
+                .owner = result == SubmitResult::NotOwner ? state.owner.believedOwner : MemberId {} } });
+    }
+
+    //! The ticket of a record of `job` that is not durable yet; 0 if there is none.
+    std::uint64_t pendingTicket(const State& state, const JobId& job)
+    {
+        auto matches = [&](const journal::Pending& pending) { return pending.record.spec.id == job; };
+        const auto& journal = *state.journal;
+        auto sent = std::find_if(journal.batch.begin(), journal.batch.end(), matches);
+        if (sent != journal.batch.end())
+            return sent->ticket;
+        auto unsent = std::find_if(journal.pending.begin(), journal.pending.end(), matches);
+        return unsent != journal.pending.end() ? unsent->ticket : 0;
+    }
+
+    void answerCancel(const State& state, const Waiter& waiter, JobReplyStatus status, Instant at, Actions& actions)
+    {
+        JobReply reply { .status = status, .owner = state.owner.believedOwner };
+        if (status == JobReplyStatus::Found)
+            reply = jobStatus(state, waiter.job, at);
+        actions.emplace_back(AnswerCancel { waiter.request, std::move(reply) });
+    }
+
+    void expireWaiters(State& state, Instant at, Actions& actions)
+    {
+        std::vector<std::uint64_t> late;
+        for (const auto& [ticket, list] : state.waiters) {
+            if (std::any_of(list.begin(), list.end(), [&](const Waiter& waiter) { return at >= waiter.deadline; }))
+                late.push_back(ticket);
+        }
+        for (auto ticket : late) {
+            auto& unsent = state.journal->pending;
+            auto position = std::find_if(unsent.begin(), unsent.end(),
+                [&](const journal::Pending& pending) { return pending.ticket == ticket; });
+            bool isWithdrawn = position != unsent.end() && position->record.kind == journal::RecordKind::Accepted;
+            if (isWithdrawn) {
+                state.jobs.erase(position->record.spec.id);
+                unsent.erase(position);
+            }
+            answerAll(state, ticket, isWithdrawn ? SubmitResult::Unavailable : SubmitResult::Unknown,
+                JobReplyStatus::Unknown, at, actions);
+        }
+    }
+
+} // namespace
+
+void answerAll(State& state, std::uint64_t ticket, SubmitResult submitResult, JobReplyStatus cancelStatus, Instant at,
+    Actions& actions)
+{
+    auto waiting = state.waiters.extract(ticket);
+    if (waiting.empty())
+        return;
+    for (const auto& waiter : waiting.mapped()) {
+        if (!waiter.isSubmit) {
+            answerCancel(state, waiter, cancelStatus, at, actions);
+            continue;
+        }
+        bool isRepeat = waiter.isRepeat && submitResult == SubmitResult::Accepted;
+        SubmitJobReply reply { .result = isRepeat ? SubmitResult::Duplicate : submitResult };
+        if (submitResult == SubmitResult::NotOwner)
+            reply.owner = state.owner.believedOwner;
+        if (submitResult == SubmitResult::Unavailable)
+            reply.retryAfterMs = 1000;
+        actions.emplace_back(AnswerSubmit { waiter.request, std::move(reply) });
+    }
+}
+
+void submit(State& state, const SubmitArrived& input, Instant at, Actions& actions)
+{
+    constexpr Millis soon { 1000 };
+    constexpr Millis later { 5000 };
+    const auto& spec = input.spec;
+    if (state.owner.role != ownership::Role::Owner || spec.dataCentre != state.owner.dataCentre) {
+        refuse(state, input.request, SubmitResult::NotOwner, "another scheduler owns the data centre", soon, actions);
+        return;
+    }
+    if (state.stage != Stage::Deciding) {
+        refuse(state, input.request, SubmitResult::Unavailable, "taking over", soon, actions);
+        return;
+    }
+    auto known = state.journal->jobs.find(spec.id);
+    if (known != state.journal->jobs.end()) {
+        actions.emplace_back(AnswerSubmit { input.request, { .result = SubmitResult::Duplicate } });
+        return;
+    }
+    Waiter waiter { .request = input.request, .job = spec.id, .deadline = at + state.timing.answerLimit };
+    if (state.jobs.contains(spec.id)) {
+        waiter.isRepeat = true;
+        state.waiters[pendingTicket(state, spec.id)].push_back(waiter);
+        return;
+    }
+    if (!journal::isAvailable(*state.journal) || !ownership::mayAct(state.owner, at)) {
+        refuse(state, input.request, SubmitResult::Unavailable, "the store does not answer", later, actions);
+        return;
+    }
+    if (state.journal->pending.size() >= state.timing.maxPendingRecords) {
+        refuse(
+            state, input.request, SubmitResult::Overloaded, "too many submissions wait for the store", later, actions);
+        return;
+    }
+    auto impossible = spec.payload.size() > journal::maxPayloadBytes
+        ? std::optional<std::string>("the payload exceeds " + std::to_string(journal::maxPayloadBytes) + " bytes")
+        : scheduling::impossibleReason(*state.shard, spec);
+    if (impossible) {
+        refuse(state, input.request, SubmitResult::Impossible, *impossible, Millis { 0 }, actions);
+        return;
+    }
+    state.jobs.emplace(spec.id, Job { .spec = spec, .queuedAt = at });
+    auto ticket = journal::append(*state.journal, { .kind = journal::RecordKind::Accepted, .spec = spec });
+    state.waiters[ticket].push_back(waiter);
+}
+
+void cancel(State& state, const CancelArrived& input, Instant at, Actions& actions)
+{
+    Waiter waiter {
+        .request = input.request, .isSubmit = false, .job = input.job, .deadline = at + state.timing.answerLimit
+    };
+    if (state.owner.role != ownership::Role::Owner) {
+        answerCancel(state, waiter, JobReplyStatus::NotOwner, at, actions);
+        return;
+    }
+    if (state.stage != Stage::Deciding || !journal::isAvailable(*state.journal)) {
+        answerCancel(state, waiter, JobReplyStatus::Unavailable, at, actions);
+        return;
+    }
+    auto job = state.jobs.find(input.job);
+    if (job == state.jobs.end()) {
+        bool isKnown = state.journal->jobs.contains(input.job);
+        answerCancel(state, waiter, isKnown ? JobReplyStatus::Found : JobReplyStatus::NotFound, at, actions);
+        return;
+    }
+    auto ticket
+        = recordFinal(state, input.job, { .kind = journal::RecordKind::Cancelled, .spec = { .id = input.job } });
+    if (ticket == 0)
+        ticket = pendingTicket(state, input.job); // an outcome is already on its way
+    state.waiters[ticket].push_back(waiter);
+}
+
+std::uint64_t recordFinal(State& state, const JobId& id, journal::Record record)
+{
+    auto& job = state.jobs.at(id);
+    if (job.pendingFinal)
+        return 0;
+    job.pendingFinal = record.kind;
+    job.reason = record.reason;
+    return journal::append(*state.journal, std::move(record));
+}
+
+void requeue(State& state, Job& job, Millis delay, Instant at)
+{
+    if (job.pendingFinal || !job.isAccepted)
+        return;
+    job.state = JobState::Queued;
+    job.retryAt = at + delay;
+    state.isDirty = true;
+}
+
+void advanceJobs(State& state, Instant at, Actions& actions)
+{
+    expireWaiters(state, at, actions);
+    for (auto& [id, job] : state.jobs) {
+        if (!job.retryAt || at < *job.retryAt)
+            continue;
+        job.retryAt.reset();
+        scheduling::enqueue(*state.shard, job.spec, job.queuedAt, job.keptMs);
+        state.isDirty = true;
+    }
+}
+
+void onCommitted(State& state, const journal::Pending& pending, Instant at, Actions& actions)
+{
+    const auto& record = pending.record;
+    auto position = state.jobs.find(record.spec.id);
+    if (record.kind == journal::RecordKind::Accepted) {
+        if (position != state.jobs.end()) {
+            position->second.isAccepted = true;
+            requeue(state, position->second, Millis { 0 }, at);
+        }
+        ++state.counters.jobsAccepted;
+        actions.emplace_back(Event { EventKind::JobAccepted, record.spec.id.value, record.spec.workspace.value });
+    } else {
+        state.counters.jobsFinished += record.kind == journal::RecordKind::Finished ? 1 : 0;
+        actions.emplace_back(Event { EventKind::JobFinal, record.spec.id.value, std::string(nameOf(record.kind)) });
+        if (position != state.jobs.end()) {
+            auto owned = state.gangs.find(position->second.attempt);
+            if (owned != state.gangs.end()) {
+                if (owned->second.gang.phase == gang::Phase::Finished)
+                    owned->second.gang.phase = gang::Phase::Over;
+                else
+                    gang::stop(owned->second.gang, gang::Cause::Cancelled, std::string(nameOf(record.kind)), at);
+                state.touched.insert(owned->first);
+            } else {
+                scheduling::dequeue(*state.shard, record.spec.id);
+            }
+            state.jobs.erase(position);
+            state.isDirty = true;
+        }
+    }
+    answerAll(state, pending.ticket, SubmitResult::Accepted, JobReplyStatus::Found, at, actions);
+}
+
+void onDropped(State& state, const journal::Pending& pending, bool isFenced, Instant at, Actions& actions)
+{
+    if (pending.record.kind == journal::RecordKind::Accepted)
+        state.jobs.erase(pending.record.spec.id);
+    answerAll(state, pending.ticket, isFenced ? SubmitResult::NotOwner : SubmitResult::Unavailable,
+        isFenced ? JobReplyStatus::NotOwner : JobReplyStatus::Unavailable, at, actions);
+}
+
+} // namespace agatevane::shard_owner
--- /dev/null
+++ b/src/agatevane/shard_owner/step.cpp
@@ -0,0 +1,157 @@
+#include "agatevane/shard_owner/parts.h"
+
+namespace agatevane::shard_owner {
+
+namespace {
+
+    // The ownership and the journal number their calls independently; the lowest bit of the id tells them apart.
+    constexpr std::uint64_t journalBit = 1;
+
+    void callStore(State& state, StoreCall call, bool isJournal, Actions& actions)
+    {
+        call.id = call.id * 2 + (isJournal ? journalBit : 0);
+        ++state.counters.storeCalls;
+        actions.emplace_back(CallStore { std::move(call) });
+    }
+
+    void onStoreAnswer(State& state, StoreReply reply, Instant at, Actions& actions)
+    {
+        bool isJournal = (reply.id & journalBit) != 0;
+        reply.id /= 2;
+        if (!isJournal) {
+            apply(state, ownership::onStoreReply(state.owner, reply, at), at, actions);
+            return;
+        }
+        if (!state.journal || reply.id < state.journal->firstCallId)
+            return;
+        auto sentAt = state.journal->sentAt;
+        auto phase = state.journal->phase;
+        bool isGuarded = phase == journal::Phase::Writing || phase == journal::Phase::Compacting;
+        auto result = journal::onStoreReply(*state.journal, reply, at);
+        if (reply.outcome == StoreOutcome::Done && isGuarded)
+            ownership::prove(state.owner, sentAt);
+        apply(state, std::move(result), at, actions);
+    }
+
+    void onTick(State& state, Instant at, Actions& actions)
+    {
+        apply(state, ownership::tick(state.owner, at), at, actions);
+        if (state.stage == Stage::Watching)
+            return;
+        pollWorkers(state, at, actions);
+        updateAvailability(state, at);
+        advanceStage(state, at, actions);
+        if (state.journal) {
+            auto result = journal::tick(*state.journal, at);
+            apply(state, std::move(result), at, actions);
+        }
+    }
+
+    void dispatch(State& state, const Input& input, Instant at, Actions& actions)
+    {
+        if (std::holds_alternative<Tick>(input))
+            onTick(state, at, actions);
+        else if (const auto* fleet = std::get_if<FleetChanged>(&input))
+            changeFleet(state, *fleet, at);
+        else if (const auto* report = std::get_if<ReportArrived>(&input))
+            onReport(state, *report, at, actions);
+        else if (const auto* failure = std::get_if<PollFailed>(&input)) {
+            auto link = state.workers.find(failure->worker);
+            if (link != state.workers.end())
+                link->second.isPolling = false;
+        } else if (const auto* answer = std::get_if<CommandAnswered>(&input))
+            onCommandAnswer(state, *answer, at, actions);
+        else if (const auto* store = std::get_if<StoreAnswered>(&input))
+            onStoreAnswer(state, store->reply, at, actions);
+        else if (const auto* heartbeat = std::get_if<HeartbeatArrived>(&input))
+            apply(state, ownership::onHeartbeat(state.owner, heartbeat->owner, heartbeat->epoch, at), at, actions);
+        else if (const auto* submission = std::get_if<SubmitArrived>(&input))
+            submit(state, *submission, at, actions);
+        else if (const auto* cancellation = std::get_if<CancelArrived>(&input))
+            cancel(state, *cancellation, at, actions);
+        else if (std::holds_alternative<ReleaseRequested>(input))
+            apply(state, ownership::release(state.owner, at), at, actions);
+    }
+
+} // namespace
+
+void apply(State& state, const ownership::Result& result, Instant at, Actions& actions)
+{
+    for (const auto& call : result.calls)
+        callStore(state, call, false, actions);
+    const auto& owner = state.owner;
+    if (result.sendHeartbeat)
+        actions.emplace_back(SendHeartbeat { { owner.dataCentre, owner.self, owner.epoch } });
+    if (result.lost) {
+        actions.emplace_back(Event { EventKind::OwnershipLost, owner.dataCentre.value, result.reason });
+        // Tells the successor at once; other schedulers take it as the sign of life of the new owner.
+        if (owner.record && owner.record->owner != owner.self && owner.record->epoch >= owner.highestSeen)
+            actions.emplace_back(SendHeartbeat { { owner.dataCentre, owner.record->owner, owner.record->epoch } });
+        dropTenure(state, at, actions);
+    }
+    if (!result.becameOwner)
+        return;
+    actions.emplace_back(Event { EventKind::OwnershipTaken, owner.dataCentre.value,
+        "epoch " + std::to_string(owner.epoch) + (owner.holdsRecord ? "" : " without the store") });
+    if (state.stage == Stage::Watching) {
+        ++state.counters.takeovers;
+        state.takenAt = at;
+        beginCollecting(state, at);
+    }
+    for (auto& [attempt, owned] : state.gangs)
+        owned.gang.epoch = owner.epoch;
+    if (owner.holdsRecord) {
+        state.journal = journal::makeState(owner.dataCentre, ownership::recordKey(owner.dataCentre), owner.epoch,
+            owner.revision, owner.record->token, at);
+        state.journal->timing = state.journalTiming;
+        state.journal->nextCallId = state.journal->firstCallId = state.nextJournalCall;
+    }
+}
+
+void apply(State& state, journal::Result result, Instant at, Actions& actions)
+{
+    if (result.call) {
+        state.nextJournalCall = state.journal->nextCallId;
+        callStore(state, std::move(*result.call), true, actions);
+    }
+    for (const auto& pending : result.committed)
+        onCommitted(state, pending, at, actions);
+    for (const auto& pending : result.dropped)
+        onDropped(state, pending, result.fenced, at, actions);
+    if (result.replayed)
+        actions.emplace_back(Event { EventKind::JournalReplayed, state.owner.dataCentre.value,
+            std::to_string(state.journal->jobs.size()) + " jobs" });
+    if (result.fenced)
+        apply(state, ownership::onEpoch(state.owner, state.owner.epoch + 1), at, actions);
+}
+
+State makeState(const DataCentreId& dataCentre, const RegionId& region, const MemberId& self,
+    const std::string& incarnation, const std::vector<ownership::Candidate>& candidates, Instant at)
+{
+    State state;
+    state.owner = ownership::makeState(dataCentre, region, self, incarnation, candidates, at);
+    state.nextDecide = at;
+    return state;
+}
+
+bool isServing(const State& state)
+{
+    return state.stage == Stage::Deciding;
+}
+
+std::vector<Action> step(State& state, const Input& input, Instant at)
+{
+    Actions actions;
+    dispatch(state, input, at, actions);
+    bool isTick = std::holds_alternative<Tick>(input);
+    if (state.stage != Stage::Watching)
+        advanceGangs(state, isTick, at, actions);
+    if (state.stage == Stage::Deciding) {
+        if (isTick)
+            advanceJobs(state, at, actions);
+        decideNow(state, at, actions);
+    }
+    return actions;
+}
+
+} // namespace agatevane::shard_owner
