Add the process harness and a first end-to-end test

Cause: the invariants have to hold for real processes that are killed, paused and cut off; the tests need to start and disturb whole deployments on loopback. Measured: builds; not run yet.

--- /dev/null
+++ b/tests/system/path_tests.cpp
@@ -0,0 +1,43 @@
+#include "cluster.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace agatevane;
+using namespace agatevane::test;
+using nlohmann::json;
+
+namespace {
+
+json gangJob(int accelerators, std::int64_t expectedSeconds)
+{
+    return { { "workspace", "installers" }, { "kind", "thermal-scan" }, { "class", "standard" },
+        { "accelerators", accelerators }, { "acceleratorsPerWorker", 8 }, { "expectedSeconds", expectedSeconds },
+        { "canCheckpoint", true }, { "dataCentre", "harju" }, { "payload", "" } };
+}
+
+} // namespace
+
+// Guards against a path that works only inside one process.
+BOOST_AUTO_TEST_CASE(A_request_and_a_gang_are_served_end_to_end, *boost::unit_test::label("path"))
+{
+    Cluster cluster;
+    auto& vm = cluster.vmOf("harju");
+
+    auto quote = cluster.request(vm, "POST", "/v1/services/visitdesk/calls",
+        R"({"durationMs": 20, "answerBytes": 1000})", { { "Agatevane-Idempotent", "true" } });
+    BOOST_TEST(!quote.error);
+    BOOST_TEST(quote.status == 200, quote.body << cluster.outputs());
+    BOOST_TEST(json::parse(quote.body).at("service") == "visitdesk");
+
+    // Submitted through another region's VM, so that the entry has to find the owner.
+    http::ClientResult answer;
+    auto id = cluster.submitJob(cluster.vmOf("parnu"), gangJob(16, 2), &answer);
+    BOOST_REQUIRE_MESSAGE(!id.empty(), answer.status << " " << answer.body << cluster.outputs());
+    BOOST_TEST(cluster.waitForJob(vm, id, "finished", Millis(20000)), cluster.jobState(vm, id) << cluster.outputs());
+
+    auto runs = cluster.workerLog("runs", "harju");
+    BOOST_TEST(runs.size() == 2U);
+    for (const auto& run : runs) {
+        BOOST_TEST(run.at("job").get<std::string>() == id);
+        BOOST_TEST(run.at("state").get<std::string>() == "finished");
+    }
+}
--- /dev/null
+++ b/tests/system/process.cpp
@@ -0,0 +1,152 @@
+#include "process.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace agatevane::test {
+
+std::string binFolder()
+{
+    const char* folder = std::getenv("AGATEVANE_BIN");
+    return folder ? folder : "bin";
+}
+
+int freePort()
+{
+    static std::set<int> handedOut;
+    while (true) {
+        int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        socklen_t length = sizeof address;
+        getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+        close(listener);
+        int port = ntohs(address.sin_port);
+        if (handedOut.insert(port).second)
+            return port;
+    }
+}
+
+Process::Process(const std::string& program, std::vector<std::string> arguments)
+    : name_(program)
+{
+    std::string pattern = "/tmp/agatevane-test-XXXXXX";
+    int output = mkstemp(pattern.data());
+    outputFile_ = pattern;
+    auto path = binFolder() + "/" + program;
+    std::vector<char*> argv { path.data() };
+    for (auto& argument : arguments)
+        argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    pid_ = fork();
+    if (pid_ < 0)
+        throw std::runtime_error("cannot start " + program);
+    if (pid_ == 0) {
+        dup2(output, STDOUT_FILENO);
+        dup2(output, STDERR_FILENO);
+        close(output);
+        execv(path.c_str(), argv.data());
+        _exit(127);
+    }
+    close(output);
+}
+
+Process::~Process()
+{
+    kill();
+    if (!outputFile_.empty())
+        unlink(outputFile_.c_str());
+}
+
+Process::Process(Process&& other) noexcept
+    : name_(std::move(other.name_))
+    , outputFile_(std::exchange(other.outputFile_, {}))
+    , pid_(std::exchange(other.pid_, -1))
+{
+}
+
+Process& Process::operator=(Process&& other) noexcept
+{
+    std::swap(name_, other.name_);
+    std::swap(outputFile_, other.outputFile_);
+    std::swap(pid_, other.pid_);
+    return *this;
+}
+
+void Process::kill()
+{
+    if (pid_ < 0)
+        return;
+    ::kill(pid_, SIGKILL);
+    collect();
+}
+
+void Process::collect()
+{
+    int status = 0;
+    waitpid(pid_, &status, 0);
+    pid_ = -1;
+}
+
+void Process::pause()
+{
+    ::kill(pid_, SIGSTOP);
+}
+
+void Process::resume()
+{
+    ::kill(pid_, SIGCONT);
+}
+
+int Process::terminate(Millis limit)
+{
+    if (pid_ < 0)
+        return -1;
+    ::kill(pid_, SIGTERM);
+    auto deadline = now() + limit;
+    int status = 0;
+    while (now() < deadline) {
+        if (waitpid(pid_, &status, WNOHANG) == pid_) {
+            pid_ = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        std::this_thread::sleep_for(Millis(10));
+    }
+    kill();
+    return -1;
+}
+
+bool Process::isRunning()
+{
+    if (pid_ < 0)
+        return false;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_)
+        return true;
+    pid_ = -1;
+    return false;
+}
+
+std::string Process::output() const
+{
+    std::ifstream file(outputFile_);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace agatevane::test
