Add agatevane-timeline

Operators need the events of all processes in one order. The program reads the rings page by page, all processes at once, merges and filters them, and names those that did not answer; its exit code says whether any is missing.

--- /dev/null
+++ b/src/timeline_tool/main.cpp
@@ -0,0 +1,101 @@
+#include "agatevane/settings/settings.h"
+#include "timeline_tool/collect.h"
+#include <fstream>
+#include <iostream>
+
+using namespace agatevane;
+
+namespace agatevane::timeline_tool {
+
+enum class OutputFormat { Table, Trace, Html };
+
+} // namespace agatevane::timeline_tool
+
+template <> struct agatevane::EnumNames<agatevane::timeline_tool::OutputFormat> {
+    using E = timeline_tool::OutputFormat;
+    static constexpr std::array<std::pair<E, std::string_view>, 3> table { {
+        { E::Table, "table" },
+        { E::Trace, "trace" },
+        { E::Html, "html" },
+    } };
+};
+
+namespace {
+
+enum ExitCode { AllAnswered = 0, CannotWrite = 1, SomeUnanswered = 3, NoneAnswered = 4 };
+
+struct Options {
+    std::vector<http::Endpoint> processes;
+    Millis timeout { 5000 };
+    timeline::Filter filter;
+    timeline_tool::OutputFormat format = timeline_tool::OutputFormat::Table;
+    std::string outputFile;
+    std::string caFile;
+};
+
+std::optional<int> readOptions(int argc, char** argv, Options& options)
+{
+    settings::Settings settings("agatevane-timeline",
+        "Asks processes for their latest events, merges them in causal order and prints them.\n"
+        "Exit codes: 0 all processes answered, 1 the output cannot be written, 2 wrong settings, 3 some processes did "
+        "not answer (the rest is printed), 4 none answered.",
+        "agatevane-timeline --processes 10.0.0.1:8080,10.0.0.1:8090 --job tartu.1f2e --format html --output-file "
+        "job.html");
+    settings.endpoints(
+        "--processes", options.processes, "HTTP addresses of entries and schedulers", settings::Presence::Required);
+    settings.duration("--timeout-ms", options.timeout, Millis(100), Millis(60000), "time for all answers");
+    settings.text("--job", options.filter.job.value, "keep events of this job");
+    settings.text("--request", options.filter.request, "keep events of this request or idempotency key");
+    settings.text("--workspace", options.filter.workspace.value, "keep events of this workspace");
+    settings.text("--data-centre", options.filter.dataCentre.value, "keep events of this data centre");
+    settings.choice("--format", options.format, "trace is for chrome://tracing and Perfetto");
+    settings.text("--output-file", options.outputFile, "instead of standard output");
+    settings.text("--ca-file", options.caFile, "PEM file that certificates of https processes must chain to");
+    auto exitCode = settings.parseOrPrint(argc, argv, std::cout, std::cerr);
+    for (auto& process : options.processes)
+        process.caFile = options.caFile;
+    return exitCode;
+}
+
+std::string render(const Options& options, const std::vector<timeline::Event>& events)
+{
+    switch (options.format) {
+    case timeline_tool::OutputFormat::Trace:
+        return timeline::formatTrace(events) + "\n";
+    case timeline_tool::OutputFormat::Html:
+        return timeline::formatHtml(events);
+    case timeline_tool::OutputFormat::Table:
+        break;
+    }
+    return timeline::formatTable(events);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Options options;
+    if (auto exitCode = readOptions(argc, argv, options))
+        return *exitCode;
+    auto collected = timeline_tool::collect(options.processes, options.timeout);
+    for (const auto& finding : collected.unanswered)
+        std::cerr << "no timeline from " << finding.place << ": " << finding.text << "\n";
+    if (collected.unanswered.size() == options.processes.size())
+        return NoneAnswered;
+    for (const auto& page : collected.pages) {
+        if (page.dropped > 0)
+            std::cerr << page.process << ": " << page.dropped << " older events are no longer held\n";
+    }
+    auto text = render(options, timeline::merge(collected.pages, options.filter));
+    if (options.outputFile.empty()) {
+        std::cout << text << std::flush;
+    } else {
+        std::ofstream file(options.outputFile, std::ios::binary);
+        file << text << std::flush;
+        if (!file) {
+            std::cerr << "cannot write " << options.outputFile << "\n";
+            return CannotWrite;
+        }
+    }
+    return collected.unanswered.empty() ? AllAnswered : SomeUnanswered;
+}
