Add agatevanectl

Operators need the administration and job interfaces on the command line. All subcommands go through the HTTP interface of any entry VM. The exit codes tell apart refused, unreachable, conflicting and lost answers, since a script must know whether a change may be in force.

--- a/src/agatevane/settings/settings.cpp
+++ b/src/agatevane/settings/settings.cpp
@@ -336,7 +336,7 @@
     } catch (const CLI::ParseError& error) {
         findings.push_back({ "command line", error.what() });
     }
-    state_->reportExtras(state_->app.remaining(), findings);
+    state_->reportExtras(state_->app.remaining(true), findings);
     for (const auto& setting : state_->declared)
         state_->readValue(setting, findings);
     if (findings.empty()) {
--- /dev/null
+++ b/src/ctl/catalogue_files.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "agatevane/base/finding.h"
+#include "agatevane/catalogue/entries.h"
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace agatevane::ctl {
+
+//! One entry of a catalogue file.
+struct FileEntry {
+    std::string file;
+    EntryKind kind = EntryKind::Workspace;
+    std::string name;
+    nlohmann::json value;
+
+    std::string path() const { return std::string(nameOf(kind)) + "/" + name; }
+};
+
+//! Reads files of the form `{"workspaces": [{"id": ...}, ...], "services": [...]}`. Findings name file, entry and
+//! field.
+std::vector<FileEntry> readCatalogueFiles(const std::vector<std::string>& files, Findings& findings);
+
+//! Adds the findings of `current` (the body of `GET /v1/catalogue`) with the files' entries put over it, as far as the
+//! files bring them in.
+void checkTogether(const std::vector<FileEntry>& entries, const nlohmann::json& current, Findings& findings);
+
+} // namespace agatevane::ctl
--- /dev/null
+++ b/src/ctl/job_commands.cpp
@@ -0,0 +1,136 @@
+#include "agatevane/base/random.h"
+#include "agatevane/json/reader.h"
+#include "ctl/commands.h"
+#include <algorithm>
+#include <fstream>
+#include <ostream>
+#include <sstream>
+
+namespace agatevane::ctl {
+
+namespace {
+
+    //! Ids are a part of the path; other characters could name another resource.
+    bool isPathSafe(const std::string& text)
+    {
+        auto isAllowed = [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; };
+        return !text.empty() && std::ranges::all_of(text, isAllowed);
+    }
+
+    ExitCode refuseName(const Context& context, const std::string& text)
+    {
+        context.err << "\"" << text << "\" is not a name of letters, digits, '-', '_' and '.'\n";
+        return BadUsage;
+    }
+
+    ExitCode printList(const Context& context, const std::string& path, const std::string& rowsField,
+        const std::vector<Column>& columns)
+    {
+        auto answer = ask(context, "GET", path);
+        if (answer.exitCode == Success)
+            printRows(context, answer.body, rowsField, columns);
+        return answer.exitCode;
+    }
+
+} // namespace
+
+ExitCode listJobs(const Context& context, const std::string& workspace)
+{
+    if (!workspace.empty() && !isPathSafe(workspace))
+        return refuseName(context, workspace);
+    auto path = workspace.empty() ? std::string("/v1/jobs") : "/v1/jobs?workspace=" + workspace;
+    return printList(context, path, "jobs",
+        { { "ID", "id" }, { "STATE", "state" }, { "WORKSPACE", "workspace" }, { "CLASS", "class" },
+            { "ACCELERATORS", "accelerators" }, { "QUEUED MS", "queuedForMs" }, { "RUNNING MS", "runningForMs" },
+            { "REASON", "reason" } });
+}
+
+ExitCode showJob(const Context& context, const std::string& id)
+{
+    if (!isPathSafe(id))
+        return refuseName(context, id);
+    auto answer = ask(context, "GET", "/v1/jobs/" + id);
+    if (answer.exitCode == Success)
+        printObject(context, answer.body);
+    return answer.exitCode;
+}
+
+ExitCode cancelJob(const Context& context, const std::string& id)
+{
+    if (!isPathSafe(id))
+        return refuseName(context, id);
+    auto answer = ask(context, "DELETE", "/v1/jobs/" + id);
+    if (answer.exitCode == Success)
+        printObject(context, answer.body);
+    return answer.exitCode;
+}
+
+ExitCode submitJob(const Context& context, const std::string& file, std::string key)
+{
+    std::ifstream stream(file, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    Findings findings;
+    nlohmann::json body;
+    if (!stream)
+        findings.push_back({ file, "cannot be read" });
+    else
+        json::parse(text.str(), file, body, findings);
+    if (!findings.empty()) {
+        context.err << format(findings);
+        return Invalid;
+    }
+    if (key.empty()) {
+        auto random = makeRandom();
+        key = randomToken(random);
+        context.err << "idempotency key: " << key << "\n";
+    }
+    auto answer = ask(context, "POST", "/v1/jobs", text.str(), { { "Idempotency-Key", key } });
+    if (answer.exitCode == Success)
+        printObject(context, answer.body);
+    else if (answer.exitCode == Unknown)
+        context.err << "Repeat with --idempotency-key " << key << "; the job is then accepted at most once.\n";
+    return answer.exitCode;
+}
+
+ExitCode listWorkspaces(const Context& context)
+{
+    return printList(context, "/v1/workspaces", "workspaces",
+        { { "WORKSPACE", "workspace" }, { "DATA CENTRE", "dataCentre" }, { "GUARANTEED", "guaranteed" },
+            { "EFFECTIVE", "effectiveGuarantee" }, { "USED", "used" }, { "LENT", "lent" }, { "WAITING", "waiting" },
+            { "SHARE", "dominantShare" }, { "STATUS", "status" } });
+}
+
+ExitCode showFleet(const Context& context)
+{
+    return printList(context, "/v1/fleet", "dataCentres",
+        { { "DATA CENTRE", "dataCentre" }, { "OWNER", "owner" }, { "WORKERS", "workers" },
+            { "REACHABLE", "workersReachable" }, { "ACCELERATORS", "accelerators" }, { "FREE", "acceleratorsFree" },
+            { "LARGEST GANG", "largestFreeGang" }, { "QUEUED", "jobsQueued" }, { "RUNNING", "jobsRunning" },
+            { "OLDEST QUEUED MS", "oldestQueuedMs" } });
+}
+
+ExitCode listMembers(const Context& context)
+{
+    return printList(context, "/v1/members", "members",
+        { { "MEMBER", "member" }, { "ADDRESS", "address" }, { "STATE", "state" }, { "LEAVING", "leaving" },
+            { "INCARNATION", "incarnation" }, { "SILENT MS", "silentMs" }, { "CATALOGUE", "catalogueRevision" } });
+}
+
+ExitCode listOwners(const Context& context)
+{
+    return printList(context, "/v1/owners", "owners",
+        { { "DATA CENTRE", "dataCentre" }, { "OWNER", "owner" }, { "EPOCH", "epoch" } });
+}
+
+ExitCode drain(const Context& context, const std::string& vm)
+{
+    if (!isPathSafe(vm))
+        return refuseName(context, vm);
+    auto answer = ask(context, "POST", "/v1/vms/" + vm + "/drain");
+    if (answer.exitCode == Success)
+        printObject(context, answer.body);
+    return answer.exitCode;
+}
+
+} // namespace agatevane::ctl
