Add the routing decisions

Cause: short requests need a worker that has room, also while workers fail, leave or are far away. Change: least loaded of two random, distinct workers (own requests in progress plus what the last report shows of others) in each region; the region with the least expected wait plus round trip plus billing weight. Workers leave the choice when the VM list, a report or a refusal says so, or after 2.5 s without a report. The load of a worker grows with its share of failures, so that one that fails at once does not look idle even when it cannot be ejected.

--- /dev/null
+++ b/src/agatevane/routing/routing.cpp
@@ -0,0 +1,209 @@
+#include "agatevane/routing/routing.h"
+
+#include "agatevane/routing/health.h"
+#include <algorithm>
+
+namespace agatevane::routing {
+
+namespace {
+
+    //! A worker may have begun to leave right after its last report, and gets no new work 3 s later at most.
+    constexpr Millis maxReportAge { 2500 };
+    constexpr Millis fullPause { 200 };
+    constexpr double meanSmoothing = 0.05;
+    constexpr int maxAttempts = 3;
+    constexpr int randomDraws = 8;
+    constexpr LinkCost unknownLink { 50, 0 };
+    //! A worker that fails at once always looks idle; this is what a failure share of 1 adds to its load, in units of
+    //! all its slots.
+    constexpr double failurePenalty = 4;
+
+    Worker* find(State& state, const WorkerId& id)
+    {
+        auto found = state.indexById.find(id);
+        return found == state.indexById.end() ? nullptr : &state.workers[found->second];
+    }
+
+    //! Requests in progress there: the own ones are known, those of other VMs are as old as the report.
+    int inProgress(const Worker& worker)
+    {
+        if (!worker.observed)
+            return worker.ownInProgress;
+        int used = std::max(worker.observed->slotsUsed, worker.observed->connectionsUsed);
+        return worker.ownInProgress + std::max(0, used - worker.observed->ownInProgress);
+    }
+
+    double loadOf(const Worker& worker, Instant now)
+    {
+        return static_cast<double>(inProgress(worker)) / std::max(1, worker.config.slots)
+            + failurePenalty * failureShare(worker, now);
+    }
+
+    //! Expected wait for a slot there, in milliseconds.
+    double waitOf(const State& state, const Worker& worker, Instant now)
+    {
+        return std::max(0.0, loadOf(worker, now) - 1) * state.meanServiceMs;
+    }
+
+    bool isEligible(const Worker& worker, const Query& query, Instant now)
+    {
+        return worker.health == Health::Healthy && isUsable(worker, now)
+            && std::find(query.excluded.begin(), query.excluded.end(), worker.config.id) == query.excluded.end();
+    }
+
+    //! A random eligible worker other than `except`.
+    Worker* anyEligible(State& state, const std::vector<std::size_t>& group, const Query& query, const Worker* except,
+        Instant now, Random& random)
+    {
+        for (int i = 0; i < randomDraws; ++i) {
+            auto& worker = state.workers[group[random() % group.size()]];
+            if (&worker != except && isEligible(worker, query, now))
+                return &worker;
+        }
+        auto offset = random() % group.size();
+        for (std::size_t i = 0; i < group.size(); ++i) {
+            auto& worker = state.workers[group[(offset + i) % group.size()]];
+            if (&worker != except && isEligible(worker, query, now))
+                return &worker;
+        }
+        return nullptr;
+    }
+
+    Worker* betterOfTwo(
+        State& state, const std::vector<std::size_t>& group, const Query& query, Instant now, Random& random)
+    {
+        auto* first = anyEligible(state, group, query, nullptr, now, random);
+        if (!first)
+            return nullptr;
+        auto* second = anyEligible(state, group, query, first, now, random);
+        return second && loadOf(*second, now) < loadOf(*first, now) ? second : first;
+    }
+
+    Worker* dueProbe(State& state, const std::vector<std::size_t>& group, const Query& query, Instant now)
+    {
+        for (auto index : group) {
+            auto& worker = state.workers[index];
+            if (isProbeDue(worker, query.isIdempotent, now) && isUsable(worker, now) && query.excluded.empty())
+                return &worker;
+        }
+        return nullptr;
+    }
+
+    Choice take(Worker& worker, bool isProbe)
+    {
+        ++worker.ownInProgress;
+        if (isProbe)
+            worker.health = Health::Probing;
+        return { worker.config.id, worker.config.address, isProbe };
+    }
+
+} // namespace
+
+void configure(State& state, const RegionId& ownRegion, const std::vector<WorkerConfig>& workers,
+    const std::map<RegionId, LinkCost>& links)
+{
+    std::vector<Worker> next;
+    next.reserve(workers.size());
+    std::unordered_map<WorkerId, std::size_t> indexById;
+    std::map<ServiceId, std::map<RegionId, std::vector<std::size_t>>> groups;
+    for (const auto& config : workers) {
+        Worker worker;
+        if (auto* known = find(state, config.id); known && known->config.address == config.address)
+            worker = std::move(*known);
+        worker.config = config;
+        if (!indexById.emplace(config.id, next.size()).second)
+            continue;
+        groups[config.service][config.region].push_back(next.size());
+        next.push_back(std::move(worker));
+    }
+    state.ownRegion = ownRegion;
+    state.workers = std::move(next);
+    state.indexById = std::move(indexById);
+    state.groups = std::move(groups);
+    state.links = links;
+}
+
+void onListed(State& state, const WorkerId& id, bool isLeaving)
+{
+    if (auto* worker = find(state, id))
+        worker->isLeavingByList = isLeaving;
+}
+
+void onReport(State& state, const WorkerId& id, const Observation& observation)
+{
+    auto* worker = find(state, id);
+    if (!worker || (worker->observed && observation.asked <= worker->observed->asked))
+        return;
+    worker->observed = observation;
+    // A report from after the refusal has the last word.
+    if (worker->refusedLeaving && observation.asked > *worker->refusedLeaving)
+        worker->refusedLeaving.reset();
+}
+
+bool isUsable(const Worker& worker, Instant now)
+{
+    if (!worker.observed || worker.observed->leaving || now - worker.observed->asked > maxReportAge)
+        return false;
+    return !worker.isLeavingByList && !worker.refusedLeaving && now >= worker.fullUntil
+        && inProgress(worker) < worker.config.connections;
+}
+
+std::optional<Choice> choose(State& state, const Query& query, Instant now, Random& random)
+{
+    if (query.excluded.empty())
+        state.retries.onRequest();
+    auto service = state.groups.find(query.service);
+    if (service == state.groups.end())
+        return std::nullopt;
+    for (const auto& [region, group] : service->second) {
+        if (auto* worker = dueProbe(state, group, query, now))
+            return take(*worker, true);
+    }
+    Worker* best = nullptr;
+    double bestCost = 0;
+    for (const auto& [region, group] : service->second) {
+        auto* worker = betterOfTwo(state, group, query, now, random);
+        if (!worker)
+            continue;
+        double cost = waitOf(state, *worker, now);
+        bool isLocal = region == state.ownRegion;
+        if (!isLocal) {
+            auto link = state.links.find(region);
+            const auto& price = link == state.links.end() ? unknownLink : link->second;
+            cost += price.roundTripMs + price.billingMs;
+        }
+        if (!best || cost < bestCost || (cost == bestCost && isLocal)) {
+            best = worker;
+            bestCost = cost;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    return take(*best, false);
+}
+
+void onResult(State& state, const WorkerId& id, Result result, Millis took, Instant now, Random& random)
+{
+    auto* worker = find(state, id);
+    if (!worker)
+        return;
+    worker->ownInProgress = std::max(0, worker->ownInProgress - 1);
+    if (result == Result::Leaving)
+        worker->refusedLeaving = now;
+    if (result == Result::Full)
+        worker->fullUntil = now + fullPause;
+    if (result == Result::Success)
+        state.meanServiceMs += meanSmoothing * (static_cast<double>(took.count()) - state.meanServiceMs);
+    updateHealth(state, *worker, result, now, random);
+}
+
+bool mayRetry(State& state, Result result, bool isIdempotent, int attempts, Instant deadline, Instant now)
+{
+    if (result == Result::Success || attempts >= maxAttempts || now >= deadline)
+        return false;
+    if (!isRefusal(result) && !isIdempotent)
+        return false;
+    return state.retries.tryRetry();
+}
+
+} // namespace agatevane::routing
