Let reported load fade with its age, and measure the policies

All VMs avoided the workers that happened to be busy at the last report and returned to them together. Change: what a report says of other VMs fades to the group's mean with the report's age over the mean service time. Ruled out: the least loaded of all workers by report: three quarters of the requests were refused.

--- a/src/agatevane/routing/routing.cpp
+++ b/src/agatevane/routing/routing.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/routing/health.h"
 #include <algorithm>
+#include <cmath>
 
 namespace agatevane::routing {
 
@@ -24,25 +25,40 @@
         return found == state.indexById.end() ? nullptr : &state.workers[found->second];
     }
 
-    //! Requests in progress there: the own ones are known, those of other VMs are as old as the report.
-    int inProgress(const Worker& worker)
+    //! Requests of other VMs that were there at the last report.
+    int othersReported(const Worker& worker)
     {
         if (!worker.observed)
-            return worker.ownInProgress;
+            return 0;
         int used = std::max(worker.observed->slotsUsed, worker.observed->connectionsUsed);
-        return worker.ownInProgress + std::max(0, used - worker.observed->ownInProgress);
+        return std::max(0, used - worker.observed->ownInProgress);
     }
 
-    double loadOf(const Worker& worker, Instant now)
+    //! Requests in progress there. The own ones are known. What a report says of others fades to the mean of the group,
+    //! since after a few service times other requests have taken their place; without this all VMs avoid the same
+    //! workers until the next report and then return to them together.
+    double inProgress(const State& state, const Group& group, const Worker& worker, Instant now)
     {
-        return static_cast<double>(inProgress(worker)) / std::max(1, worker.config.slots)
+        double mean = group.others / static_cast<double>(std::max<std::size_t>(1, group.workers.size()));
+        double others = mean;
+        if (worker.observed) {
+            double ageMs = std::chrono::duration<double, std::milli>(now - worker.observed->asked).count();
+            double freshness = std::exp(-ageMs / std::max(1.0, state.meanServiceMs));
+            others += freshness * (othersReported(worker) - mean);
+        }
+        return worker.ownInProgress + others;
+    }
+
+    double loadOf(const State& state, const Group& group, const Worker& worker, Instant now)
+    {
+        return inProgress(state, group, worker, now) / std::max(1, worker.config.slots)
             + failurePenalty * failureShare(worker, now);
     }
 
     //! Expected wait for a slot there, in milliseconds.
-    double waitOf(const State& state, const Worker& worker, Instant now)
+    double waitOf(const State& state, const Group& group, const Worker& worker, Instant now)
     {
-        return std::max(0.0, loadOf(worker, now) - 1) * state.meanServiceMs;
+        return std::max(0.0, loadOf(state, group, worker, now) - 1) * state.meanServiceMs;
     }
 
     bool isEligible(const Worker& worker, const Query& query, Instant now)
@@ -52,36 +68,35 @@
     }
 
     //! A random eligible worker other than `except`.
-    Worker* anyEligible(State& state, const std::vector<std::size_t>& group, const Query& query, const Worker* except,
-        Instant now, Random& random)
+    Worker* anyEligible(
+        State& state, const Group& group, const Query& query, const Worker* except, Instant now, Random& random)
     {
         for (int i = 0; i < randomDraws; ++i) {
-            auto& worker = state.workers[group[random() % group.size()]];
+            auto& worker = state.workers[group.workers[random() % group.workers.size()]];
             if (&worker != except && isEligible(worker, query, now))
                 return &worker;
         }
-        auto offset = random() % group.size();
-        for (std::size_t i = 0; i < group.size(); ++i) {
-            auto& worker = state.workers[group[(offset + i) % group.size()]];
+        auto offset = random() % group.workers.size();
+        for (std::size_t i = 0; i < group.workers.size(); ++i) {
+            auto& worker = state.workers[group.workers[(offset + i) % group.workers.size()]];
             if (&worker != except && isEligible(worker, query, now))
                 return &worker;
         }
         return nullptr;
     }
 
-    Worker* betterOfTwo(
-        State& state, const std::vector<std::size_t>& group, const Query& query, Instant now, Random& random)
+    Worker* betterOfTwo(State& state, const Group& group, const Query& query, Instant now, Random& random)
     {
         auto* first = anyEligible(state, group, query, nullptr, now, random);
         if (!first)
             return nullptr;
         auto* second = anyEligible(state, group, query, first, now, random);
-        return second && loadOf(*second, now) < loadOf(*first, now) ? second : first;
+        return second && loadOf(state, group, *second, now) < loadOf(state, group, *first, now) ? second : first;
     }
 
-    Worker* dueProbe(State& state, const std::vector<std::size_t>& group, const Query& query, Instant now)
+    Worker* dueProbe(State& state, const Group& group, const Query& query, Instant now)
     {
-        for (auto index : group) {
+        for (auto index : group.workers) {
             auto& worker = state.workers[index];
             if (isProbeDue(worker, query.isIdempotent, now) && isUsable(worker, now) && query.excluded.empty())
                 return &worker;
@@ -105,7 +120,7 @@
     std::vector<Worker> next;
     next.reserve(workers.size());
     std::unordered_map<WorkerId, std::size_t> indexById;
-    std::map<ServiceId, std::map<RegionId, std::vector<std::size_t>>> groups;
+    std::map<ServiceId, std::map<RegionId, Group>> groups;
     for (const auto& config : workers) {
         Worker worker;
         if (auto* known = find(state, config.id); known && known->config.address == config.address)
@@ -113,7 +128,9 @@
         worker.config = config;
         if (!indexById.emplace(config.id, next.size()).second)
             continue;
-        groups[config.service][config.region].push_back(next.size());
+        auto& group = groups[config.service][config.region];
+        group.workers.push_back(next.size());
+        group.others += othersReported(worker);
         next.push_back(std::move(worker));
     }
     state.ownRegion = ownRegion;
@@ -134,7 +151,10 @@
     auto* worker = find(state, id);
     if (!worker || (worker->observed && observation.asked <= worker->observed->asked))
         return;
+    auto& group = state.groups.at(worker->config.service).at(worker->config.region);
+    group.others -= othersReported(*worker);
     worker->observed = observation;
+    group.others += othersReported(*worker);
     // A report from after the refusal has the last word.
     if (worker->refusedLeaving && observation.asked > *worker->refusedLeaving)
         worker->refusedLeaving.reset();
@@ -145,7 +165,7 @@
     if (!worker.observed || worker.observed->leaving || now - worker.observed->asked > maxReportAge)
         return false;
     return !worker.isLeavingByList && !worker.refusedLeaving && now >= worker.fullUntil
-        && inProgress(worker) < worker.config.connections;
+        && worker.ownInProgress + othersReported(worker) < worker.config.connections;
 }
 
 std::optional<Choice> choose(State& state, const Query& query, Instant now, Random& random)
@@ -165,7 +185,7 @@
         auto* worker = betterOfTwo(state, group, query, now, random);
         if (!worker)
             continue;
-        double cost = waitOf(state, *worker, now);
+        double cost = waitOf(state, group, *worker, now);
         bool isLocal = region == state.ownRegion;
         if (!isLocal) {
             auto link = state.links.find(region);
--- a/src/agatevane/routing/routing.h
+++ b/src/agatevane/routing/routing.h
@@ -70,11 +70,17 @@
     Instant decayed;
 };
 
+//! The workers of one service in one region.
+struct Group {
+    std::vector<std::size_t> workers; //!< indices
+    int others = 0; //!< requests of other VMs at all of them, by the last reports
+};
+
 struct State {
     RegionId ownRegion;
     std::vector<Worker> workers;
     std::unordered_map<WorkerId, std::size_t> indexById;
-    std::map<ServiceId, std::map<RegionId, std::vector<std::size_t>>> groups;
+    std::map<ServiceId, std::map<RegionId, Group>> groups;
     std::map<RegionId, LinkCost> links; //!< from the own region
     RetryBudget retries;
     double meanServiceMs = 50; //!< exponentially weighted
--- /dev/null
+++ b/src/policy_bench/admission_bench.cpp
@@ -0,0 +1,164 @@
+#include "agatevane/admission/admission.h"
+#include "policy_bench/benches.h"
+#include "policy_bench/simulation.h"
+#include <cstdio>
+
+namespace agatevane::bench {
+
+namespace {
+
+    using admission::Ticket;
+
+    constexpr int slots = 50;
+    constexpr double meanServiceMs = 50;
+    constexpr Millis deadline { 2000 };
+    constexpr Millis duration { 30000 };
+
+    //! One kind of traffic. Capacity is 1,000 requests/s.
+    struct Source {
+        const char* name;
+        WorkspaceId workspace;
+        CallerId caller;
+        WorkClass workClass;
+        double perSecond;
+        int offered = 0;
+        int served = 0; //!< in time
+        std::vector<double> latencies {};
+    };
+
+    struct Request {
+        std::size_t source = 0;
+        Instant arrived;
+    };
+
+    class Simulation {
+    public:
+        Simulation(bool usesModule, std::vector<Source> sources, std::uint64_t seed)
+            : usesModule_(usesModule)
+            , random_(seed)
+            , sources_(std::move(sources))
+        {
+            admission::Config config;
+            config.slots = slots;
+            config.classFloors = { 0.1, 0.1, 0.1 };
+            config.maxQueued = config.maxQueuedTotal = 1000;
+            for (const char* name : { "small1", "small2", "small3", "large" })
+                config.workspaces[{ name }] = { 1, 0.1 };
+            admission::configure(state_, config, timeline_.now());
+            for (std::size_t i = 0; i < sources_.size(); ++i)
+                arrive(i);
+            tick();
+        }
+
+        std::vector<Source> run()
+        {
+            timeline_.runUntil(Instant() + duration);
+            return sources_;
+        }
+
+    private:
+        void arrive(std::size_t index)
+        {
+            timeline_.after(exponential(random_, 1000 / sources_[index].perSecond), [this, index] {
+                arrive(index);
+                const auto& source = sources_[index];
+                ++sources_[index].offered;
+                auto ticket = ++tickets_;
+                requests_[ticket] = { index, timeline_.now() };
+                if (usesModule_) {
+                    apply(admission::arrive(state_,
+                        { ticket, source.workClass, source.workspace, source.caller, timeline_.now() + deadline },
+                        timeline_.now(), random_));
+                } else if (running_ < slots) {
+                    serve(ticket);
+                } else if (fifo_.size() < 1000) {
+                    fifo_.push_back(ticket);
+                }
+            });
+        }
+
+        void tick()
+        {
+            timeline_.after(Millis(50), [this] {
+                apply(admission::expire(state_, timeline_.now(), random_));
+                tick();
+            });
+        }
+
+        void apply(const admission::Actions& actions)
+        {
+            for (const auto& action : actions) {
+                if (const auto* start = std::get_if<admission::Start>(&action))
+                    serve(start->ticket);
+                else
+                    requests_.erase(std::get<admission::Shed>(action).ticket);
+            }
+        }
+
+        void serve(Ticket ticket)
+        {
+            ++running_;
+            timeline_.after(exponential(random_, meanServiceMs), [this, ticket] {
+                --running_;
+                auto request = requests_.at(ticket);
+                requests_.erase(ticket);
+                auto& source = sources_[request.source];
+                auto took = timeline_.now() - request.arrived;
+                if (took <= deadline) {
+                    ++source.served;
+                    source.latencies.push_back(std::chrono::duration<double, std::milli>(took).count());
+                }
+                if (usesModule_) {
+                    apply(admission::finish(state_, ticket, timeline_.now()));
+                } else if (!fifo_.empty()) {
+                    auto next = fifo_.front();
+                    fifo_.pop_front();
+                    serve(next);
+                }
+            });
+        }
+
+        bool usesModule_;
+        Random random_;
+        Timeline timeline_;
+        std::vector<Source> sources_;
+        admission::State state_;
+        std::deque<Ticket> fifo_;
+        std::unordered_map<Ticket, Request> requests_;
+        Ticket tickets_ = 0;
+        int running_ = 0;
+    };
+
+    std::vector<Source> ordinary()
+    {
+        return { { "urgent", { "small1" }, { "a" }, WorkClass::Urgent, 50 },
+            { "standard", { "small1" }, { "b" }, WorkClass::Standard, 100 },
+            { "batch", { "small2" }, { "c" }, WorkClass::Batch, 100 },
+            { "small_partner", { "small3" }, { "d" }, WorkClass::Standard, 100 } };
+    }
+
+    void compare(const char* scenario, const Source& flood, std::uint64_t seed)
+    {
+        for (bool usesModule : { false, true }) {
+            auto sources = ordinary();
+            sources.push_back(flood);
+            for (const auto& source : Simulation(usesModule, sources, seed).run())
+                std::printf("admission: %-22s %-6s %-14s %7d %7d %6.1f %8.1f %8.1f\n", scenario,
+                    usesModule ? "module" : "fifo", source.name, source.offered, source.served,
+                    100.0 * source.served / std::max(1, source.offered), percentile(source.latencies, 0.5),
+                    percentile(source.latencies, 0.99));
+        }
+    }
+
+} // namespace
+
+void measureAdmission(std::uint64_t seed)
+{
+    std::printf("admission: scenario policy source offered served_in_time percent p50_ms p99_ms\n");
+    compare("batch_flood", { "flood", { "large" }, { "x" }, WorkClass::Batch, 3000 }, seed);
+    compare("urgent_flood", { "flood", { "large" }, { "x" }, WorkClass::Urgent, 3000 }, seed);
+    compare("flood_in_own_workspace", { "flood", { "small1" }, { "x" }, WorkClass::Urgent, 3000 }, seed);
+    compare("caller_asks_100x", { "flood", { "small3" }, { "x" }, WorkClass::Standard, 10000 }, seed);
+}
+
+} // namespace agatevane::bench
