--- a/src/agatevane/shard_owner/gangs.cpp
+++ b/src/agatevane/shard_owner/gangs.cpp
@@ -4,11 +4,12 @@
 
 namespace {
 
+    //! What the gang holds: a finished part has freed its accelerators, which may have been given to others.
     scheduling::Placement placementOf(const gang::Gang& gang)
     {
         scheduling::Placement placement;
         for (const auto& part : gang.parts) {
-            if (part.state != gang::PartState::Ended)
+            if (part.state < gang::PartState::Finished)
                 placement.push_back({ part.worker, part.accelerators });
         }
         return placement;
@@ -201,8 +202,10 @@
 
 void charge(State& state, OwnedGang& owned, const JobSpec& spec)
 {
-    owned.charge = spec.id;
     owned.placement = placementOf(owned.gang);
+    if (owned.placement.empty())
+        return;
+    owned.charge = spec.id;
     owned.reportedCheckpointMs = gang::keptWorkMs(owned.gang);
     scheduling::adopt(*state.shard, spec, owned.placement, owned.gang.startedAt, owned.reportedCheckpointMs);
 }
--- a/src/agatevane/shard_owner/takeover.cpp
+++ b/src/agatevane/shard_owner/takeover.cpp
@@ -70,9 +70,8 @@
             gang::stop(gang, gang::Cause::Orphaned, "no job for this attempt", at);
             int accelerators = 0;
             for (const auto& part : gang.parts)
-                accelerators += part.state == gang::PartState::Ended ? 0 : part.accelerators;
-            if (accelerators > 0)
-                charge(state, owned, { .id = { "orphan/" + gang.attempt.value }, .accelerators = accelerators });
+                accelerators += part.state >= gang::PartState::Finished ? 0 : part.accelerators;
+            charge(state, owned, { .id = { "orphan/" + gang.attempt.value }, .accelerators = accelerators });
             if (job != state.jobs.end() && job->second.attempt.empty())
                 job->second.state = JobState::Stopping;
             return;
--- /dev/null
+++ b/tests/gang/gang_tests.cpp
@@ -0,0 +1,144 @@
+#include "agatevane/gang/gang.h"
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace agatevane;
+using namespace agatevane::gang;
+
+namespace {
+
+const Instant start = Instant {} + std::chrono::hours(1);
+
+struct Fixture {
+    Timing timing;
+    std::map<WorkerId, WorkerClock> clocks { { { "a" }, { "i1", 1000, start } }, { { "b" }, { "i1", 9000, start } } };
+    Gang gang = makeGang({ "j" }, { "t1" }, 7,
+        { Part { .worker = { "a" }, .accelerators = 8 }, Part { .worker = { "b" }, .accelerators = 8 } }, start);
+
+    std::vector<Command> advanceAt(Instant at)
+    {
+        auto clockOf = [&](const WorkerId& worker) -> const WorkerClock* {
+            auto found = clocks.find(worker);
+            return found == clocks.end() ? nullptr : &found->second;
+        };
+        return advance(gang, timing, clockOf, at);
+    }
+
+    void runAt(Instant at)
+    {
+        advanceAt(at);
+        onPrepareReply(gang, { "a" }, ReplyStatus::Ok);
+        onPrepareReply(gang, { "b" }, ReplyStatus::Ok);
+        advanceAt(at);
+        onStartReply(gang, { "a" }, ReplyStatus::Ok, at, at);
+        onStartReply(gang, { "b" }, ReplyStatus::Ok, at, at);
+    }
+
+    void report(const char* worker, TaskState state, Instant sentAt, std::int64_t progressMs = 0, std::int64_t kept = 0)
+    {
+        TaskReport task { .attempt = { "t1" }, .state = state, .progressMs = progressMs, .checkpointedMs = kept };
+        onTask(gang, { worker }, task, sentAt);
+    }
+};
+
+template <typename T> int countOf(const std::vector<Command>& commands)
+{
+    return static_cast<int>(std::count_if(commands.begin(), commands.end(),
+        [](const Command& command) { return std::holds_alternative<T>(command.body); }));
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(A_gang_is_started_only_when_every_part_is_prepared, Fixture)
+{
+    BOOST_TEST(countOf<PrepareCommand>(advanceAt(start)) == 2);
+    onPrepareReply(gang, { "a" }, ReplyStatus::Ok);
+    BOOST_TEST(countOf<StartCommand>(advanceAt(start + Millis { 600 })) == 0);
+    onPrepareReply(gang, { "b" }, ReplyStatus::Ok);
+    BOOST_TEST(countOf<StartCommand>(advanceAt(start + Millis { 700 })) == 2);
+}
+
+// Guards against reservations that stay behind on the other workers after one of them refused.
+BOOST_FIXTURE_TEST_CASE(A_refusal_stops_every_other_part, Fixture)
+{
+    advanceAt(start);
+    onPrepareReply(gang, { "a" }, ReplyStatus::Ok);
+    onPrepareReply(gang, { "b" }, ReplyStatus::Refused);
+    auto commands = advanceAt(start + Millis { 1 });
+    BOOST_REQUIRE(commands.size() == 1);
+    BOOST_TEST(commands[0].worker == WorkerId { "a" });
+    BOOST_TEST((std::get<AttemptOrder>(commands[0].body).verb == Verb::Stop));
+    onStopReply(gang, { "a" }, ReplyStatus::Ok);
+    BOOST_TEST((gang.phase == Phase::Over));
+    BOOST_TEST((gang.cause == Cause::Refused));
+}
+
+// Guards against a part that outlives the rest by more than 6 s: each repeat would add up to a whole term.
+BOOST_FIXTURE_TEST_CASE(A_repeated_start_does_not_extend_the_lease, Fixture)
+{
+    advanceAt(start);
+    onPrepareReply(gang, { "a" }, ReplyStatus::Ok);
+    onPrepareReply(gang, { "b" }, ReplyStatus::Ok);
+    auto first = advanceAt(start);
+    clocks[{ "a" }] = { "i1", 2000, start + Millis { 1000 } };
+    auto second = advanceAt(start + Millis { 1000 });
+    BOOST_REQUIRE((first.size() == 2 && second.size() == 2));
+    BOOST_TEST(std::get<StartCommand>(first[0].body).leaseUntilClockMs == 5000);
+    BOOST_TEST(std::get<StartCommand>(second[0].body).leaseUntilClockMs == 5000);
+}
+
+BOOST_FIXTURE_TEST_CASE(Leases_are_extended_only_while_every_part_was_seen_within_2_s, Fixture)
+{
+    runAt(start);
+    report("a", TaskState::Running, start + Millis { 1500 });
+    report("b", TaskState::Running, start);
+    BOOST_TEST(isRenewable(gang, timing, start + Millis { 1999 }));
+    BOOST_TEST(!isRenewable(gang, timing, start + Millis { 2000 }));
+}
+
+// Guards against placing the job again while a part that cannot be reached still runs under its lease.
+BOOST_FIXTURE_TEST_CASE(A_part_that_cannot_be_reached_ends_only_with_its_lease, Fixture)
+{
+    runAt(start);
+    clocks.erase({ "b" });
+    report("a", TaskState::Running, start + Millis { 3000 });
+    advanceAt(start + Millis { 3001 });
+    BOOST_TEST((gang.phase == Phase::Stopping));
+    onStopReply(gang, { "a" }, ReplyStatus::Ok);
+    advanceAt(start + Millis { 4039 });
+    BOOST_TEST((gang.phase == Phase::Stopping));
+    advanceAt(start + Millis { 4040 }); // the 4 s term and 1 % drift
+    BOOST_TEST((gang.phase == Phase::Over));
+}
+
+BOOST_FIXTURE_TEST_CASE(A_restarted_worker_has_lost_its_part, Fixture)
+{
+    runAt(start);
+    onAbsent(gang, { "b" }, "i2", start + Millis { 10 });
+    BOOST_TEST((gang.cause == Cause::Lost));
+    BOOST_TEST(advanceAt(start + Millis { 11 }).size() == 1);
+}
+
+// A report that was asked for before the start took effect says nothing about the part.
+BOOST_FIXTURE_TEST_CASE(An_old_report_does_not_end_a_part, Fixture)
+{
+    runAt(start + Millis { 5 });
+    onAbsent(gang, { "b" }, "i1", start + Millis { 4 });
+    BOOST_TEST((gang.phase == Phase::Running));
+}
+
+BOOST_FIXTURE_TEST_CASE(Preemption_waits_for_checkpoints_until_the_deadline, Fixture)
+{
+    gang.canCheckpoint = true;
+    runAt(start);
+    report("a", TaskState::Running, start + Millis { 100 }, 100);
+    report("b", TaskState::Running, start + Millis { 100 }, 100);
+    preempt(gang, start + Millis { 1500 }, "reclaim", start + Millis { 200 });
+    BOOST_TEST(countOf<AttemptOrder>(advanceAt(start + Millis { 200 })) == 2);
+    report("a", TaskState::Running, start + Millis { 300 }, 300, 250);
+    advanceAt(start + Millis { 1499 });
+    BOOST_TEST((gang.phase == Phase::Running));
+    advanceAt(start + Millis { 1500 });
+    BOOST_TEST((gang.phase == Phase::Stopping));
+    BOOST_TEST(keptWorkMs(gang) == 0);
+}
--- /dev/null
+++ b/tests/ownership/ownership_tests.cpp
@@ -0,0 +1,113 @@
+#include "agatevane/ownership/ownership.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace agatevane;
+using namespace agatevane::ownership;
+
+namespace {
+
+const Instant start = Instant {} + std::chrono::hours(1);
+
+State makeMember(const char* name)
+{
+    std::vector<Candidate> candidates { { { "a" }, { "near" } }, { { "b" }, { "far" } }, { { "c" }, { "near" } },
+        { { "d" }, { "far" } } };
+    return makeState({ "dc" }, { "near" }, { name }, std::string(name) + "1", candidates, start);
+}
+
+StoreReply answerRead(const StoreCall& call, const OwnerRecord& record, std::int64_t revision)
+{
+    return { .id = call.id,
+        .outcome = StoreOutcome::Done,
+        .revision = revision,
+        .values = { { call.readFrom, encode(record), revision } } };
+}
+
+OwnerRecord recordOf(Epoch epoch, const char* owner)
+{
+    return { .epoch = epoch, .owner = { owner }, .standbys = { { "b" }, { "d" } }, .token = "other" };
+}
+
+//! A member that knows the record of owner "a" with standbys "b" and "d".
+State makeWatcher(const char* name)
+{
+    auto state = makeMember(name);
+    auto call = tick(state, start).calls.at(0);
+    onStoreReply(state, answerRead(call, recordOf(1, "a"), 10), start);
+    onHeartbeat(state, { "a" }, 1, start);
+    return state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(The_preferred_scheduler_creates_the_record_at_once)
+{
+    auto preferred = preferenceOf(makeMember("a"), { "a" }) == 0 ? makeMember("a") : makeMember("c");
+    auto read = tick(preferred, start).calls.at(0);
+    onStoreReply(preferred, { .id = read.id, .outcome = StoreOutcome::Done }, start);
+    auto write = tick(preferred, start).calls.at(0);
+    BOOST_TEST(write.compares.at(0).revision == 0);
+    auto record = decodeOwnerRecord(write.puts.at(0).second);
+    BOOST_REQUIRE(record.has_value());
+    BOOST_TEST(record->epoch == 1U);
+    // A standby in another region survives the loss of the owner's region.
+    BOOST_TEST((record->standbys.at(0).value == "b" || record->standbys.at(0).value == "d"));
+    BOOST_TEST(
+        onStoreReply(preferred, { .id = write.id, .outcome = StoreOutcome::Done, .revision = 3 }, start).becameOwner);
+}
+
+BOOST_AUTO_TEST_CASE(A_takeover_mints_a_block_above_the_pre_allocated_epochs)
+{
+    auto state = makeWatcher("b");
+    BOOST_TEST(tick(state, start + Millis { 1999 }).calls.empty());
+    auto write = tick(state, start + Millis { 2000 }).calls.at(0);
+    BOOST_TEST(write.compares.at(0).revision == 10);
+    BOOST_TEST(decodeOwnerRecord(write.puts.at(0).second)->epoch == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(Without_the_store_a_standby_uses_its_own_epoch_and_others_wait)
+{
+    auto second = makeWatcher("d");
+    BOOST_TEST(tick(second, start + Millis { 3499 }).calls.empty());
+    auto write = tick(second, start + Millis { 3500 }).calls.at(0);
+    auto result = onStoreReply(second, { .id = write.id, .outcome = StoreOutcome::Unknown }, start + Millis { 3600 });
+    BOOST_TEST(result.becameOwner);
+    BOOST_TEST(second.epoch == 3U);
+    BOOST_TEST(!second.holdsRecord);
+
+    auto other = makeWatcher("c");
+    BOOST_TEST(tick(other, start + Millis { 5999 }).calls.empty());
+    auto late = tick(other, start + Millis { 9000 }).calls.at(0);
+    BOOST_TEST(!onStoreReply(other, { .id = late.id, .outcome = StoreOutcome::NoEffect }, start + Millis { 9001 })
+                    .becameOwner);
+}
+
+// Guards against a scheduler that owns the record without knowing it: nobody would serve the data centre.
+BOOST_AUTO_TEST_CASE(A_lost_answer_is_resolved_by_the_token)
+{
+    auto state = makeWatcher("c");
+    auto at = start + Millis { 9000 };
+    auto write = tick(state, at).calls.at(0);
+    auto written = *decodeOwnerRecord(write.puts.at(0).second);
+    onStoreReply(state, { .id = write.id, .outcome = StoreOutcome::Unknown }, at);
+    auto read = tick(state, at + Millis { 1000 }).calls.at(0);
+    BOOST_TEST(read.isRead());
+    BOOST_TEST(onStoreReply(state, answerRead(read, written, 11), at + Millis { 1001 }).becameOwner);
+    BOOST_TEST(state.holdsRecord);
+    BOOST_TEST(state.revision == 11);
+}
+
+BOOST_AUTO_TEST_CASE(Ownership_ends_with_its_deadline_or_a_higher_epoch)
+{
+    auto state = makeWatcher("b");
+    auto at = start + Millis { 2000 };
+    auto write = tick(state, at).calls.at(0);
+    onStoreReply(state, { .id = write.id, .outcome = StoreOutcome::Done, .revision = 12 }, at);
+    BOOST_TEST(mayAct(state, at + Millis { 4999 }));
+    BOOST_TEST(!mayAct(state, at + Millis { 5000 }));
+    prove(state, at + Millis { 6000 });
+    BOOST_TEST(mayAct(state, at + Millis { 10999 }));
+    BOOST_TEST(!onEpoch(state, 4).lost);
+    BOOST_TEST(onEpoch(state, 5).lost);
+    BOOST_TEST(!mayAct(state, at + Millis { 6001 }));
+}
--- a/tests/shard_owner/randomised_tests.cpp
+++ b/tests/shard_owner/randomised_tests.cpp
@@ -54,3 +54,20 @@
     report(sum);
     BOOST_TEST(breach == "");
 }
+
+// The checks must be able to fail: each run takes one mechanism out and has to find a breach.
+BOOST_AUTO_TEST_CASE(Without_one_of_the_mechanisms_an_invariant_breaks, *boost::unit_test::label("randomised"))
+{
+    std::vector<std::pair<std::string, Options>> variants {
+        { "workers accept lower epochs", { .hasEpochCheck = false } },
+        { "leases are renewed without fresh reports", { .hasRenewalRule = false } },
+        { "journal writes are not guarded", { .hasJournalGuard = false } },
+        { "a lost store answer counts as a failure", { .hasReadBack = false } },
+    };
+    for (const auto& [name, options] : variants) {
+        Totals sum;
+        auto breach = firstBreach(options, 1, 1000, sum);
+        std::cerr << name << ": " << breach << "\n";
+        BOOST_TEST(breach != "", name);
+    }
+}
