--- a/src/agatevane/catalogue/codec.cpp
+++ b/src/agatevane/catalogue/codec.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/catalogue/codec.h"
 
+#include "agatevane/base/token.h"
 #include "agatevane/json/reader.h"
 #include <algorithm>
 #include <set>
@@ -67,10 +68,11 @@
     void readFields(ObjectReader& reader, CallerEntry& entry, Findings&)
     {
         readName(reader, "workspace", entry.workspace);
-        reader.read("tokenDigest", entry.tokenDigest, Presence::Required, 16);
+        reader.read("tokenDigest", entry.tokenDigest, Presence::Required, tokenDigestDigits);
         auto isHex = [](unsigned char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
-        if (entry.tokenDigest.size() != 16 || !std::all_of(entry.tokenDigest.begin(), entry.tokenDigest.end(), isHex))
-            reader.report("tokenDigest", "must be 16 lower-case hexadecimal digits");
+        if (entry.tokenDigest.size() != tokenDigestDigits
+            || !std::all_of(entry.tokenDigest.begin(), entry.tokenDigest.end(), isHex))
+            reader.report("tokenDigest", "must be the 64 lower-case hexadecimal digits of the token's SHA-256");
         reader.read("highestClass", entry.highestClass, Presence::Optional);
         reader.read("requestsPerSecond", entry.requestsPerSecond, Presence::Optional, 0.0, maxRequestsPerSecond);
         reader.read("isOperator", entry.isOperator, Presence::Optional);
--- a/src/agatevane/catalogue/entries.h
+++ b/src/agatevane/catalogue/entries.h
@@ -48,7 +48,7 @@
     CallerId id;
     WorkspaceId workspace;
     std::string owner;
-    std::string tokenDigest; //!< digestOf(bearer token)
+    std::string tokenDigest; //!< tokenDigestOf(bearer token)
     WorkClass highestClass = WorkClass::Urgent; //!< requests of a more urgent class are lowered to this one
     double requestsPerSecond = 0; //!< over all entry VMs; 0: none
     bool isOperator = false; //!< may use the administration API
--- a/src/entry/identity.cpp
+++ b/src/entry/identity.cpp
@@ -1,6 +1,6 @@
 #include "entry/identity.h"
 
-#include "agatevane/base/hash.h"
+#include "agatevane/base/token.h"
 #include "agatevane/http/problem.h"
 #include <algorithm>
 
@@ -12,7 +12,7 @@
     constexpr std::string_view scheme = "Bearer ";
     auto header = http::headerOf(request.headers, "Authorization");
     if (header.starts_with(scheme)) {
-        auto found = catalogue.callersByTokenDigest.find(digestOf(std::string_view(header).substr(scheme.size())));
+        auto found = catalogue.callersByTokenDigest.find(tokenDigestOf(std::string_view(header).substr(scheme.size())));
         if (found != catalogue.callersByTokenDigest.end())
             return found->second;
     }
--- a/tests/base/base_tests.cpp
+++ b/tests/base/base_tests.cpp
@@ -4,6 +4,7 @@
 #include "agatevane/base/job.h"
 #include "agatevane/base/outcome.h"
 #include "agatevane/base/random.h"
+#include "agatevane/base/token.h"
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
@@ -35,6 +36,12 @@
     BOOST_TEST((code == Errc::StaleEpoch));
 }
 
+// Guards against a digest that other SHA-256 tools, which operators use to write the catalogue, do not reproduce.
+BOOST_AUTO_TEST_CASE(A_token_digest_is_the_sha256_of_the_token, *boost::unit_test::label("tokens"))
+{
+    BOOST_TEST(tokenDigestOf("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
 RC_BOOST_PROP(a_digest_depends_on_every_byte, (std::string text, unsigned char flip))
 {
     RC_PRE(!text.empty() && flip != 0);
--- a/tests/catalogue/entry_tests.cpp
+++ b/tests/catalogue/entry_tests.cpp
@@ -21,7 +21,7 @@
         DataCentreEntry {
             { "harju" }, { "north" }, "", { worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r2") } });
     insert(catalogue, WorkspaceEntry { .id = { "small" }, .guarantees = { { { "harju" }, 8 } } });
-    insert(catalogue, CallerEntry { .id = { "c" }, .workspace = { "small" }, .tokenDigest = "00000000000000aa" });
+    insert(catalogue, CallerEntry { .id = { "c" }, .workspace = { "small" }, .tokenDigest = std::string(64, 'a') });
     return catalogue;
 }
 
@@ -103,7 +103,7 @@
 BOOST_AUTO_TEST_CASE(References_and_doubles_are_checked, *boost::unit_test::label("validation"))
 {
     auto catalogue = sampleCatalogue();
-    insert(catalogue, CallerEntry { .id = { "d" }, .workspace = { "gone" }, .tokenDigest = "00000000000000aa" });
+    insert(catalogue, CallerEntry { .id = { "d" }, .workspace = { "gone" }, .tokenDigest = std::string(64, 'a') });
     auto twice = worker("w1", "r9");
     twice.service = { "missing" };
     insert(catalogue, DataCentreEntry { { "tartu" }, { "south" }, "", { twice } });
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -1,6 +1,6 @@
 #include "cluster.h"
 
-#include "agatevane/base/hash.h"
+#include "agatevane/base/token.h"
 #include "agatevane/store/client.h"
 #include <stdexcept>
 
@@ -138,10 +138,10 @@
     put("workspaces", "grants", { { "id", "grants" }, { "owner", "grants" } });
     put("callers", "op",
         { { "id", "op" }, { "workspace", "grants" }, { "owner", "operations" },
-            { "tokenDigest", digestOf(operatorToken) }, { "isOperator", true } });
+            { "tokenDigest", tokenDigestOf(operatorToken) }, { "isOperator", true } });
     put("callers", "installer",
         { { "id", "installer" }, { "workspace", "installers" }, { "owner", "installers" },
-            { "tokenDigest", digestOf(callerToken) } });
+            { "tokenDigest", tokenDigestOf(callerToken) } });
     for (const auto& region : options_.regions) {
         auto described = readJson(ask(workerControlPort_[region], "GET", "/control/workers"));
         json workers = json::array();
