--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -41,6 +41,7 @@
 void addKind(CLI::App* sub, Arguments& arguments, bool isRequired)
 {
     std::vector<std::string> kinds;
+    kinds.reserve(EnumNames<EntryKind>::table.size());
     for (const auto& entry : EnumNames<EntryKind>::table)
         kinds.emplace_back(entry.second);
     sub->add_option("kind", arguments.kind, "kind of entry")->required(isRequired)->check(CLI::IsMember(kinds));
