Check catalogue files as a whole in agatevanectl

Files used to be checked for their form only. Each entry is now decoded with the catalogue's codec and validated together with the catalogue in force; findings name file, entry and field. Entries are compared with their defaults written out, and written in the order of their references.

--- a/src/ctl/catalogue_commands.cpp
+++ b/src/ctl/catalogue_commands.cpp
@@ -50,6 +50,11 @@
         return loaded;
     }
 
+    bool isSame(const nlohmann::json& current, const FileEntry& entry)
+    {
+        return normalized(entry.kind, current["entry"]) == normalized(entry.kind, entry.value);
+    }
+
     void printDifference(
         const Context& context, const std::string& place, const nlohmann::json& before, const nlohmann::json& after)
     {
@@ -103,11 +108,12 @@
     bool differs = false;
     for (const auto& entry : loaded.entries) {
         const auto* current = findCurrent(loaded.current, entry);
-        if (current && (*current)["entry"] == entry.value)
+        if (current && isSame(*current, entry))
             continue;
         differs = true;
         if (current)
-            printDifference(context, entry.path(), (*current)["entry"], entry.value);
+            printDifference(context, entry.path(), normalized(entry.kind, (*current)["entry"]),
+                normalized(entry.kind, entry.value));
         else
             context.out << entry.path() << ": new\n";
     }
@@ -122,7 +128,7 @@
     std::size_t written = 0;
     for (const auto& entry : loaded.entries) {
         const auto* current = findCurrent(loaded.current, entry);
-        if (current && (*current)["entry"] == entry.value) {
+        if (current && isSame(*current, entry)) {
             context.out << entry.path() << ": unchanged\n";
             continue;
         }
--- a/src/ctl/catalogue_files.cpp
+++ b/src/ctl/catalogue_files.cpp
@@ -1,7 +1,11 @@
 #include "ctl/catalogue_files.h"
 
+#include "agatevane/catalogue/catalogue.h"
+#include "agatevane/catalogue/codec.h"
 #include "agatevane/json/reader.h"
+#include <algorithm>
 #include <fstream>
+#include <map>
 #include <set>
 #include <sstream>
 
@@ -51,8 +55,29 @@
         }
     }
 
+    //! Later kinds refer to earlier ones, so entries are written in this order.
+    int rankOf(EntryKind kind)
+    {
+        switch (kind) {
+        case EntryKind::Service:
+            return 0;
+        case EntryKind::DataCentre:
+            return 1;
+        case EntryKind::Workspace:
+            return 2;
+        default:
+            return 3;
+        }
+    }
+
 } // namespace
 
+nlohmann::json normalized(EntryKind kind, const nlohmann::json& value)
+{
+    Entry entry;
+    return decodeEntry(kind, json::dump(value), entry).empty() ? toJson(entry) : value;
+}
+
 std::vector<FileEntry> readCatalogueFiles(const std::vector<std::string>& files, Findings& findings)
 {
     std::vector<FileEntry> entries;
@@ -63,9 +88,42 @@
         if (!seen.insert(entry.path()).second)
             findings.push_back({ entry.file + ": " + entry.path(), "listed twice" });
     }
+    std::ranges::stable_sort(entries, {}, [](const FileEntry& entry) { return rankOf(entry.kind); });
     return entries;
 }
 
-void checkTogether(const std::vector<FileEntry>&, const nlohmann::json&, Findings&) { }
+void checkTogether(const std::vector<FileEntry>& entries, const nlohmann::json& current, Findings& findings)
+{
+    Catalogue before;
+    for (const auto& element : current.value("entries", nlohmann::json::array())) {
+        auto kind = fromName<EntryKind>(element.value("kind", ""));
+        Entry entry;
+        if (kind && decodeEntry(*kind, json::dump(element.value("entry", nlohmann::json())), entry).empty())
+            insert(before, std::move(entry));
+    }
+    auto after = before;
+    std::map<std::string, std::string> fileOf;
+    auto foundBefore = findings.size();
+    for (const auto& each : entries) {
+        Entry entry;
+        auto wrong = decodeEntry(each.kind, json::dump(each.value), entry);
+        for (const auto& finding : wrong)
+            findings.push_back({ each.file + ": " + each.path() + finding.place, finding.text });
+        if (wrong.empty())
+            insert(after, std::move(entry));
+        fileOf[each.path()] = each.file;
+    }
+    // Entries that cannot be read would only cause findings elsewhere, such as references to them.
+    if (findings.size() != foundBefore)
+        return;
+    for (auto& finding : newFindings(before, after)) {
+        auto afterKind = finding.place.find('/');
+        auto afterName = afterKind == std::string::npos ? afterKind : finding.place.find('/', afterKind + 1);
+        auto file = fileOf.find(finding.place.substr(0, afterName));
+        if (file != fileOf.end())
+            finding.place = file->second + ": " + finding.place;
+        findings.push_back(std::move(finding));
+    }
+}
 
 } // namespace agatevane::ctl
--- a/tests/ctl/ctl_tests.cpp
+++ b/tests/ctl/ctl_tests.cpp
@@ -59,6 +59,20 @@
         BOOST_TEST(user.err.str().find(text) != std::string::npos, text);
 }
 
+// Guards against a file that each entry's own check passes, but that contradicts itself or the catalogue in force.
+BOOST_AUTO_TEST_CASE(Findings_name_file_entry_and_field, *boost::unit_test::label("catalogue"))
+{
+    Operator user;
+    File fields("d.json", R"({"workspaces": [{"id": "west", "weight": 5000, "wieght": 1}]})");
+    BOOST_TEST(ctl::validateEntries(user.context, { fields.path }) == ctl::Invalid);
+    for (const char* text : { "d.json: workspaces/west/weight: ", "d.json: workspaces/west/wieght: " })
+        BOOST_TEST(user.err.str().find(text) != std::string::npos, user.err.str());
+    File reference(
+        "e.json", R"({"workspaces": [{"id": "west", "guarantees": [{"dataCentre": "nowhere", "accelerators": 1}]}]})");
+    BOOST_TEST(ctl::validateEntries(user.context, { reference.path }) == ctl::Invalid);
+    BOOST_TEST(user.err.str().find("e.json: workspaces/west/guarantees") != std::string::npos, user.err.str());
+}
+
 BOOST_AUTO_TEST_CASE(Exit_codes_tell_what_became_of_a_request, *boost::unit_test::label("exit"))
 {
     Operator user;
