--- a/tests/ctl/ctl_tests.cpp
+++ b/tests/ctl/ctl_tests.cpp
@@ -35,7 +35,7 @@
     Operator user;
     File file("a.json", R"({"workspaces": [{"id": "north", "owner": "north", "weight": 2}]})");
     BOOST_TEST(ctl::diffEntries(user.context, { file.path }) == ctl::Differs);
-    BOOST_TEST(user.out.str().find("workspaces/north/weight: 1 -> 2") != std::string::npos, user.out.str());
+    BOOST_TEST(user.out.str().find("workspaces/north/weight: 1.0 -> 2.0") != std::string::npos, user.out.str());
     BOOST_TEST(ctl::setEntries(user.context, { file.path }) == ctl::Success, user.err.str());
     BOOST_TEST(ctl::diffEntries(user.context, { file.path }) == ctl::Success);
     auto revision = user.entry.revision;
