Wire admission, limits and routing into agatevane-entry

Cause: the decision modules were called by their tests only. Change: calls pass authentication, class lowering, shared limits (429), the service's gate (503 with Retry-After) and then the router; idempotent calls are retried at other workers within the budget. Reports are polled once a second on threads of their own, the VM list as well; entry VMs lend to each other by BorrowLimit. If any attempt may have run, the answer is unknown, also when a later attempt was refused. A call without Agatevane-Idempotent needs an Idempotency-Key. Settings by the settings library, counters by the metrics library. The entry's slots are its part of the workers' slots; half of the HTTP threads may run calls, a quarter may wait, an eighth may ask schedulers. Tests with in-process workers: late, out-of-order and altered answers, failing, full and leaving workers, deadline in the queue, shutdown during a call. Not yet: catalogue feed, idempotency module, so non-idempotent calls are sent like others.

--- a/src/agatevane/limits/limits.cpp
+++ b/src/agatevane/limits/limits.cpp
@@ -124,6 +124,11 @@
     return true;
 }
 
+void giveBack(Limit& state)
+{
+    state.tokens += 1;
+}
+
 Millis timeToToken(const Limit& state, Instant now)
 {
     constexpr Millis longest { 60000 };
--- a/src/agatevane/limits/limits.h
+++ b/src/agatevane/limits/limits.h
@@ -66,6 +66,9 @@
 //! Takes a token; false if the limit is reached.
 bool tryAdmit(Limit& state, Instant now);
 
+//! Returns the token of a request that was not admitted for another reason.
+void giveBack(Limit& state);
+
 //! When the next token is due; at least 1 ms.
 Millis timeToToken(const Limit& state, Instant now);
 
--- a/src/agatevane/routing/routing.cpp
+++ b/src/agatevane/routing/routing.cpp
@@ -85,13 +85,33 @@
         return nullptr;
     }
 
+    Worker* leastLoaded(State& state, const Group& group, const Query& query, Worker& start, Instant now)
+    {
+        Worker* least = &start;
+        double leastLoad = loadOf(state, group, start, now);
+        for (auto index : group.workers) {
+            auto& worker = state.workers[index];
+            if (!isEligible(worker, query, now))
+                continue;
+            double load = loadOf(state, group, worker, now);
+            if (load < leastLoad) {
+                least = &worker;
+                leastLoad = load;
+            }
+        }
+        return least;
+    }
+
     Worker* betterOfTwo(State& state, const Group& group, const Query& query, Instant now, Random& random)
     {
         auto* first = anyEligible(state, group, query, nullptr, now, random);
         if (!first)
             return nullptr;
         auto* second = anyEligible(state, group, query, first, now, random);
-        return second && loadOf(state, group, *second, now) < loadOf(state, group, *first, now) ? second : first;
+        auto* better
+            = second && loadOf(state, group, *second, now) < loadOf(state, group, *first, now) ? second : first;
+        // With both full by estimate, a look at all is cheaper than a refusal and a retry.
+        return loadOf(state, group, *better, now) < 1 ? better : leastLoaded(state, group, query, *better, now);
     }
 
     Worker* dueProbe(State& state, const Group& group, const Query& query, Instant now)
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "agatevane/http/message.h"
+#include "entry/call_request.h"
+#include "entry/call_runner.h"
 #include "entry/catalogue_snapshot.h"
-#include "entry/worker_client.h"
+#include "entry/gate_table.h"
+#include "entry/limit_table.h"
 
 namespace agatevane::entry {
 
@@ -10,6 +13,10 @@
 struct CallContext {
     CatalogueHolder& catalogue;
     WorkerClient& workers;
+    WorkerRouter& router;
+    GateTable& gates;
+    LimitTable& limits;
+    EntryMetrics& metrics;
     Millis defaultTimeout;
 };
 
--- /dev/null
+++ b/src/entry/call_runner.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "agatevane/base/outcome.h"
+#include "entry/entry_metrics.h"
+#include "entry/worker_client.h"
+#include "entry/worker_router.h"
+
+namespace agatevane::entry {
+
+//! What became of a call after all its attempts.
+struct CallRun {
+    Outcome outcome = Outcome::NotRun;
+    WorkerAnswer answer; //!< whole if `outcome` is Done
+    AttemptId attempt; //!< the last one
+    WorkerId worker; //!< of the last attempt; empty if no worker could be chosen
+};
+
+struct CallToRun {
+    ServiceId service;
+    const std::string& body;
+    bool isIdempotent = false;
+    Instant deadline;
+};
+
+//! Sends an idempotent call to workers until one answers or no retry is allowed.
+CallRun runIdempotentCall(WorkerRouter& router, WorkerClient& workers, EntryMetrics& metrics, const CallToRun& call);
+
+//! One attempt at one chosen worker, with its result reported to the router.
+WorkerAnswer attemptCall(WorkerRouter& router, WorkerClient& workers, const routing::Choice& choice,
+    const AttemptId& attempt, const CallToRun& call);
+
+routing::Result resultOf(const WorkerAnswer& answer);
+
+} // namespace agatevane::entry
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -1,12 +1,18 @@
 #include "entry/entry_server.h"
 
 #include "agatevane/http/problem.h"
+#include "agatevane/metrics/process.h"
+#include "agatevane/net/archive.h"
+#include <algorithm>
+#include <set>
 
 namespace agatevane::entry {
 
 namespace {
 
     constexpr int ioThreadCount = 2;
+    constexpr Millis tickInterval { 50 };
+    constexpr int ticksBetweenBorrows = 2;
 
     http::ServerLimits limitsOf(const Settings& settings)
     {
@@ -15,18 +21,40 @@
         return limits;
     }
 
+    std::map<std::string, double> sharedLimits(const CatalogueSnapshot& catalogue)
+    {
+        std::map<std::string, double> limits;
+        auto add = [&limits](const std::string& kind, const auto& entry) {
+            if (entry.requestsPerSecond > 0)
+                limits[kind + entry.id.value] = entry.requestsPerSecond;
+        };
+        for (const auto& [digest, caller] : catalogue.callersByTokenDigest)
+            add("callers/", caller);
+        for (const auto& [id, workspace] : catalogue.workspaces)
+            add("workspaces/", workspace);
+        for (const auto& [id, service] : catalogue.services)
+            add("services/", service);
+        return limits;
+    }
+
 } // namespace
 
 EntryServer::EntryServer(Settings settings)
     : settings_(std::move(settings))
     , workGuard_(context_.get_executor())
+    , ticker_(context_)
+    , members_(1 + static_cast<int>(settings_.peers.size() - settings_.peers.count(settings_.name)))
+    , metrics_(metrics::registry())
+    , router_(settings_.region)
+    , limits_(context_, settings_.name, settings_.peers)
     , schedulers_(context_, settings_.schedulers)
-    , calls_ { catalogue_, workers_, settings_.defaultTimeout }
+    , rpcServer_(context_,
+          [this](
+              std::uint16_t kind, std::string_view payload, const net::Reply& reply) { onRpc(kind, payload, reply); })
+    , calls_ { catalogue_, workers_, router_, gates_, limits_, metrics_, settings_.defaultTimeout }
     , jobs_ { catalogue_, schedulers_, settings_.defaultTimeout }
     , server_(limitsOf(settings_), settings_.tls)
 {
-    for (int i = 0; i < ioThreadCount; ++i)
-        ioThreads_.emplace_back([this] { context_.run(); });
 }
 
 EntryServer::~EntryServer()
@@ -40,8 +68,17 @@
 std::error_code EntryServer::start()
 {
     addRoutes();
+    if (auto error = rpcServer_.listen(settings_.rpcListen))
+        return error;
     if (auto error = server_.bind(settings_.listen.address, settings_.listen.port))
         return error;
+    scheduleTick(0);
+    for (int i = 0; i < ioThreadCount; ++i)
+        ioThreads_.emplace_back([this] { context_.run(); });
+    reports_ = std::make_unique<ReportPoller>(router_, workers_, settings_.reportInterval);
+    if (settings_.vmList)
+        vmList_ = std::make_unique<VmListClient>(
+            *settings_.vmList, [this](const std::vector<ListedVm>& vms) { applyVmList(vms); });
     server_.start();
     return {};
 }
@@ -51,6 +88,44 @@
     return server_.port();
 }
 
+void EntryServer::applyCatalogue(SnapshotPointer snapshot)
+{
+    std::lock_guard lock(configureMutex_);
+    catalogue_.publish(std::move(snapshot));
+    configure();
+}
+
+void EntryServer::applyVmList(const std::vector<ListedVm>& vms)
+{
+    std::lock_guard lock(configureMutex_);
+    std::set<std::string> workers;
+    for (const auto& target : router_.targets())
+        workers.insert(target.worker.value);
+    int members = 0;
+    for (const auto& vm : vms) {
+        if (workers.contains(vm.name))
+            router_.onListed({ vm.name }, vm.state == VmState::Leaving);
+        else if (settings_.peers.contains({ vm.name }) || vm.name == settings_.name.value)
+            ++members;
+    }
+    members = std::max(1, members);
+    if (members_.exchange(members) != members)
+        configure();
+}
+
+//! Called with the mutex held.
+void EntryServer::configure()
+{
+    auto snapshot = catalogue_.load();
+    router_.configure(*snapshot);
+    gates_.configure(*snapshot, members_, settings_.threads);
+    limits_.configure(sharedLimits(*snapshot), members_);
+    std::vector<std::string> addresses;
+    for (const auto& target : router_.targets())
+        addresses.push_back(target.address);
+    workers_.keepOnly(addresses);
+}
+
 void EntryServer::drain()
 {
     isDraining_ = true;
@@ -60,6 +135,52 @@
 {
     drain();
     server_.stop();
+    vmList_.reset();
+    reports_.reset();
+}
+
+void EntryServer::scheduleTick(int number)
+{
+    ticker_.expires_after(tickInterval);
+    ticker_.async_wait([this, number](std::error_code error) {
+        if (error)
+            return;
+        gates_.tick();
+        if (number % ticksBetweenBorrows == 0)
+            limits_.borrow();
+        scheduleTick(number + 1);
+    });
+}
+
+void EntryServer::onRpc(std::uint16_t kind, std::string_view payload, const net::Reply& reply)
+{
+    limits::BorrowRequest request;
+    if (static_cast<MessageKind>(kind) == MessageKind::BorrowLimit && net::decode(payload, request))
+        reply(net::encode(limits_.lend(request)));
+    else
+        reply({}); // Decodes as no message, so that the peer fails at once instead of waiting.
+}
+
+void EntryServer::addJobRoute(const std::string& method, const std::string& pattern,
+    void (*handler)(JobContext&, const http::Request&, http::Response&))
+{
+    // These wait for schedulers; without a bound they could hold all threads while none answers.
+    int bound = std::max(1, settings_.threads / 8);
+    server_.route(method, pattern, [this, handler, bound](const http::Request& request, http::Response& response) {
+        struct Counted {
+            std::atomic<int>& count;
+            int value = ++count;
+            ~Counted() { --count; }
+        };
+        Counted counted { jobRequests_ };
+        if (counted.value > bound) {
+            http::Problem problem { .status = 503, .title = "too many job requests", .outcome = Outcome::NotRun };
+            problem.retryAfterSeconds = 1;
+            http::writeProblem(problem, response);
+        } else {
+            handler(jobs_, request, response);
+        }
+    });
 }
 
 void EntryServer::addRoutes()
@@ -68,21 +189,37 @@
     using http::Response;
     server_.route("POST", R"(/v1/services/([A-Za-z0-9_-]+)/calls)",
         [this](const Request& request, Response& response) { handleCall(calls_, request, response); });
-    server_.route("POST", "/v1/jobs",
-        [this](const Request& request, Response& response) { submitJob(jobs_, request, response); });
-    server_.route(
-        "GET", "/v1/jobs", [this](const Request& request, Response& response) { listJobs(jobs_, request, response); });
-    server_.route("GET", R"(/v1/jobs/([A-Za-z0-9_.-]+))",
-        [this](const Request& request, Response& response) { showJob(jobs_, request, response); });
-    server_.route("DELETE", R"(/v1/jobs/([A-Za-z0-9_.-]+))",
-        [this](const Request& request, Response& response) { cancelJob(jobs_, request, response); });
+    addJobRoute("POST", "/v1/jobs", submitJob);
+    addJobRoute("GET", "/v1/jobs", listJobs);
+    addJobRoute("GET", R"(/v1/jobs/([A-Za-z0-9_.-]+))", showJob);
+    addJobRoute("DELETE", R"(/v1/jobs/([A-Za-z0-9_.-]+))", cancelJob);
     server_.route("GET", "/healthz", [](const Request&, Response& response) { response.body = "{}"; });
     server_.route("GET", "/readyz", [this](const Request&, Response& response) {
         if (isDraining_)
             http::writeProblem({ .status = 503, .title = "shutting down" }, response);
+        else if (catalogue_.load()->revision == 0)
+            http::writeProblem({ .status = 503, .title = "no catalogue yet" }, response);
         else
             response.body = "{}";
     });
+    server_.route("GET", "/metrics", [this](const Request&, Response& response) { writeMetrics(response); });
+}
+
+void EntryServer::writeMetrics(http::Response& response)
+{
+    auto& registry = metrics::registry();
+    auto load = gates_.load();
+    registry.gauge("agatevane_calls_running", "Calls that hold a slot").set(load.running);
+    for (const auto& [workClass, name] : EnumNames<WorkClass>::table) {
+        registry.gauge("agatevane_calls_waiting", "Calls that wait for a slot", { { "class", std::string(name) } })
+            .set(load.waiting[static_cast<std::size_t>(workClass)]);
+    }
+    auto counts = router_.counts();
+    registry.gauge("agatevane_workers", "Workers by state", { { "state", "all" } }).set(counts.all);
+    registry.gauge("agatevane_workers", "Workers by state", { { "state", "usable" } }).set(counts.usable);
+    registry.gauge("agatevane_workers", "Workers by state", { { "state", "ejected" } }).set(counts.ejected);
+    response.contentType = metrics::contentType;
+    response.body = registry.render();
 }
 
 } // namespace agatevane::entry
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -3,8 +3,11 @@
 #include "agatevane/http/server.h"
 #include "entry/call_handler.h"
 #include "entry/job_handler.h"
+#include "entry/report_poller.h"
 #include "entry/settings.h"
+#include "entry/vm_list_client.h"
 #include <asio/executor_work_guard.hpp>
+#include <asio/steady_timer.hpp>
 #include <atomic>
 #include <thread>
 
@@ -19,7 +22,9 @@
     //! Binds and serves.
     std::error_code start();
     int port() const;
-    CatalogueHolder& catalogue() { return catalogue_; }
+
+    //! Puts a catalogue in force for all requests that arrive from now on.
+    void applyCatalogue(SnapshotPointer snapshot);
 
     //! /readyz answers 503 from here on; requests are still served, since the balancer notices with a delay.
     void drain();
@@ -29,18 +34,36 @@
 
 private:
     void addRoutes();
+    void addJobRoute(const std::string& method, const std::string& pattern,
+        void (*handler)(JobContext&, const http::Request&, http::Response&));
+    void applyVmList(const std::vector<ListedVm>& vms);
+    void configure();
+    void scheduleTick(int number);
+    void onRpc(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
+    void writeMetrics(http::Response& response);
 
     Settings settings_;
     asio::io_context context_;
     asio::executor_work_guard<asio::io_context::executor_type> workGuard_;
+    asio::steady_timer ticker_;
     std::vector<std::thread> ioThreads_;
+    std::mutex configureMutex_; //!< catalogue and VM list arrive on different threads
+    std::atomic<int> members_;
     CatalogueHolder catalogue_;
+    EntryMetrics metrics_;
     WorkerClient workers_;
+    WorkerRouter router_;
+    GateTable gates_;
+    LimitTable limits_;
     SchedulerClient schedulers_;
+    net::RpcServer rpcServer_;
     CallContext calls_;
     JobContext jobs_;
+    std::atomic<int> jobRequests_ = 0;
     std::atomic<bool> isDraining_ = false;
     http::Server server_;
+    std::unique_ptr<VmListClient> vmList_;
+    std::unique_ptr<ReportPoller> reports_;
 };
 
 } // namespace agatevane::entry
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -8,17 +8,10 @@
 
 int main(int argc, char** argv)
 {
-    auto parsed = entry::parseSettings(argc, argv);
-    if (parsed.help) {
-        std::cout << *parsed.help;
-        return 0;
-    }
-    if (!parsed.findings.empty()) {
-        std::cerr << format(parsed.findings);
-        return 2;
-    }
-    FLAGS_logtostderr = true;
-    google::InitGoogleLogging(argv[0]);
+    entry::Settings settings;
+    if (auto exitCode = entry::readSettings(argc, argv, settings, std::cout, std::cerr))
+        return *exitCode;
+    settings::setUpLogging(argv[0]);
     std::signal(SIGPIPE, SIG_IGN);
     // Blocked before any thread starts, so that only sigwait below receives them.
     sigset_t signals;
@@ -27,8 +20,8 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-    auto drainWait = parsed.settings.drainWait;
-    entry::EntryServer server(std::move(parsed.settings));
+    auto drainWait = settings.drainWait;
+    entry::EntryServer server(std::move(settings));
     if (auto error = server.start()) {
         LOG(ERROR) << "cannot listen: " << error.message();
         return 1;
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "agatevane/base/finding.h"
 #include "agatevane/base/id.h"
 #include "agatevane/base/instant.h"
 #include "agatevane/http/client.h"
 #include "agatevane/http/server.h"
 #include "agatevane/net/rpc.h"
+#include "agatevane/settings/settings.h"
+#include <iosfwd>
 #include <map>
 #include <optional>
 #include <vector>
@@ -31,14 +32,9 @@
     Millis drainWait { 2000 }; //!< for the balancer to notice /readyz
 };
 
-//! What to do after the command line was read.
-struct ParsedSettings {
-    Settings settings;
-    Findings findings; //!< not empty: print them and exit with 2
-    std::optional<std::string> help; //!< text asked for by --help
-};
-
-//! Reads flags and AGATEVANE_* environment variables; a flag goes before its variable. All findings are collected.
-ParsedSettings parseSettings(int argc, const char* const* argv);
+//! Reads flags and AGATEVANE_* environment variables. The exit code, if the program must end: 0 after help, 2 after all
+//! findings were printed.
+std::optional<int> readSettings(
+    int argc, const char* const* argv, Settings& result, std::ostream& out, std::ostream& err);
 
 } // namespace agatevane::entry
--- /dev/null
+++ b/tests/entry/fakes.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "agatevane/base/hash.h"
+#include "agatevane/http/client.h"
+#include "agatevane/http/server.h"
+#include "entry/entry_server.h"
+#include <atomic>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+//! In-process stand-ins for the sides that the entry talks to.
+namespace agatevane::entry::test {
+
+struct FakeCall {
+    std::string attempt;
+    std::string body;
+};
+
+//! One worker whose answers a test decides.
+class FakeWorker {
+public:
+    using Answer = std::function<void(const FakeCall& call, http::Response& response)>;
+
+    explicit FakeWorker(Answer answer = echo)
+        : answer_(std::move(answer))
+        , server_(http::ServerLimits { .threads = 24 })
+    {
+        server_.route("GET", "/v1/report", [this](const http::Request&, http::Response& response) {
+            WorkerReport report;
+            report.leaving = isLeaving;
+            report.slots = 8;
+            report.connections = 64;
+            response.body = nlohmann::json(report).dump();
+        });
+        server_.route("POST", "/v1/calls", [this](const http::Request& request, http::Response& response) {
+            auto message = nlohmann::json::parse(request.body);
+            ++calls;
+            answer_({ message["attempt"], message["body"] }, response);
+        });
+        if (server_.bind("127.0.0.1", 0))
+            throw std::runtime_error("cannot bind");
+        server_.start();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(server_.port()); }
+
+    //! A whole answer of this attempt.
+    static void answerWith(const FakeCall& call, const std::string& body, http::Response& response)
+    {
+        response.body = body;
+        response.headers = { { "Agatevane-Attempt", call.attempt }, { "Agatevane-Length", std::to_string(body.size()) },
+            { "Agatevane-Digest", digestOf(body) } };
+    }
+
+    static void echo(const FakeCall& call, http::Response& response)
+    {
+        answerWith(call, "answer to " + call.body, response);
+    }
+
+    static void refuse(const char* reason, http::Response& response)
+    {
+        response.status = 503;
+        response.body = std::string(R"({"title":")") + reason + R"("})";
+    }
+
+    std::atomic<int> calls = 0;
+    std::atomic<bool> isLeaving = false;
+
+private:
+    Answer answer_;
+    http::Server server_;
+};
+
+//! An entry with one service, two callers and the given workers.
+struct Fixture {
+    explicit Fixture(const std::vector<FakeWorker*>& workers, Settings settings = {})
+        : server(withDefaults(std::move(settings)))
+    {
+        auto catalogue = std::make_shared<CatalogueSnapshot>();
+        catalogue->revision = 1;
+        catalogue->workspaces[{ "ws" }] = { .id = { "ws" } };
+        catalogue->callersByTokenDigest[digestOf("secret")] = { .id = { "alice" }, .workspace = { "ws" } };
+        catalogue->callersByTokenDigest[digestOf("slow")]
+            = { .id = { "bob" }, .workspace = { "ws" }, .requestsPerSecond = 0.001 };
+        catalogue->services[{ "visitdesk" }] = { .id = { "visitdesk" } };
+        auto& dataCentre = catalogue->dataCentres[{ "dc" }];
+        dataCentre.id = { "dc" };
+        dataCentre.region = { "harju" };
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            WorkerEntry worker;
+            worker.id = { "w" + std::to_string(i) };
+            worker.address = workers[i]->address();
+            worker.service = { "visitdesk" };
+            worker.capacity.accelerators = 8;
+            dataCentre.workers.push_back(worker);
+        }
+        server.applyCatalogue(catalogue);
+        if (server.start())
+            throw std::runtime_error("cannot start");
+        client = std::make_unique<http::Client>(http::Endpoint { "127.0.0.1", server.port(), false, {} });
+        waitForWorkers(static_cast<int>(workers.size()));
+    }
+
+    static Settings withDefaults(Settings settings)
+    {
+        settings.name = { "vm1" };
+        settings.region = { "harju" };
+        settings.listen = { "127.0.0.1", 0 };
+        settings.reportInterval = Millis(100);
+        settings.threads = 48;
+        return settings;
+    }
+
+    //! Workers get work only after their first report.
+    void waitForWorkers(int count)
+    {
+        auto line = R"(agatevane_workers{state="usable"} )" + std::to_string(count);
+        auto deadline = now() + Millis(5000);
+        while (now() < deadline && metrics().find(line) == std::string::npos)
+            std::this_thread::sleep_for(Millis(10));
+    }
+
+    std::string metrics() { return client->request("GET", "/metrics", "", now() + Millis(2000)).body; }
+
+    http::ClientResult call(const std::string& body, http::Headers headers = { { "Agatevane-Idempotent", "true" } },
+        Millis timeout = Millis(10000))
+    {
+        if (!headers.contains("Authorization"))
+            headers.emplace("Authorization", "Bearer secret");
+        return client->request("POST", "/v1/services/visitdesk/calls", body, now() + timeout, headers);
+    }
+
+    static std::string outcomeOf(const http::ClientResult& result)
+    {
+        auto problem = nlohmann::json::parse(result.body, nullptr, false);
+        return problem.is_object() ? problem.value("outcome", "") : "";
+    }
+
+    EntryServer server;
+    std::unique_ptr<http::Client> client;
+};
+
+} // namespace agatevane::entry::test
