Add preemption, reservations, backfill and defragmentation

The first scheduler only started what fitted, so guarantees could not be reclaimed and large gangs starved behind small ones.

Claims of guarantees, urgent work, shares and starved gangs look for the shortest list of victims in the required order, drop those that the placement does not need, and hold the capacity until the victims have ended. The oldest starved gang gets a reservation; backfill on it must be stoppable and end in time by the learned run time.

Found by the properties and fixed: backfill restarted on a reservation whose backfilled gangs were being preempted, so the gang never started; a gang being preempted kept its guarantee's protection, so too much of the rest could be preempted; a starved gang passed over its workspace's quota; capacity freed by a dropped reservation stayed idle until the next decision.

--- a/src/agatevane/scheduling/accounts.cpp
+++ b/src/agatevane/scheduling/accounts.cpp
@@ -244,6 +244,8 @@
     shard.leavingOf[indexOf(job.workClass)] += job.accelerators;
     job.state = GangState::Preempting;
     job.preemptionDeadline = deadline;
+    // The guarantee covers what stays; otherwise too much of the rest could be preempted.
+    updateProtection(shard, workspace);
 }
 
 void setSavedAt(Shard& shard, int slot, Instant at)
@@ -269,7 +271,8 @@
     workspace.protectedUsed = 0;
     for (const auto& key : workspace.charged) {
         Job& job = shard.jobs[key.job];
-        job.isProtected = workspace.protectedUsed + job.accelerators <= workspace.effectiveGuarantee;
+        job.isProtected = job.state != GangState::Preempting
+            && workspace.protectedUsed + job.accelerators <= workspace.effectiveGuarantee;
         workspace.protectedUsed += job.isProtected ? job.accelerators : 0;
     }
 }
--- a/src/agatevane/scheduling/fleet_index.cpp
+++ b/src/agatevane/scheduling/fleet_index.cpp
@@ -280,14 +280,6 @@
     }
 }
 
-bool isUnused(const FleetIndex& fleet, const Slots& slots)
-{
-    return std::all_of(slots.begin(), slots.end(), [&](const SlotPart& part) {
-        const Worker& worker = fleet.workers[part.worker];
-        return worker.isAvailable && worker.capacity - worker.used >= part.accelerators;
-    });
-}
-
 Slots fit(const FleetIndex& fleet, const Shape& shape)
 {
     if (shape.accelerators > fleet.free || (shape.perWorker > 0 && shape.accelerators % shape.perWorker != 0))
--- a/src/agatevane/scheduling/fleet_index.h
+++ b/src/agatevane/scheduling/fleet_index.h
@@ -85,9 +85,6 @@
 void hold(FleetIndex& fleet, const Slots& slots);
 void unhold(FleetIndex& fleet, const Slots& slots);
 
-//! Whether the workers' unused capacity covers `slots`, including capacity held for reservations.
-bool isUnused(const FleetIndex& fleet, const Slots& slots);
-
 //! The tightest block of adjacent workers that holds the shape now; empty if none does.
 Slots fit(const FleetIndex& fleet, const Shape& shape);
 
--- a/src/agatevane/scheduling/reservation.cpp
+++ b/src/agatevane/scheduling/reservation.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/scheduling/reservation.h"
 #include <algorithm>
+#include <utility>
 
 namespace agatevane::scheduling {
 
@@ -10,9 +11,15 @@
     return found == shard.reservations.end() ? nullptr : &*found;
 }
 
+Reservation* reservationOf(Shard& shard, int job)
+{
+    return const_cast<Reservation*>(reservationOf(std::as_const(shard), job));
+}
+
 void addReservation(Shard& shard, Reservation reservation)
 {
-    const Job& job = shard.jobs[reservation.job];
+    Job& job = shard.jobs[reservation.job];
+    job.hasReservation = true;
     hold(shard.fleet, reservation.slots);
     shard.workspaces[job.workspace].pending += job.accelerators;
     shard.reservations.push_back(std::move(reservation));
@@ -20,10 +27,12 @@
 
 void dropReservation(Shard& shard, int slot)
 {
-    const Reservation* found = reservationOf(shard, slot);
-    if (found == nullptr)
+    Job& job = shard.jobs[slot];
+    if (!job.hasReservation)
         return;
-    const Job& job = shard.jobs[slot];
+    const Reservation* found = reservationOf(shard, slot);
+    job.hasReservation = false;
+    shard.hasFreedHeld = true;
     unhold(shard.fleet, found->slots);
     shard.workspaces[job.workspace].pending -= job.accelerators;
     shard.reservations.erase(shard.reservations.begin() + (found - shard.reservations.data()));
--- a/src/agatevane/scheduling/shard.cpp
+++ b/src/agatevane/scheduling/shard.cpp
@@ -45,14 +45,19 @@
         workspace.quota = std::max(0, entry.quotaAccelerators);
     }
     shard.policy.workspaces.clear();
+    shard.hasCommitmentChanged = true;
     updateGuarantees(shard);
 }
 
 void setWorker(Shard& shard, const WorkerState& worker)
 {
     int total = shard.fleet.totalCapacity;
+    int available = shard.fleet.capacity;
     setWorker(shard.fleet, worker);
     shard.hasShrunk |= shard.fleet.totalCapacity < total;
+    shard.hasCommitmentChanged |= shard.fleet.capacity < available;
+    const Worker& state = shard.fleet.workers[slotOf(shard.fleet, worker.id)];
+    shard.hasOvercommitted |= state.used > state.capacity;
     updateGuarantees(shard);
 }
 
@@ -69,6 +74,9 @@
     }
     for (int job : broken)
         dropReservation(shard, job);
+    const Worker& state = shard.fleet.workers[found->second];
+    shard.hasOvercommitted |= state.used > 0;
+    shard.hasCommitmentChanged |= state.isAvailable;
     removeWorker(shard.fleet, worker);
     shard.hasShrunk = true;
     updateGuarantees(shard);
@@ -121,6 +129,11 @@
     shard.jobs[job].queuedAt = startedAt;
     chargeGang(shard, job, std::move(slots), startedAt);
     shard.jobs[job].isRunning = true;
+    shard.hasCommitmentChanged |= !shard.jobs[job].isStoppable;
+    for (const auto& part : shard.jobs[job].slots) {
+        const Worker& state = shard.fleet.workers[part.worker];
+        shard.hasOvercommitted |= state.used > state.capacity;
+    }
     setSavedAt(shard, job, startedAt + Millis(checkpointedMs));
 }
 
--- a/src/agatevane/scheduling/shard.h
+++ b/src/agatevane/scheduling/shard.h
@@ -36,6 +36,14 @@
     Millis reservationAfter { 60000 };
     double fairnessWeight = 1;
     bool defragment = true;
+    //! Share of the accelerators that each class with waiting work is served first up to, and that urgent preemption
+    //! leaves to it.
+    double classFloor = 0.05;
+    //! A job that has waited this long may preempt work of workspaces or callers that keep more than its own; 0: never.
+    Millis shareClaimAfter { 30000 };
+    //! A gang that has waited this long may preempt any work that can be checkpointed and that no guarantee covers;
+    //! 0: never.
+    Millis starvedAfter { 600000 };
 };
 
 struct PlacedPart {
@@ -140,6 +148,9 @@
 
 FleetSummary summarize(const Shard& shard);
 
+//! How often a run-time check found the accounts inconsistent; anything but 0 is a fault of this library.
+std::uint64_t invariantFaults(const Shard& shard);
+
 //! Checks that guarantees can be honoured by the data centre less its largest rack. Used when the catalogue is changed.
 Findings checkGuarantees(
     const std::vector<WorkerState>& workers, const std::vector<WorkspacePolicy>& workspaces, const std::string& place);
--- a/src/agatevane/scheduling/shard_state.h
+++ b/src/agatevane/scheduling/shard_state.h
@@ -37,6 +37,7 @@
     Instant savedAt; //!< work done since then would be lost by a stop
     Instant expectedEnd;
     Instant preemptionDeadline;
+    bool hasReservation = false;
     int backfills = -1; //!< job whose reservation it uses until that needs the capacity; -1: none
     Slots slots;
 };
@@ -131,6 +132,7 @@
     int job = 0;
     ReservationKind kind = ReservationKind::Guarantee;
     Slots slots;
+    bool isClosing = false; //!< Backlog: only backfilled gangs are left, and they are being preempted
     Instant until; //!< Backlog: expected start; otherwise: deadline of its victims
 };
 
@@ -156,11 +158,15 @@
     std::array<int, classCount> queuedOf {};
     std::uint64_t sequence = 0;
     Instant settledAt;
-    Instant backlogPlannedAt;
     Instant defragmentedAt;
     int queuedJobs = 0;
     int chargedJobs = 0;
+    //! Earliest repeat of a preemption search that found no victims, by kind, workspace and shape.
+    std::map<std::tuple<int, int, int>, Instant> retryAt;
     bool hasShrunk = false; //!< a queued job may have become impossible
+    bool hasFreedHeld = false; //!< a reservation was given up, so shapes that did not fit may fit now
+    bool hasOvercommitted = false; //!< a worker shrank, or a gang found running exceeds what its worker has
+    bool hasCommitmentChanged = false; //!< capacity fell or guarantees rose under work that cannot be stopped
     std::uint64_t invariantFaults = 0;
 };
 
--- a/src/agatevane/scheduling/start.cpp
+++ b/src/agatevane/scheduling/start.cpp
@@ -19,7 +19,13 @@
         Candidate best;
         QueueKey bestKey;
         for (const auto& [shape, queue] : caller.queues[workClass]) {
-            const QueueKey& key = *queue.begin();
+            auto head = queue.begin();
+            // Reserved capacity is not used to start its own job early when work is started on it for the time being.
+            while (pass.backfills >= 0 && head != queue.end() && shard.jobs[head->job].hasReservation)
+                ++head;
+            if (head == queue.end())
+                continue;
+            const QueueKey& key = *head;
             if (!feasible.contains(shape) || (best.job >= 0 && bestKey < key))
                 continue;
             if (!mayCharge(shard, workspace, shard.shapes[shape]))
