--- /dev/null
+++ b/src/capacity/membership_measure.cpp
@@ -0,0 +1,87 @@
+#include "agatevane/membership/members.h"
+#include "capacity/measure.h"
+
+namespace agatevane::capacity {
+
+namespace {
+
+    constexpr int memberSizes[] = { 8, 32, 128, 512 };
+    constexpr int firstPort = 1000;
+
+    struct Group {
+        std::vector<membership::State> members;
+        Instant at {};
+        Random random { 1 };
+        std::uint64_t bytes = 0;
+
+        explicit Group(int size)
+        {
+            std::vector<membership::ListedMember> all;
+            all.reserve(static_cast<std::size_t>(size));
+            for (int i = 0; i < size; ++i)
+                all.push_back({ { "entry-" + std::to_string(i) }, { "10.0.0.1", firstPort + i } });
+            for (int i = 0; i < size; ++i) {
+                membership::Settings settings;
+                settings.self = { all[static_cast<std::size_t>(i)].member, all[static_cast<std::size_t>(i)].address, 0,
+                    membership::MemberState::Alive };
+                members.push_back(membership::makeState(settings));
+                membership::setListed(members.back(), all, at);
+            }
+        }
+
+        void deliver(const membership::Output& output)
+        {
+            for (const auto& datagram : output.datagrams) {
+                bytes += membership::encodeHeartbeat(datagram.heartbeat).size() + membership::datagramOverhead;
+                auto& receiver = members[static_cast<std::size_t>(datagram.to.port - firstPort)];
+                deliver(membership::receive(receiver, datagram.heartbeat, at));
+            }
+        }
+
+        void run(int ticks)
+        {
+            for (int i = 0; i < ticks; ++i) {
+                at += Millis(500);
+                for (auto& member : members)
+                    deliver(membership::tick(member, at, random));
+            }
+        }
+    };
+
+} // namespace
+
+Series membershipBytes()
+{
+    Series series { "membership, B/s sent by a member", "members", {} };
+    for (int size : memberSizes) {
+        Group group(size);
+        // All members know each other from the VM list, but each first heartbeat is news; wait until it has spread.
+        group.run(size < 512 ? 200 : 600);
+        group.bytes = 0;
+        constexpr int ticks = 60;
+        group.run(ticks);
+        series.samples.push_back(
+            { static_cast<double>(size), static_cast<double>(group.bytes) / size / (ticks * 0.5) });
+    }
+    return series;
+}
+
+Series membershipTick()
+{
+    Series series { "membership, us for one tick", "members", {} };
+    for (int size : memberSizes) {
+        Group group(size);
+        group.run(40);
+        auto& member = group.members.front();
+        auto at = group.at;
+        series.samples.push_back({ static_cast<double>(size), microsecondsOf([&] {
+                                      at += Millis(500);
+                                      auto output = membership::tick(member, at, group.random);
+                                      for (auto& [key, other] : member.others)
+                                          other.heardAt = at;
+                                  }) });
+    }
+    return series;
+}
+
+} // namespace agatevane::capacity
