--- a/tests/catalogue/entry_tests.cpp
+++ b/tests/catalogue/entry_tests.cpp
@@ -21,7 +21,7 @@
         DataCentreEntry {
             { "harju" }, { "north" }, "", { worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r2") } });
     insert(catalogue, WorkspaceEntry { .id = { "small" }, .guarantees = { { { "harju" }, 8 } } });
-    insert(catalogue, CallerEntry { .id = { "c" }, .workspace = { "small" }, .tokenDigest = "00000000000000aa" });
+    insert(catalogue, CallerEntry { .id = { "c" }, .workspace = { "small" }, .tokenDigest = std::string(64, 'a') });
     return catalogue;
 }
 
@@ -40,7 +40,7 @@
 BOOST_AUTO_TEST_CASE(Every_kind_of_entry_reads_back_as_it_was_written, *boost::unit_test::label("codec"))
 {
     std::vector<Entry> entries { WorkspaceEntry { { "a" }, "o", 2.5, { { { "d" }, 3 } }, 9, 1.5, 0.25 },
-        CallerEntry { { "c" }, { "a" }, "o", "0123456789abcdef", WorkClass::Batch, 3, true },
+        CallerEntry { { "c" }, { "a" }, "o", std::string(64, 'f'), WorkClass::Batch, 3, true },
         ServiceEntry { { "s" }, "o", { 0.2, 0.3, 0.4 }, 7, 8, 9 },
         DataCentreEntry { { "d" }, { "r" }, "o", { worker("w", "k") } },
         LinkEntry { "l", "o", { "r" }, { "q" }, 8, 0.5 }, PolicyEntry { "default", "o", 1000, 500, 7, 0.5, false } };
@@ -103,7 +103,7 @@
 BOOST_AUTO_TEST_CASE(References_and_doubles_are_checked, *boost::unit_test::label("validation"))
 {
     auto catalogue = sampleCatalogue();
-    insert(catalogue, CallerEntry { .id = { "d" }, .workspace = { "gone" }, .tokenDigest = "00000000000000aa" });
+    insert(catalogue, CallerEntry { .id = { "d" }, .workspace = { "gone" }, .tokenDigest = std::string(64, 'a') });
     auto twice = worker("w1", "r9");
     twice.service = { "missing" };
     insert(catalogue, DataCentreEntry { { "tartu" }, { "south" }, "", { twice } });
