--- a/src/capacity/measure.h
+++ b/src/capacity/measure.h
@@ -43,12 +43,13 @@
 Series membershipTick(); //!< us for one tick, over members
 Series catalogueApply(); //!< us for one entry, over entries
 Series catalogueMemory(); //!< bytes in all, over entries
+Series dataCentreBytes(); //!< bytes of a data centre's entry, over workers
 Series timelineMemory(); //!< bytes, over events held
 Series timelineRecord(); //!< us for one event, over events held
 Series metricsRender(); //!< us for one rendering, over series
 Series rpcCall(); //!< us for one call, both ends, over payload bytes
 Series httpPoll(); //!< us for one report over HTTP, both ends, over tasks
-Series reportBytes(); //!< bytes of report and renewal with their headers, over tasks
+Series reportBytes(); //!< bytes of the bodies of report and renewal, over tasks
 Series reportDecode(); //!< us, over tasks
 Series renewEncode(); //!< us, over tasks
 Series journalEncode(); //!< us, over records
--- a/src/capacity/membership_measure.cpp
+++ b/src/capacity/membership_measure.cpp
@@ -52,11 +52,17 @@
 
 Series membershipBytes()
 {
-    Series series { "membership, B/s sent by a member", "members", {} };
+    Series series { "membership, B/s sent by a member 80 s after a cold start", "members", {} };
     for (int size : memberSizes) {
         Group group(size);
-        // All members know each other from the VM list, but each first heartbeat is news; wait until it has spread.
-        group.run(size < 512 ? 200 : 600);
+        // At the start each member is news to all; a quiet group knows all members and has no news to pass on.
+        for (int round = 0; round < 4; ++round) {
+            group.run(40);
+            for (auto& member : group.members) {
+                for (auto& [key, other] : member.others)
+                    other.sendsLeft = 0;
+            }
+        }
         group.bytes = 0;
         constexpr int ticks = 60;
         group.run(ticks);
--- a/src/capacity/state_measure.cpp
+++ b/src/capacity/state_measure.cpp
@@ -88,6 +88,24 @@
     return series;
 }
 
+Series dataCentreBytes()
+{
+    Series series { "catalogue, bytes of a data centre's entry", "workers", {} };
+    for (int size : workerSizes) {
+        DataCentreEntry entry;
+        entry.id = { "data-centre-1" };
+        entry.region = { "region-1" };
+        for (int i = 0; i < size; ++i) {
+            auto number = std::to_string(i);
+            entry.workers.push_back({ { "data-centre-1-worker-" + number }, { "rack-" + std::to_string(i / 8) },
+                "10.100.200." + std::to_string(i % 250) + ":8100", { "service-1" }, { 8, 130, 262144 } });
+        }
+        auto bytes = encodeEntry(entry).size();
+        series.samples.push_back({ static_cast<double>(size), static_cast<double>(bytes) });
+    }
+    return series;
+}
+
 namespace {
 
     constexpr int eventSizes[] = { 1024, 2048, 4096, 8192 };
