Take the catalogue from the feed

Cause: the entry had no catalogue outside its tests. Entry VMs answer each other's CataloguePull. The end of the proof is kept as an instant, so that a process that was paused does not trust an old flag.

--- a/src/agatevane/net/rpc.h
+++ b/src/agatevane/net/rpc.h
@@ -21,7 +21,8 @@
     std::string address;
     int port = 0;
 
-    auto operator<=>(const PeerAddress&) const = default;
+    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const PeerAddress&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 //! Sends the reply to one request; may be called later, from any thread, at most once.
--- a/src/entry/call_handler.cpp
+++ b/src/entry/call_handler.cpp
@@ -58,6 +58,10 @@
 
     Outcome runCall(CallContext& context, const Call& call, const http::Request& request, http::Response& response)
     {
+        if (!context.source.isFresh()) {
+            refuse(response, 503, "the catalogue is not proved to be fresh", "", Millis(2000));
+            return Outcome::NotRun;
+        }
         auto gate = context.gates.find(call.service);
         if (!gate) {
             refuse(response, 404, "no such service", call.service.value);
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -3,7 +3,7 @@
 #include "agatevane/http/message.h"
 #include "entry/call_request.h"
 #include "entry/call_runner.h"
-#include "entry/catalogue_snapshot.h"
+#include "entry/catalogue_source.h"
 #include "entry/gate_table.h"
 #include "entry/limit_table.h"
 
@@ -12,6 +12,7 @@
 //! What the call route needs. The references outlive the HTTP server.
 struct CallContext {
     CatalogueHolder& catalogue;
+    CatalogueSource& source;
     WorkerClient& workers;
     WorkerRouter& router;
     GateTable& gates;
--- /dev/null
+++ b/src/entry/catalogue_source.cpp
@@ -0,0 +1,32 @@
+#include "entry/catalogue_source.h"
+
+namespace agatevane::entry {
+
+CatalogueSource::CatalogueSource(asio::io_context& context, store::Client& store, Apply apply)
+    : feed_(
+        store,
+        [puller = std::make_shared<RpcPuller>(context)](const CataloguePeer& peer, const CataloguePullRequest& request,
+            Instant deadline, CataloguePullReply& reply) { return (*puller)(peer, request, deadline, reply); },
+        [apply = std::move(apply)](
+            const std::shared_ptr<const Catalogue>& catalogue) { apply(makeSnapshot(*catalogue)); })
+{
+}
+
+void CatalogueSource::tick()
+{
+    // Taken before the status is read: a pause in between must not extend the proof.
+    auto at = now();
+    if (auto age = feed_.status().proofAge)
+        freshUntil_.store(at - *age + freshnessLimit, std::memory_order_release);
+}
+
+void CatalogueSource::setPeers(const MemberAddresses& peers)
+{
+    std::vector<CataloguePeer> list;
+    list.reserve(peers.size());
+    for (const auto& [member, address] : peers)
+        list.push_back({ member, address, 0 });
+    feed_.setPeers(std::move(list));
+}
+
+} // namespace agatevane::entry
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -25,10 +25,10 @@
     {
         std::map<std::string, double> limits;
         auto add = [&limits](const std::string& kind, const auto& entry) {
-            if (entry.requestsPerSecond > 0)
-                limits[kind + entry.id.value] = entry.requestsPerSecond;
+            if (entry->requestsPerSecond > 0)
+                limits[kind + entry->id.value] = entry->requestsPerSecond;
         };
-        for (const auto& [digest, caller] : catalogue.callersByTokenDigest)
+        for (const auto& [id, caller] : catalogue.callers)
             add("callers/", caller);
         for (const auto& [id, workspace] : catalogue.workspaces)
             add("workspaces/", workspace);
@@ -43,16 +43,18 @@
     : settings_(std::move(settings))
     , workGuard_(context_.get_executor())
     , ticker_(context_)
-    , members_(1 + static_cast<int>(settings_.peers.size() - settings_.peers.count(settings_.name)))
+    , members_(1 + static_cast<int>(otherMembers().size()))
     , metrics_(metrics::registry())
+    , store_(settings_.stores)
+    , source_(context_, store_, [this](SnapshotPointer snapshot) { applyCatalogue(std::move(snapshot)); })
     , router_(settings_.region)
     , limits_(context_, settings_.name, settings_.peers)
     , schedulers_(context_, settings_.schedulers)
     , rpcServer_(context_,
           [this](
               std::uint16_t kind, std::string_view payload, const net::Reply& reply) { onRpc(kind, payload, reply); })
-    , calls_ { catalogue_, workers_, router_, gates_, limits_, metrics_, settings_.defaultTimeout }
-    , jobs_ { catalogue_, schedulers_, settings_.defaultTimeout }
+    , calls_ { catalogue_, source_, workers_, router_, gates_, limits_, metrics_, settings_.defaultTimeout }
+    , jobs_ { catalogue_, source_, schedulers_, settings_.defaultTimeout }
     , server_(limitsOf(settings_), settings_.tls)
 {
 }
@@ -72,6 +74,8 @@
         return error;
     if (auto error = server_.bind(settings_.listen.address, settings_.listen.port))
         return error;
+    source_.setPeers(otherMembers());
+    source_.start();
     scheduleTick(0);
     for (int i = 0; i < ioThreadCount; ++i)
         ioThreads_.emplace_back([this] { context_.run(); });
@@ -91,7 +95,7 @@
 void EntryServer::applyCatalogue(SnapshotPointer snapshot)
 {
     std::lock_guard lock(configureMutex_);
-    catalogue_.publish(std::move(snapshot));
+    catalogue_.store(std::move(snapshot));
     configure();
 }
 
@@ -126,6 +130,13 @@
     workers_.keepOnly(addresses);
 }
 
+MemberAddresses EntryServer::otherMembers() const
+{
+    auto others = settings_.peers;
+    others.erase(settings_.name);
+    return others;
+}
+
 void EntryServer::drain()
 {
     isDraining_ = true;
@@ -135,6 +146,7 @@
 {
     drain();
     server_.stop();
+    source_.stop();
     vmList_.reset();
     reports_.reset();
 }
@@ -145,6 +157,7 @@
     ticker_.async_wait([this, number](std::error_code error) {
         if (error)
             return;
+        source_.tick();
         gates_.tick();
         if (number % ticksBetweenBorrows == 0)
             limits_.borrow();
@@ -157,6 +170,8 @@
     limits::BorrowRequest request;
     if (static_cast<MessageKind>(kind) == MessageKind::BorrowLimit && net::decode(payload, request))
         reply(net::encode(limits_.lend(request)));
+    else if (static_cast<MessageKind>(kind) == MessageKind::CataloguePull)
+        reply(source_.feed().answerPull(payload));
     else
         reply({}); // Decodes as no message, so that the peer fails at once instead of waiting.
 }
@@ -197,8 +212,8 @@
     server_.route("GET", "/readyz", [this](const Request&, Response& response) {
         if (isDraining_)
             http::writeProblem({ .status = 503, .title = "shutting down" }, response);
-        else if (catalogue_.load()->revision == 0)
-            http::writeProblem({ .status = 503, .title = "no catalogue yet" }, response);
+        else if (!source_.isFresh())
+            http::writeProblem({ .status = 503, .title = "the catalogue is not proved to be fresh" }, response);
         else
             response.body = "{}";
     });
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -2,6 +2,7 @@
 
 #include "agatevane/http/server.h"
 #include "entry/call_handler.h"
+#include "entry/catalogue_source.h"
 #include "entry/job_handler.h"
 #include "entry/report_poller.h"
 #include "entry/settings.h"
@@ -38,6 +39,7 @@
         void (*handler)(JobContext&, const http::Request&, http::Response&));
     void applyVmList(const std::vector<ListedVm>& vms);
     void configure();
+    MemberAddresses otherMembers() const;
     void scheduleTick(int number);
     void onRpc(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
     void writeMetrics(http::Response& response);
@@ -49,8 +51,10 @@
     std::vector<std::thread> ioThreads_;
     std::mutex configureMutex_; //!< catalogue and VM list arrive on different threads
     std::atomic<int> members_;
-    CatalogueHolder catalogue_;
+    CatalogueHolder catalogue_ { std::make_shared<const CatalogueSnapshot>() };
     EntryMetrics metrics_;
+    store::Client store_;
+    CatalogueSource source_;
     WorkerClient workers_;
     WorkerRouter router_;
     GateTable gates_;
--- a/src/entry/gate_table.cpp
+++ b/src/entry/gate_table.cpp
@@ -11,7 +11,7 @@
     {
         int slots = 0;
         for (const auto& [id, dataCentre] : catalogue.dataCentres) {
-            for (const auto& worker : dataCentre.workers)
+            for (const auto& worker : dataCentre->workers)
                 slots += worker.service == service.id ? worker.slots : 0;
         }
         admission::Config config;
@@ -24,7 +24,7 @@
         config.maxQueued = service.maxQueued;
         config.maxQueuedFor = Millis(service.maxQueuedMs);
         for (const auto& [id, workspace] : catalogue.workspaces)
-            config.workspaces[id] = { workspace.weight, workspace.floorShare };
+            config.workspaces[id] = { workspace->weight, workspace->floorShare };
         return config;
     }
 
@@ -38,7 +38,7 @@
     for (const auto& [id, service] : catalogue.services) {
         auto known = before->find(id);
         auto gate = known == before->end() ? std::make_shared<CallGate>() : known->second;
-        gate->configure(configOf(service, catalogue, members, threads, services));
+        gate->configure(configOf(*service, catalogue, members, threads, services));
         gates->emplace(id, std::move(gate));
     }
     gates_.store(std::move(gates));
--- a/src/entry/identity.cpp
+++ b/src/entry/identity.cpp
@@ -14,7 +14,7 @@
     if (header.starts_with(scheme)) {
         auto found = catalogue.callersByTokenDigest.find(digestOf(std::string_view(header).substr(scheme.size())));
         if (found != catalogue.callersByTokenDigest.end())
-            return found->second;
+            return *found->second;
     }
     http::Problem problem { .status = 401, .title = "unknown bearer token" };
     problem.outcome = Outcome::NotRun;
--- a/src/entry/job_handler.cpp
+++ b/src/entry/job_handler.cpp
@@ -113,6 +113,8 @@
     auto caller = authenticate(request, *catalogue, response);
     if (!caller)
         return;
+    if (!context.source.isFresh())
+        return refuse(response, 503, "the catalogue is not proved to be fresh", "", Outcome::NotRun);
     JobSpec spec;
     if (auto findings = readJobRequest(request.body, *caller, *catalogue, spec); !findings.empty()) {
         http::Problem problem { .status = 400, .title = "invalid job", .outcome = Outcome::NotRun };
--- a/src/entry/job_handler.h
+++ b/src/entry/job_handler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "agatevane/http/message.h"
-#include "entry/catalogue_snapshot.h"
+#include "entry/catalogue_source.h"
 #include "entry/scheduler_client.h"
 
 namespace agatevane::entry {
@@ -9,6 +9,7 @@
 //! What the job routes need. The references outlive the HTTP server.
 struct JobContext {
     CatalogueHolder& catalogue;
+    CatalogueSource& source;
     SchedulerClient& schedulers;
     Millis defaultTimeout;
 };
--- a/src/entry/job_request.cpp
+++ b/src/entry/job_request.cpp
@@ -58,7 +58,7 @@
     std::vector<std::pair<double, DataCentreId>> ranked;
     for (const auto& [id, dataCentre] : catalogue.dataCentres) {
         int accelerators = 0;
-        for (const auto& worker : dataCentre.workers)
+        for (const auto& worker : dataCentre->workers)
             accelerators += worker.capacity.accelerators;
         if (accelerators < spec.accelerators)
             continue;
--- a/src/entry/worker_router.cpp
+++ b/src/entry/worker_router.cpp
@@ -12,18 +12,18 @@
 {
     std::vector<routing::WorkerConfig> workers;
     for (const auto& [id, dataCentre] : catalogue.dataCentres) {
-        for (const auto& worker : dataCentre.workers) {
+        for (const auto& worker : dataCentre->workers) {
             workers.push_back(
-                { worker.id, dataCentre.region, worker.service, worker.address, worker.slots, worker.connections });
+                { worker.id, dataCentre->region, worker.service, worker.address, worker.slots, worker.connections });
         }
     }
     std::map<RegionId, routing::LinkCost> links;
-    for (const auto& link : catalogue.links) {
-        routing::LinkCost cost { 2 * link.oneWayMs, link.billingMsPerRequest };
-        if (link.from == region_)
-            links[link.to] = cost;
-        else if (link.to == region_)
-            links.emplace(link.from, cost); // An entry for the own direction goes first.
+    for (const auto& [id, link] : catalogue.links) {
+        routing::LinkCost cost { 2 * link->oneWayMs, link->billingMsPerRequest };
+        if (link->from == region_)
+            links[link->to] = cost;
+        else if (link->to == region_)
+            links.emplace(link->from, cost); // An entry for the own direction goes first.
     }
     std::lock_guard lock(mutex_);
     routing::configure(state_, region_, workers, links);
--- a/tests/entry/call_tests.cpp
+++ b/tests/entry/call_tests.cpp
@@ -136,9 +136,9 @@
     std::thread caller([&] { result = fixture.call("a"); });
     while (!entered)
         std::this_thread::sleep_for(Millis(1));
-    fixture.server.drain();
+    fixture.server->drain();
     BOOST_TEST(fixture.client->request("GET", "/readyz", "", now() + Millis(1000)).status == 503);
-    fixture.server.stop();
+    fixture.server->stop();
     caller.join();
     BOOST_TEST(result.body == "answer to a");
 }
--- a/tests/entry/fakes.h
+++ b/tests/entry/fakes.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "agatevane/base/hash.h"
+#include "agatevane/catalogue/codec.h"
 #include "agatevane/http/client.h"
 #include "agatevane/http/server.h"
 #include "entry/entry_server.h"
+#include "standins/store/store_server.h"
 #include <atomic>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -71,36 +73,45 @@
     http::Server server_;
 };
 
-//! An entry with one service, two callers and the given workers.
+//! An entry with a store, one service, two callers and the given workers.
 struct Fixture {
     explicit Fixture(const std::vector<FakeWorker*>& workers, Settings settings = {})
-        : server(withDefaults(std::move(settings)))
     {
-        auto catalogue = std::make_shared<CatalogueSnapshot>();
-        catalogue->revision = 1;
-        catalogue->workspaces[{ "ws" }] = { .id = { "ws" } };
-        catalogue->callersByTokenDigest[digestOf("secret")] = { .id = { "alice" }, .workspace = { "ws" } };
-        catalogue->callersByTokenDigest[digestOf("slow")]
-            = { .id = { "bob" }, .workspace = { "ws" }, .requestsPerSecond = 0.001 };
-        catalogue->services[{ "visitdesk" }] = { .id = { "visitdesk" } };
-        auto& dataCentre = catalogue->dataCentres[{ "dc" }];
-        dataCentre.id = { "dc" };
-        dataCentre.region = { "harju" };
-        for (std::size_t i = 0; i < workers.size(); ++i) {
-            WorkerEntry worker;
-            worker.id = { "w" + std::to_string(i) };
-            worker.address = workers[i]->address();
-            worker.service = { "visitdesk" };
-            worker.capacity.accelerators = 8;
-            dataCentre.workers.push_back(worker);
-        }
-        server.applyCatalogue(catalogue);
-        if (server.start())
+        if (store.start())
+            throw std::runtime_error("cannot start the store");
+        writeCatalogue(workers);
+        settings.stores = { storeEndpoint() };
+        server = std::make_unique<EntryServer>(withDefaults(std::move(settings)));
+        if (server->start())
             throw std::runtime_error("cannot start");
-        client = std::make_unique<http::Client>(http::Endpoint { "127.0.0.1", server.port(), false, {} });
+        client = std::make_unique<http::Client>(http::Endpoint { "127.0.0.1", server->port(), false, {} });
         waitForWorkers(static_cast<int>(workers.size()));
     }
 
+    http::Endpoint storeEndpoint() const { return { "127.0.0.1", store.port(), false, {} }; }
+
+    void writeCatalogue(const std::vector<FakeWorker*>& workers)
+    {
+        DataCentreEntry dataCentre { .id = { "dc" }, .region = { "harju" } };
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            dataCentre.workers.push_back({ .id = { "w" + std::to_string(i) },
+                .rack = { "r1" },
+                .address = workers[i]->address(),
+                .service = { "visitdesk" },
+                .capacity = { 8, 8, 1024 } });
+        }
+        store::Client writer({ storeEndpoint() });
+        std::vector<Entry> entries { WorkspaceEntry { .id = { "ws" } },
+            CallerEntry { .id = { "alice" }, .workspace = { "ws" }, .tokenDigest = digestOf("secret") },
+            CallerEntry {
+                .id = { "bob" }, .workspace = { "ws" }, .tokenDigest = digestOf("slow"), .requestsPerSecond = 0.001 },
+            ServiceEntry { .id = { "visitdesk" } }, dataCentre };
+        for (const auto& entry : entries) {
+            if (!writer.put({ storeKeyOf(keyOf(entry)), encodeEntry(entry) }, now() + Millis(2000)).ok())
+                throw std::runtime_error("cannot write the catalogue");
+        }
+    }
+
     static Settings withDefaults(Settings settings)
     {
         settings.name = { "vm1" };
@@ -116,7 +127,11 @@
     {
         auto line = R"(agatevane_workers{state="usable"} )" + std::to_string(count);
         auto deadline = now() + Millis(5000);
-        while (now() < deadline && metrics().find(line) == std::string::npos)
+        auto isReady = [&] {
+            return client->request("GET", "/readyz", "", now() + Millis(2000)).status == 200
+                && metrics().find(line) != std::string::npos;
+        };
+        while (now() < deadline && !isReady())
             std::this_thread::sleep_for(Millis(10));
     }
 
@@ -136,7 +151,8 @@
         return problem.is_object() ? problem.value("outcome", "") : "";
     }
 
-    EntryServer server;
+    standin::StoreServer store { standin::StoreSettings { .threads = 32, .progressMs = 200 } };
+    std::unique_ptr<EntryServer> server;
     std::unique_ptr<http::Client> client;
 };
 
