Add the experiment on the decision code

Drives the decisions and two plain baselines with the same seeded arrivals in virtual time.

Preemption deadlines now leave time to stop the victims and start the claim.

--- a/src/agatevane/scheduling/preemption.cpp
+++ b/src/agatevane/scheduling/preemption.cpp
@@ -280,8 +280,10 @@
         startGang(shard, job, plan.slots, at, decisions);
         return;
     }
-    Instant deadline
-        = at + (kind == ReservationKind::Urgent ? shard.policy.urgentReclaimDeadline : shard.policy.reclaimDeadline);
+    Millis allowed
+        = kind == ReservationKind::Urgent ? shard.policy.urgentReclaimDeadline : shard.policy.reclaimDeadline;
+    // The victims' checkpoints must leave time to stop them and to start the claim before the deadline.
+    Instant deadline = at + allowed - std::min(Millis(2000), allowed / 5);
     for (int victim : plan.victims) {
         beginPreemption(shard, victim, deadline);
         decisions.emplace_back(PreemptGang { .job = shard.jobs[victim].id,
--- /dev/null
+++ b/src/experiment/scenarios.cpp
@@ -0,0 +1,175 @@
+#include "scenarios.h"
+#include <algorithm>
+#include <numeric>
+
+namespace agatevane::experiment {
+
+namespace {
+
+    constexpr double urgentBoundMs = 9300; //!< urgent work starts within 9.3 s
+    constexpr int largeGang = 64;
+    constexpr double moderateLoad = 0.6; //!< of the scenarios in which other work comes on top
+
+    std::int64_t horizonMs(const Setting& setting)
+    {
+        return static_cast<std::int64_t>(setting.hours * 3'600'000);
+    }
+
+    Result run(const Setting& setting, Candidate candidate, const std::vector<Arrival>& arrivals, bool isFragmented,
+        std::uint64_t seed, std::int64_t untilMs)
+    {
+        auto workers = workersOf(setting);
+        auto scheduler = candidate == Candidate::Agatevane ? makeAgatevane(setting.policy, workers)
+                                                           : makeBaseline(workers, candidate == Candidate::Overtaking);
+        return simulate(setting, *scheduler, arrivals, isFragmented, seed, untilMs);
+    }
+
+    std::vector<Arrival> together(std::vector<Arrival> arrivals, std::vector<Arrival> more)
+    {
+        std::move(more.begin(), more.end(), std::back_inserter(arrivals));
+        return arrivals;
+    }
+
+    double mean(const std::vector<double>& values)
+    {
+        return values.empty() ? 0
+                              : std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
+    }
+
+    double quantile(std::vector<double> values, double fraction)
+    {
+        if (values.empty())
+            return 0;
+        auto index = static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1) + 0.5);
+        std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
+        return values[index];
+    }
+
+    //! Accelerator-seconds of other work than that under test that ended in the middle third.
+    double otherWorkDone(const Setting& setting, const Result& result)
+    {
+        std::int64_t third = horizonMs(setting) / 3;
+        double sum = 0;
+        for (const auto& outcome : result.outcomes) {
+            const Arrival& arrival = *outcome.arrival;
+            if (!arrival.isUnderTest && outcome.endedMs >= third && outcome.endedMs < 2 * third)
+                sum += static_cast<double>(arrival.spec.accelerators) * static_cast<double>(arrival.durationMs);
+        }
+        return sum;
+    }
+
+    double meanSlowdown(const Result& result, std::int64_t untilMs)
+    {
+        std::vector<double> slowdowns;
+        for (const auto& outcome : result.outcomes) {
+            const Arrival& arrival = *outcome.arrival;
+            if (arrival.isUnderTest || arrival.spec.workspace.value != "w0")
+                continue;
+            auto endedMs = outcome.endedMs < 0 ? untilMs : outcome.endedMs;
+            slowdowns.push_back(static_cast<double>(endedMs - arrival.atMs)
+                / static_cast<double>(std::max<std::int64_t>(arrival.durationMs, 10000)));
+        }
+        return mean(slowdowns);
+    }
+
+} // namespace
+
+std::string_view nameOf(Candidate candidate)
+{
+    switch (candidate) {
+    case Candidate::Agatevane:
+        return "agatevane";
+    case Candidate::FirstCome:
+        return "first-come";
+    case Candidate::Overtaking:
+        return "first-come-overtaking";
+    }
+    return "unknown";
+}
+
+Figures runOrdinary(const Setting& setting, Candidate candidate, std::uint64_t seed)
+{
+    auto arrivals = ordinaryLoad(setting, {}, seed);
+    std::int64_t untilMs = 3 * horizonMs(setting);
+    Result result = run(setting, candidate, arrivals, true, seed, untilMs);
+    std::vector<double> completion;
+    std::vector<double> largeWaits;
+    std::vector<double> urgentWaits;
+    double preemptions = 0;
+    double unfinished = 0;
+    double urgentInTime = 0;
+    for (const auto& outcome : result.outcomes) {
+        const Arrival& arrival = *outcome.arrival;
+        // Work that has not ended counts as ended at the end of the run, which flatters whoever left it.
+        auto ended = static_cast<double>((outcome.endedMs < 0 ? untilMs : outcome.endedMs) - arrival.atMs);
+        auto wait = static_cast<double>((outcome.startedMs < 0 ? untilMs : outcome.startedMs) - arrival.atMs);
+        completion.push_back(ended / 1000);
+        if (arrival.spec.accelerators >= largeGang)
+            largeWaits.push_back(wait / 1000);
+        if (arrival.spec.workClass == WorkClass::Urgent) {
+            urgentWaits.push_back(wait / 1000);
+            urgentInTime += wait <= urgentBoundMs ? 1 : 0;
+        }
+        preemptions += outcome.preemptions;
+        unfinished += outcome.endedMs < 0 ? 1 : 0;
+    }
+    return { { "completion mean s", mean(completion) }, { "completion p50 s", quantile(completion, 0.5) },
+        { "completion p99 s", quantile(completion, 0.99) }, { "wait of gangs >= 64 p99 s", quantile(largeWaits, 0.99) },
+        { "wait of gangs >= 64 mean s", mean(largeWaits) }, { "fragmentation %", result.fragmentation * 100 },
+        { "utilisation %", result.utilisation * 100 }, { "urgent wait p99 s", quantile(urgentWaits, 0.99) },
+        { "urgent within 9.3 s %",
+            urgentWaits.empty() ? 100 : 100 * urgentInTime / static_cast<double>(urgentWaits.size()) },
+        { "preemptions per job", preemptions / static_cast<double>(std::max<std::size_t>(arrivals.size(), 1)) },
+        { "jobs", static_cast<double>(arrivals.size()) }, { "unfinished jobs", unfinished } };
+}
+
+Figures runFloods(const Setting& setting, Candidate candidate, std::uint64_t seed)
+{
+    Load load { .share = moderateLoad };
+    std::int64_t untilMs = 2 * horizonMs(setting) / 3;
+    auto ordinary = ordinaryLoad(setting, load, seed);
+    double undisturbed = otherWorkDone(setting, run(setting, candidate, ordinary, false, seed, untilMs));
+    auto kept = [&](WorkClass workClass) {
+        auto arrivals = together(ordinary, flood(setting, load, workClass, seed));
+        Result result = run(setting, candidate, arrivals, false, seed, untilMs);
+        return 100 * otherWorkDone(setting, result) / std::max(undisturbed, 1.0);
+    };
+    return { { "kept in batch flood %", kept(WorkClass::Batch) },
+        { "kept in urgent flood %", kept(WorkClass::Urgent) } };
+}
+
+Figures runLargeCaller(const Setting& setting, Candidate candidate, std::uint64_t seed)
+{
+    Load load { .share = moderateLoad };
+    std::int64_t untilMs = 3 * horizonMs(setting) / 2;
+    auto ordinary = ordinaryLoad(setting, load, seed);
+    double alone = meanSlowdown(run(setting, candidate, ordinary, false, seed, untilMs), untilMs);
+    auto arrivals = together(ordinary, largeCaller(setting, load, seed));
+    double beside = meanSlowdown(run(setting, candidate, arrivals, false, seed, untilMs), untilMs);
+    return { { "slowdown ratio beside 100x caller", beside / std::max(alone, 1e-9) }, { "slowdown alone", alone } };
+}
+
+Figures runClaim(const Setting& setting, Candidate candidate, std::uint64_t seed)
+{
+    auto arrivals = ordinaryLoad(setting, { .share = 1.3 }, seed);
+    const WorkspaceId& claimant = setting.policy.workspaces.back().id;
+    for (auto& arrival : arrivals) {
+        if (arrival.spec.workspace == claimant)
+            arrival.spec.workspace = { "w0" };
+    }
+    auto claims = fullClaim(setting, seed);
+    std::int64_t claimedMs = claims.front().atMs;
+    arrivals = together(std::move(arrivals), std::move(claims));
+    Result result = run(setting, candidate, arrivals, true, seed, claimedMs + 600'000);
+    double worst = 0;
+    for (const auto& outcome : result.outcomes) {
+        if (outcome.arrival->isUnderTest) {
+            auto startedMs = outcome.startedMs < 0 ? claimedMs + 600'000 : outcome.startedMs;
+            worst = std::max(worst, static_cast<double>(startedMs - claimedMs));
+        }
+    }
+    bool isMet = worst <= static_cast<double>(setting.policy.reclaimDeadline.count());
+    return { { "claims met in time %", isMet ? 100.0 : 0.0 }, { "claim complete after s", worst / 1000 } };
+}
+
+} // namespace agatevane::experiment
