--- a/src/agatevane/scheduling/decide.cpp
+++ b/src/agatevane/scheduling/decide.cpp
@@ -35,6 +35,9 @@
     void startWithinGuarantees(Shard& shard, FeasibleShapes& feasible, Instant at, std::vector<Decision>& decisions)
     {
         StartPass pass;
+        pass.isCandidate = [](const Workspace& workspace) {
+            return workspace.used - workspace.leaving < workspace.effectiveGuarantee;
+        };
         pass.isEligible = [&](const Workspace& workspace, const Job& job) {
             return usedWith(shard, job) <= workspace.effectiveGuarantee;
         };
@@ -46,7 +49,7 @@
     {
         double floor = shard.policy.classFloor * shard.fleet.capacity;
         for (int workClass = 0; workClass < classCount; ++workClass) {
-            StartPass pass { .classes = {}, .isEligible = {} };
+            StartPass pass { .classes = {}, .isCandidate = {}, .isEligible = {}, .isDone = {} };
             pass.classes[workClass] = true;
             pass.isDone = [&] { return shard.usedOf[workClass] - shard.leavingOf[workClass] >= floor; };
             if (shard.queuedOf[workClass] > 0)
@@ -56,9 +59,10 @@
 
     void startUrgent(Shard& shard, FeasibleShapes& feasible, Instant at, std::vector<Decision>& decisions)
     {
-        StartPass pass { .classes = { true, false, false }, .isEligible = {} };
-        pass.isEligible
-            = [&](const Workspace& workspace, const Job& job) { return isWithinUrgentShare(shard, workspace, job); };
+        StartPass pass { .classes = { true, false, false }, .isCandidate = {}, .isEligible = {}, .isDone = {} };
+        pass.isEligible = [](const Workspace& workspace, const Job& job) {
+            return job.hasReservation || isWithinUrgentShare(workspace, job.accelerators);
+        };
         if (shard.queuedOf[indexOf(WorkClass::Urgent)] > 0)
             runStartPass(shard, pass, feasible, at, decisions);
     }
--- a/src/agatevane/scheduling/defragment.cpp
+++ b/src/agatevane/scheduling/defragment.cpp
@@ -101,8 +101,10 @@
 
 void defragment(Shard& shard, Instant at, std::vector<Decision>& decisions)
 {
-    if (!shard.policy.defragment || shard.queuedJobs == 0 || at - shard.defragmentedAt < interval)
+    if (!shard.policy.defragment || shard.fleet.used + 1 >= shard.fleet.capacity
+        || at - shard.defragmentedAt < interval)
         return;
+    shard.defragmentedAt = at;
     auto moving = std::count_if(shard.reservations.begin(), shard.reservations.end(),
         [](const Reservation& reservation) { return reservation.kind == ReservationKind::Defragment; });
     int job = moving < mostMoves ? oldestBlocked(shard, at) : -1;
@@ -116,7 +118,6 @@
     std::optional<Plan> plan;
     bool isWorthwhile = false;
     if (shard.fleet.free >= shape.accelerators) {
-        shard.defragmentedAt = at;
         plan = cheapestMoves(shard, shape);
         if (plan && canReplaceVictims(shard, *plan)) {
             // Run times are upper quantiles, so half of the expected wait is counted as gained.
--- a/src/agatevane/scheduling/preemption.h
+++ b/src/agatevane/scheduling/preemption.h
@@ -23,6 +23,6 @@
 int usedWith(const Shard& shard, const Job& job);
 
 //! Urgent work may preempt up to its workspace's fair share; one gang may exceed it, or large gangs could never start.
-bool isWithinUrgentShare(const Shard& shard, const Workspace& workspace, const Job& job);
+bool isWithinUrgentShare(const Workspace& workspace, int accelerators);
 
 } // namespace agatevane::scheduling
--- a/src/agatevane/scheduling/reservation.cpp
+++ b/src/agatevane/scheduling/reservation.cpp
@@ -21,7 +21,9 @@
     Job& job = shard.jobs[reservation.job];
     job.hasReservation = true;
     hold(shard.fleet, reservation.slots);
-    shard.workspaces[job.workspace].pending += job.accelerators;
+    Workspace& workspace = shard.workspaces[job.workspace];
+    workspace.pending += job.accelerators;
+    workspace.urgentPending += job.workClass == WorkClass::Urgent ? job.accelerators : 0;
     shard.reservations.push_back(std::move(reservation));
 }
 
@@ -34,7 +36,9 @@
     job.hasReservation = false;
     shard.hasFreedHeld = true;
     unhold(shard.fleet, found->slots);
-    shard.workspaces[job.workspace].pending -= job.accelerators;
+    Workspace& workspace = shard.workspaces[job.workspace];
+    workspace.pending -= job.accelerators;
+    workspace.urgentPending -= job.workClass == WorkClass::Urgent ? job.accelerators : 0;
     shard.reservations.erase(shard.reservations.begin() + (found - shard.reservations.data()));
 }
 
--- a/src/agatevane/scheduling/shard_state.h
+++ b/src/agatevane/scheduling/shard_state.h
@@ -110,6 +110,7 @@
     int urgentUsed = 0;
     int leaving = 0; //!< part of `used` that is being preempted
     int pending = 0; //!< accelerators held for its reservations
+    int urgentPending = 0; //!< part of `pending` that is for urgent work
     int protectedUsed = 0;
     int unstoppableUsed = 0;
     int queuedJobs = 0;
--- a/src/agatevane/scheduling/start.cpp
+++ b/src/agatevane/scheduling/start.cpp
@@ -109,7 +109,8 @@
         return;
     std::vector<std::pair<double, int>> order; // a heap with the lowest score first
     for (int slot = 0; slot < static_cast<int>(shard.workspaces.size()); ++slot) {
-        if (shard.workspaces[slot].queuedJobs > 0)
+        const Workspace& workspace = shard.workspaces[slot];
+        if (workspace.queuedJobs > 0 && (!pass.isCandidate || pass.isCandidate(workspace)))
             order.emplace_back(score(shard, shard.workspaces[slot], at), slot);
     }
     std::make_heap(order.begin(), order.end(), std::greater<>());
--- a/src/agatevane/scheduling/start.h
+++ b/src/agatevane/scheduling/start.h
@@ -17,6 +17,7 @@
 
 struct StartPass {
     std::array<bool, classCount> classes { true, true, true };
+    std::function<bool(const Workspace&)> isCandidate; //!< none: every workspace is
     std::function<bool(const Workspace&, const Job&)> isEligible; //!< none: every job is
     std::function<bool()> isDone; //!< none: until nothing more fits
     int backfills = -1; //!< job whose reservation the started gangs use
