--- a/src/agatevane/admin/access.cpp
+++ b/src/agatevane/admin/access.cpp
@@ -1,6 +1,6 @@
 #include "agatevane/admin/access.h"
 
-#include "agatevane/base/hash.h"
+#include "agatevane/base/token.h"
 #include "agatevane/http/problem.h"
 #include <nlohmann/json.hpp>
 
@@ -39,7 +39,7 @@
 {
     auto header = http::headerOf(request.headers, "Authorization");
     if (header.starts_with(scheme) && header.size() > scheme.size()) {
-        if (auto caller = functions.callerByToken(digestOf(header.substr(scheme.size()))))
+        if (auto caller = functions.callerByToken(tokenDigestOf(header.substr(scheme.size()))))
             return caller;
     }
     http::Problem problem { .status = 401, .title = "a valid bearer token is required" };
--- a/tests/admin/fake_entry.h
+++ b/tests/admin/fake_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/admin/admin.h"
+#include "agatevane/base/token.h"
 #include "agatevane/base/hash.h"
 #include "agatevane/http/client.h"
 #include <map>
@@ -56,7 +57,7 @@
         Functions functions;
         functions.callerByToken = [](const std::string& digest) -> std::optional<CallerEntry> {
             for (const char* name : { "root", "north", "south" }) {
-                if (digest == digestOf(name)) {
+                if (digest == tokenDigestOf(name)) {
                     CallerEntry caller { .id = { name }, .workspace = { name } };
                     caller.isOperator = caller.id.value == "root";
                     return caller;
--- a/tests/entry/fakes.h
+++ b/tests/entry/fakes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatevane/base/token.h"
 #include "agatevane/base/hash.h"
 #include "agatevane/catalogue/codec.h"
 #include "agatevane/http/client.h"
@@ -102,9 +103,9 @@
         }
         store::Client writer({ storeEndpoint() });
         std::vector<Entry> entries { WorkspaceEntry { .id = { "ws" } },
-            CallerEntry { .id = { "alice" }, .workspace = { "ws" }, .tokenDigest = digestOf("secret") },
+            CallerEntry { .id = { "alice" }, .workspace = { "ws" }, .tokenDigest = tokenDigestOf("secret") },
             CallerEntry {
-                .id = { "bob" }, .workspace = { "ws" }, .tokenDigest = digestOf("slow"), .requestsPerSecond = 0.001 },
+                .id = { "bob" }, .workspace = { "ws" }, .tokenDigest = tokenDigestOf("slow"), .requestsPerSecond = 0.001 },
             ServiceEntry { .id = { "visitdesk" } }, dataCentre };
         for (const auto& entry : entries) {
             if (!writer.put({ storeKeyOf(keyOf(entry)), encodeEntry(entry) }, now() + Millis(2000)).ok())
