Add standin-relay

Cause: process tests have to cut VMs, regions, the store and workers from each other without touching the machine's network. Ruled out: a filter in the product's own sockets, which would test another program than the one that runs.

--- /dev/null
+++ b/standins/relay/link.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace agatevane::standin {
+
+//! What a test does to a link.
+struct LinkState {
+    bool isCut = false; //!< TCP: refuses connections and closes those that exist; UDP: drops everything
+    bool isStalled = false; //!< TCP: forwards nothing and keeps connections; UDP: drops everything
+    std::chrono::milliseconds delay { 0 }; //!< added in each direction
+};
+
+struct LinkCounts {
+    std::uint64_t connections = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t dropped = 0; //!< datagrams
+};
+
+//! One forwarder on loopback. All members are used on the io_context's only thread.
+class Link {
+public:
+    virtual ~Link() = default;
+    virtual int port() const = 0;
+    virtual void apply(const LinkState& state) = 0;
+    const LinkCounts& counts() const { return counts_; }
+
+protected:
+    LinkState state_;
+    LinkCounts counts_;
+    //! Handlers that were queued before the link was destroyed hold a weak pointer to this.
+    std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
+};
+
+class TcpLink : public Link {
+public:
+    //! Port 0 chooses a free port, which is kept over cuts. Throws std::system_error if it cannot listen.
+    TcpLink(asio::io_context& context, const asio::ip::tcp::endpoint& listen, asio::ip::tcp::endpoint target);
+    ~TcpLink() override;
+
+    int port() const override { return listen_.port(); }
+    void apply(const LinkState& state) override;
+
+private:
+    struct Session;
+
+    void open();
+    void accept();
+
+    asio::io_context& context_;
+    asio::ip::tcp::endpoint listen_;
+    asio::ip::tcp::endpoint target_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<Session>> sessions_;
+};
+
+class UdpLink : public Link {
+public:
+    UdpLink(asio::io_context& context, const asio::ip::udp::endpoint& listen, asio::ip::udp::endpoint target);
+
+    int port() const override { return socket_.local_endpoint().port(); }
+    void apply(const LinkState& state) override { state_ = state; }
+
+private:
+    struct Flow; //!< the datagrams of one sender and the answers to them
+
+    void receive();
+    void receiveAnswers(const std::shared_ptr<Flow>& flow);
+    //! Sends after the delay, unless the link drops datagrams by then.
+    void forward(asio::ip::udp::socket& socket, const std::shared_ptr<Flow>& flow, std::string bytes,
+        const asio::ip::udp::endpoint& to);
+
+    asio::io_context& context_;
+    asio::ip::udp::endpoint target_;
+    asio::ip::udp::socket socket_;
+    asio::ip::udp::endpoint sender_;
+    std::array<char, 65536> buffer_ {};
+    std::map<asio::ip::udp::endpoint, std::shared_ptr<Flow>> flows_;
+};
+
+} // namespace agatevane::standin
--- /dev/null
+++ b/standins/relay/main.cpp
@@ -0,0 +1,48 @@
+#include "standins/relay/relay.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+using namespace agatevane;
+
+int main(int argc, char** argv)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+
+    std::string address = "127.0.0.1";
+    int controlPort = 0;
+    std::vector<std::string> links;
+    CLI::App app { "TCP and UDP forwarders that tests cut, delay and stall" };
+    app.add_option("--address", address, "IP number to listen on");
+    app.add_option("--control-port", controlPort, "port of the control path; 0: any");
+    app.add_option("--link", links, "name=tcp|udp:[listen port:]target ip:port; may be repeated");
+    CLI11_PARSE(app, argc, argv);
+
+    standin::Relay relay(address, controlPort);
+    for (const auto& text : links) {
+        standin::LinkSettings settings;
+        if (!standin::parseLink(text, settings)) {
+            std::cerr << "--link " << text << ": must be name=tcp|udp:[listen port:]target ip:port\n";
+            return 2;
+        }
+        if (relay.add(settings) == 0) {
+            std::cerr << "--link " << text << ": cannot listen\n";
+            return 1;
+        }
+    }
+    if (auto error = relay.start()) {
+        std::cerr << "cannot listen on " << address << ": " << error.message() << "\n";
+        return 1;
+    }
+    std::cout << relay.describe().dump() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    relay.stop();
+    return 0;
+}
--- /dev/null
+++ b/standins/relay/tcp_link.cpp
@@ -0,0 +1,181 @@
+#include "standins/relay/link.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+namespace agatevane::standin {
+
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr std::chrono::milliseconds stallPoll { 20 };
+
+} // namespace
+
+//! One forwarded connection: a pump in each direction.
+struct TcpLink::Session : std::enable_shared_from_this<TcpLink::Session> {
+    struct Pump {
+        tcp::socket& from;
+        tcp::socket& to;
+        asio::steady_timer timer;
+        std::array<char, 65536> buffer {};
+
+        Pump(tcp::socket& source, tcp::socket& sink)
+            : from(source)
+            , to(sink)
+            , timer(source.get_executor())
+        {
+        }
+    };
+
+    Session(TcpLink& owner, tcp::socket accepted)
+        : link(owner)
+        , client(std::move(accepted))
+        , server(link.context_)
+        , up(client, server)
+        , down(server, client)
+    {
+    }
+
+    void connect()
+    {
+        server.async_connect(link.target_, [self = shared_from_this()](std::error_code error) {
+            if (error || self->isClosed) {
+                self->end();
+                return;
+            }
+            std::error_code ignored;
+            self->client.set_option(tcp::no_delay(true), ignored);
+            self->server.set_option(tcp::no_delay(true), ignored);
+            self->read(self->up);
+            self->read(self->down);
+        });
+    }
+
+    void read(Pump& pump)
+    {
+        pump.from.async_read_some(
+            asio::buffer(pump.buffer), [self = shared_from_this(), &pump](std::error_code error, std::size_t length) {
+                if (error)
+                    self->endDirection(pump);
+                else if (!self->isClosed)
+                    self->wait(pump, length, self->link.state_.delay);
+            });
+    }
+
+    void wait(Pump& pump, std::size_t length, std::chrono::milliseconds delay)
+    {
+        if (delay.count() == 0 && !link.state_.isStalled) {
+            write(pump, length);
+            return;
+        }
+        pump.timer.expires_after(delay.count() == 0 ? stallPoll : delay);
+        pump.timer.async_wait([self = shared_from_this(), &pump, length](std::error_code error) {
+            if (!error && !self->isClosed)
+                self->wait(pump, length, std::chrono::milliseconds(0));
+        });
+    }
+
+    void write(Pump& pump, std::size_t length)
+    {
+        link.counts_.bytes += length;
+        asio::async_write(pump.to, asio::buffer(pump.buffer.data(), length),
+            [self = shared_from_this(), &pump](std::error_code error, std::size_t) {
+                if (error)
+                    self->end();
+                else if (!self->isClosed)
+                    self->read(pump);
+            });
+    }
+
+    //! One side has ended its stream; the other direction goes on until it ends too.
+    void endDirection(Pump& pump)
+    {
+        std::error_code ignored;
+        pump.to.shutdown(tcp::socket::shutdown_send, ignored);
+        if (++endedDirections == 2 || isClosed)
+            end();
+    }
+
+    void close()
+    {
+        isClosed = true;
+        std::error_code ignored;
+        up.timer.cancel();
+        down.timer.cancel();
+        client.close(ignored);
+        server.close(ignored);
+    }
+
+    void end()
+    {
+        if (isClosed)
+            return;
+        close();
+        link.sessions_.erase(shared_from_this());
+    }
+
+    TcpLink& link; //!< not used once closed: a link closes its sessions before it is destroyed
+    tcp::socket client;
+    tcp::socket server;
+    Pump up;
+    Pump down;
+    int endedDirections = 0;
+    bool isClosed = false;
+};
+
+TcpLink::TcpLink(asio::io_context& context, const tcp::endpoint& listen, tcp::endpoint target)
+    : context_(context)
+    , listen_(listen)
+    , target_(std::move(target))
+    , acceptor_(context)
+{
+    open();
+}
+
+TcpLink::~TcpLink()
+{
+    for (const auto& session : sessions_)
+        session->close();
+}
+
+void TcpLink::open()
+{
+    acceptor_.open(listen_.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(listen_);
+    acceptor_.listen();
+    listen_ = acceptor_.local_endpoint();
+    accept();
+}
+
+void TcpLink::accept()
+{
+    acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](std::error_code error, tcp::socket socket) {
+        if (error || alive.expired())
+            return; // closed by a cut or by the destructor
+        ++counts_.connections;
+        auto session = std::make_shared<Session>(*this, std::move(socket));
+        sessions_.insert(session);
+        session->connect();
+        accept();
+    });
+}
+
+void TcpLink::apply(const LinkState& state)
+{
+    bool wasCut = state_.isCut;
+    state_ = state;
+    if (state.isCut && !wasCut) {
+        acceptor_.close();
+        auto sessions = std::move(sessions_);
+        sessions_.clear();
+        for (const auto& session : sessions)
+            session->close();
+    } else if (!state.isCut && wasCut) {
+        open();
+    }
+}
+
+} // namespace agatevane::standin
