--- a/tests/entry/fakes.h
+++ b/tests/entry/fakes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/base/hash.h"
+#include "agatevane/base/token.h"
 #include "agatevane/catalogue/codec.h"
 #include "agatevane/http/client.h"
 #include "agatevane/http/server.h"
@@ -102,9 +103,11 @@
         }
         store::Client writer({ storeEndpoint() });
         std::vector<Entry> entries { WorkspaceEntry { .id = { "ws" } },
-            CallerEntry { .id = { "alice" }, .workspace = { "ws" }, .tokenDigest = digestOf("secret") },
-            CallerEntry {
-                .id = { "bob" }, .workspace = { "ws" }, .tokenDigest = digestOf("slow"), .requestsPerSecond = 0.001 },
+            CallerEntry { .id = { "alice" }, .workspace = { "ws" }, .tokenDigest = tokenDigestOf("secret") },
+            CallerEntry { .id = { "bob" },
+                .workspace = { "ws" },
+                .tokenDigest = tokenDigestOf("slow"),
+                .requestsPerSecond = 0.001 },
             ServiceEntry { .id = { "visitdesk" } }, dataCentre };
         for (const auto& entry : entries) {
             if (!writer.put({ storeKeyOf(keyOf(entry)), encodeEntry(entry) }, now() + Millis(2000)).ok())
