Spare large gangs from small claims and serve starved gangs first

Traced on the visitdesk setting: a gang of 64 waited while up to 49 of 136 accelerators were idle, since its workspace was above its fair share, and once running it was the first victim of claims of a single accelerator.

A starved gang now gets the reservation when no gang below its share waits, and may preempt if half of it runs on idle accelerators; claims preempt gangs no larger than themselves (or a worker), and larger ones only after half of their deadline.

--- a/src/agatevane/scheduling/backlog.cpp
+++ b/src/agatevane/scheduling/backlog.cpp
@@ -11,13 +11,18 @@
 namespace {
 
     constexpr int headsPerWorkspace = 4; //!< oldest jobs considered, so that one blocked by the quota hides no other
+    constexpr int mostBacklogs
+        = 1; //!< three were tried: they hold more than backfill uses, and large gangs waited longer
     constexpr int fairPeriods = 10; //!< after so many times reservationAfter a gang's share no longer matters
 
-    Reservation* backlogReservation(Shard& shard)
+    std::vector<int> backlogJobs(const Shard& shard)
     {
-        auto found = std::find_if(shard.reservations.begin(), shard.reservations.end(),
-            [](const Reservation& reservation) { return reservation.kind == ReservationKind::Backlog; });
-        return found == shard.reservations.end() ? nullptr : &*found;
+        std::vector<int> jobs;
+        for (const auto& reservation : shard.reservations) {
+            if (reservation.kind == ReservationKind::Backlog)
+                jobs.push_back(reservation.job);
+        }
+        return jobs;
     }
 
     bool isOnAvailableWorkers(const Shard& shard, const Slots& slots)
@@ -108,27 +113,56 @@
         }
     }
 
-    //! The oldest job without a reservation that has waited for reservationAfter and is owed service.
+    bool isBelowShare(const Workspace& workspace)
+    {
+        return workspace.used - workspace.leaving < workspace.fairShare;
+    }
+
+    //! The oldest job without a reservation that has waited for reservationAfter; those of workspaces below their fair
+    //! share come first unless another has waited many times as long.
     int oldestStarved(const Shard& shard, Instant at)
     {
         int best = -1;
+        std::pair<bool, Instant> bestKey;
         for (const auto& workspace : shard.workspaces) {
             int heads = 0;
             for (const auto& key : workspace.byAge) {
                 if (++heads > headsPerWorkspace || at - key.queuedAt < shard.policy.reservationAfter)
                     break;
                 const Job& job = shard.jobs[key.job];
-                bool isOwed = workspace.used - workspace.leaving < workspace.fairShare
-                    || at - key.queuedAt >= fairPeriods * shard.policy.reservationAfter;
-                if (job.hasReservation || !isOwed || !mayCharge(shard, workspace, shard.shapes[job.shape]))
+                if (job.hasReservation || !mayCharge(shard, workspace, shard.shapes[job.shape]))
                     continue;
-                if (best < 0 || key < QueueKey { shard.jobs[best].queuedAt, shard.jobs[best].sequence, best })
+                bool isOwed
+                    = isBelowShare(workspace) || at - key.queuedAt >= fairPeriods * shard.policy.reservationAfter;
+                std::pair order { !isOwed, key.queuedAt };
+                if (best < 0 || order < bestKey) {
                     best = key.job;
+                    bestKey = order;
+                }
             }
         }
         return best;
     }
 
+    //! Whether the gang, starved for long enough, now holds capacity by preemption. Its reservation stays if not.
+    bool preemptForStarved(Shard& shard, int job, Instant at, std::vector<Decision>& decisions)
+    {
+        const Job& gang = shard.jobs[job];
+        auto retry = shard.retryAt.find({ static_cast<int>(ReservationKind::Starved), gang.workspace, gang.shape });
+        if (shard.policy.starvedAfter.count() <= 0 || at - gang.queuedAt < shard.policy.starvedAfter
+            || (retry != shard.retryAt.end() && retry->second > at))
+            return false;
+        std::optional<Reservation> held;
+        if (const Reservation* reservation = reservationOf(std::as_const(shard), job))
+            held = *reservation;
+        dropReservation(shard, job);
+        if (preemptFor(shard, job, ReservationKind::Starved, at, decisions))
+            return true;
+        if (held)
+            addReservation(shard, std::move(*held));
+        return false;
+    }
+
     void awaitVictims(Shard& shard, Reservation& reservation, Instant at, std::vector<Decision>& decisions)
     {
         if (reservation.kind == ReservationKind::Backlog) {
@@ -188,48 +222,40 @@
 {
     if (shard.queuedJobs == 0)
         return;
-    Reservation* backlog = backlogReservation(shard);
-    int job = backlog != nullptr ? backlog->job : oldestStarved(shard, at);
-    if (job < 0)
-        return;
-    auto starvedAfter = shard.policy.starvedAfter;
-    auto retry = shard.retryAt.find(
-        { static_cast<int>(ReservationKind::Starved), shard.jobs[job].workspace, shard.jobs[job].shape });
-    if (starvedAfter.count() > 0 && at - shard.jobs[job].queuedAt >= starvedAfter
-        && (retry == shard.retryAt.end() || retry->second <= at)) {
-        dropReservation(shard, job);
-        if (preemptFor(shard, job, ReservationKind::Starved, at, decisions))
+    for (int job : backlogJobs(shard))
+        preemptForStarved(shard, job, at, decisions);
+    for (int count = static_cast<int>(backlogJobs(shard).size()); count < mostBacklogs; ++count) {
+        int job = oldestStarved(shard, at);
+        if (job < 0 || preemptForStarved(shard, job, at, decisions))
+            return;
+        auto room = expectedRoom(shard, job, at);
+        if (!room)
             return;
-        backlog = nullptr;
-    }
-    if (backlog != nullptr)
-        return;
-    if (auto room = expectedRoom(shard, job, at))
         addReservation(shard,
             { .job = job, .kind = ReservationKind::Backlog, .slots = std::move(room->slots), .until = room->at });
+    }
 }
 
 void backfill(Shard& shard, Instant at, std::vector<Decision>& decisions)
 {
-    const Reservation* backlog = backlogReservation(shard);
-    // Work started now would delay the reserved gang by its own checkpoint.
-    if (backlog == nullptr || backlog->isClosing)
-        return;
-    Slots slots = backlog->slots;
-    Instant until = backlog->until;
-    int reserved = backlog->job;
-    unhold(shard.fleet, slots);
-    FeasibleShapes feasible = feasibleShapes(shard);
-    StartPass pass;
-    pass.backfills = reserved;
-    pass.isEligible = [&](const Workspace&, const Job& job) {
-        if (!job.isStoppable)
-            return false;
-        auto left = correctedMs(shard.estimator, job.kind, job.declaredMs) - job.restoredMs;
-        return job.canCheckpoint || at + Millis(left) <= until;
-    };
-    runStartPass(shard, pass, feasible, at, decisions);
-    hold(shard.fleet, slots);
+    for (int reserved : backlogJobs(shard)) {
+        const Reservation& backlog = *reservationOf(shard, reserved);
+        // Work started now would delay the reserved gang by its own checkpoint.
+        if (backlog.isClosing)
+            continue;
+        Slots slots = backlog.slots;
+        Instant until = backlog.until;
+        unhold(shard.fleet, slots);
+        FeasibleShapes feasible = feasibleShapes(shard);
+        StartPass pass;
+        pass.backfills = reserved;
+        pass.isEligible = [&](const Workspace&, const Job& job) {
+            auto left = correctedMs(shard.estimator, job.kind, job.declaredMs) - job.restoredMs;
+            return job.isStoppable && (job.canCheckpoint || at + Millis(left) <= until);
+        };
+        runStartPass(shard, pass, feasible, at, decisions);
+        hold(shard.fleet, slots);
+    }
 }
 
 } // namespace agatevane::scheduling
--- a/src/agatevane/scheduling/decide.cpp
+++ b/src/agatevane/scheduling/decide.cpp
@@ -94,8 +94,10 @@
         preemptForShares(shard, at, decisions);
         reserveForStarved(shard, at, decisions);
         advanceReservations(shard, at, decisions);
-        while (shard.hasFreedHeld)
+        while (shard.hasFreedHeld) {
             startAll(shard, at, decisions);
+            advanceReservations(shard, at, decisions);
+        }
         backfill(shard, at, decisions);
     }
     if (!areTotalsConsistent(shard))
--- a/src/agatevane/scheduling/preemption.cpp
+++ b/src/agatevane/scheduling/preemption.cpp
@@ -14,6 +14,11 @@
     constexpr std::array<std::string_view, 6> reasons { "guarantee", "urgent work", "fair share", "starved gang",
         "reservation", "defragmentation" };
 
+    Millis deadlineOf(const Shard& shard, ReservationKind kind)
+    {
+        return kind == ReservationKind::Urgent ? shard.policy.urgentReclaimDeadline : shard.policy.reclaimDeadline;
+    }
+
     //! A claim may also take capacity that is held for jobs without one; reservations that it cuts are given up.
     std::optional<Plan> planOverReservations(
         Shard& shard, int job, ReservationKind kind, const std::vector<int>& victims)
@@ -136,6 +141,16 @@
         }
     }
 
+    //! A gang of a workspace above its fair share may preempt only if at least half of it runs on idle accelerators.
+    bool isJustified(const Shard& shard, const Job& job, const Plan& plan)
+    {
+        const Workspace& workspace = shard.workspaces[job.workspace];
+        int preempted = 0;
+        for (int victim : plan.victims)
+            preempted += shard.jobs[victim].accelerators;
+        return workspace.used - workspace.leaving < workspace.fairShare || 2 * preempted <= job.accelerators;
+    }
+
     int roomInGuarantee(const Workspace& workspace)
     {
         return workspace.effectiveGuarantee - (workspace.used - workspace.leaving + workspace.pending);
@@ -143,6 +158,12 @@
 
 } // namespace
 
+int largestVictim(const Job& job)
+{
+    constexpr int wholeWorker = 8; // smaller claims often need one worker's gangs to end
+    return std::max(job.accelerators, wholeWorker);
+}
+
 int usedWith(const Shard& shard, const Job& job)
 {
     const Workspace& workspace = shard.workspaces[job.workspace];
@@ -163,16 +184,20 @@
         startGang(shard, job, plan.slots, at, decisions);
         return;
     }
-    Millis allowed
-        = kind == ReservationKind::Urgent ? shard.policy.urgentReclaimDeadline : shard.policy.reclaimDeadline;
+    Millis allowed = deadlineOf(shard, kind);
+    bool hasLarge = std::any_of(plan.victims.begin(), plan.victims.end(),
+        [&](int victim) { return shard.jobs[victim].accelerators > largestVictim(shard.jobs[job]); });
+    if (hasLarge)
+        allowed /= 2; // the claim has waited for the other half
     // The victims' checkpoints must leave time to stop them and to start the claim before the deadline.
     Instant deadline = at + allowed - std::min(Millis(2000), allowed / 5);
     for (int victim : plan.victims) {
+        bool isMoved = kind == ReservationKind::Starved && shard.jobs[victim].isProtected;
         beginPreemption(shard, victim, deadline);
         decisions.emplace_back(PreemptGang { .job = shard.jobs[victim].id,
             .deadline = deadline,
             .beneficiary = shard.jobs[job].id,
-            .reason = std::string(reasons[static_cast<std::size_t>(kind)]) });
+            .reason = std::string(reasons[static_cast<std::size_t>(isMoved ? ReservationKind::Defragment : kind)]) });
     }
     addReservation(shard, { .job = job, .kind = kind, .slots = plan.slots, .until = deadline });
 }
@@ -183,9 +208,21 @@
     if (!mayCharge(shard, shard.workspaces[shard.jobs[job].workspace], shape))
         return false;
     auto victims = victimsFor(shard, job, kind, at);
-    auto plan = planWithout(shard, shape, victims);
-    if (!plan && kind <= ReservationKind::Urgent)
-        plan = planOverReservations(shard, job, kind, victims);
+    auto small = victims;
+    std::erase_if(small, [&](int victim) { return shard.jobs[victim].accelerators > largestVictim(shard.jobs[job]); });
+    bool isClaim = kind <= ReservationKind::Urgent;
+    auto plan = planWithout(shard, shape, small);
+    if (!plan && isClaim)
+        plan = planOverReservations(shard, job, kind, small);
+    // Freed capacity goes to claims first, so a claim often needs no large gang to end if it waits for a while.
+    bool mayUseLarge = !isClaim || at - shard.jobs[job].queuedAt >= deadlineOf(shard, kind) / 2;
+    if (!plan && mayUseLarge && small.size() < victims.size()) {
+        plan = planWithout(shard, shape, victims);
+        if (!plan && isClaim)
+            plan = planOverReservations(shard, job, kind, victims);
+    }
+    if (plan && kind == ReservationKind::Starved && !isJustified(shard, shard.jobs[job], *plan))
+        plan.reset();
     if (!plan) {
         if (shard.retryAt.size() >= mostRetries)
             shard.retryAt.clear();
--- a/src/agatevane/scheduling/preemption.h
+++ b/src/agatevane/scheduling/preemption.h
@@ -8,6 +8,9 @@
 //! Gangs that the job may preempt, in order: least urgent class, furthest above share, latest checkpoint.
 std::vector<int> victimsFor(const Shard& shard, int job, ReservationKind kind, Instant at);
 
+//! Gangs above this size free far more than the job needs and are preempted only if no others suffice.
+int largestVictim(const Job& job);
+
 //! Preempts the plan's victims and holds the capacity for the job.
 void carryOut(
     Shard& shard, int job, ReservationKind kind, const Plan& plan, Instant at, std::vector<Decision>& decisions);
--- a/src/agatevane/scheduling/shard.h
+++ b/src/agatevane/scheduling/shard.h
@@ -41,9 +41,12 @@
     double classFloor = 0.05;
     //! A job that has waited this long may preempt work of workspaces or callers that keep more than its own; 0: never.
     Millis shareClaimAfter { 30000 };
-    //! A gang that has waited this long may preempt any work that can be checkpointed and that no guarantee covers;
-    //! 0: never.
-    Millis starvedAfter { 600000 };
+    //! A gang of a workspace below its fair share that has waited this long may preempt any work that can be
+    //! checkpointed and that no guarantee covers, and move work that one covers; 0: never.
+    Millis starvedAfter { 120000 };
+    //! Share of the accelerators that workspaces and callers above their fair share leave free for the others, so that
+    //! these start without waiting for checkpoints. Costs as much throughput while a few ask for everything.
+    double headroom = 0;
 };
 
 struct PlacedPart {
--- a/src/agatevane/scheduling/start.cpp
+++ b/src/agatevane/scheduling/start.cpp
@@ -12,6 +12,22 @@
         int shape = -1;
     };
 
+    //! Whether a workspace or caller above its fair share would take what is left free for the others.
+    bool wouldTakeHeadroom(const Shard& shard, const Workspace& workspace, const Job& job)
+    {
+        if (shard.policy.headroom <= 0)
+            return false;
+        double left = shard.fleet.free - job.accelerators;
+        if (left >= shard.policy.headroom * shard.fleet.capacity)
+            return false;
+        double callers = std::max<double>(1, static_cast<double>(workspace.callers.size()));
+        bool isAboveShare = workspace.used - workspace.leaving + job.accelerators > workspace.fairShare;
+        bool isCallerAboveShare = callers > 1
+            && shard.callers[job.caller].used + job.accelerators > workspace.fairShare / callers
+            && shard.callers[job.caller].used > 0;
+        return isAboveShare || isCallerAboveShare;
+    }
+
     //! The oldest job at the head of one of the caller's queues whose shape may still fit.
     Candidate oldestHead(const Shard& shard, const StartPass& pass, const Workspace& workspace, const Caller& caller,
         int workClass, const IndexSet& feasible)
@@ -30,6 +46,8 @@
                 continue;
             if (!mayCharge(shard, workspace, shard.shapes[shape]))
                 continue;
+            if (wouldTakeHeadroom(shard, workspace, shard.jobs[key.job]))
+                continue;
             if (pass.isEligible && !pass.isEligible(workspace, shard.jobs[key.job]))
                 continue;
             best = { key.job, shape };
--- a/src/agatevane/scheduling/victims.cpp
+++ b/src/agatevane/scheduling/victims.cpp
@@ -5,6 +5,9 @@
 
 namespace {
 
+    //! Between preemptions of one gang for shares or starved work, so that it gets further than its start costs.
+    constexpr Millis shortestRun { 30000 };
+
     //! Collects victims as if those already collected had ended.
     class VictimList {
     public:
@@ -23,8 +26,9 @@
 
         std::vector<int> collect()
         {
-            // A gang of a workspace below its fair share is preempted for urgent work only if nothing else is left.
-            int first = kind_ == ReservationKind::Urgent ? 0 : 1;
+            // A gang of a workspace below its fair share is preempted for urgent work only if nothing else is left; so
+            // is work that a guarantee covers for a starved gang, since its workspace can claim other capacity at once.
+            int first = kind_ == ReservationKind::Urgent || kind_ == ReservationKind::Starved ? 0 : 1;
             for (int round = first; round < 2; ++round) {
                 isLastRound_ = round == 1;
                 for (int workClass = classCount - 1; workClass >= leastClass(); --workClass)
@@ -110,7 +114,7 @@
             bool isOwn = gang.workspace == job_.workspace;
             const Workspace& workspace = shard_.workspaces[gang.workspace];
             int used = workspace.used - workspace.leaving - takenFrom(gang.workspace);
-            bool hasRunAWhile = at_ - gang.startedAt >= shard_.policy.reservationAfter;
+            bool hasRunAWhile = at_ - gang.startedAt >= shortestRun;
             switch (kind_) {
             case ReservationKind::Guarantee:
                 return !gang.isProtected;
@@ -123,7 +127,7 @@
                 return isOwn || (!gang.isProtected && (isLastRound_ || used > workspace.fairShare));
             }
             case ReservationKind::Share:
-                if (!gang.canCheckpoint || !hasRunAWhile)
+                if (!gang.canCheckpoint || !hasRunAWhile || gang.accelerators > largestVictim(job_))
                     return false;
                 if (isOwn) {
                     auto found = takenFromCaller_.find(gang.caller);
@@ -133,7 +137,8 @@
                 }
                 return !gang.isProtected && (used - gang.accelerators) / workspace.weight >= share_;
             default:
-                return gang.canCheckpoint && hasRunAWhile && !gang.isProtected;
+                return gang.canCheckpoint && hasRunAWhile && gang.isProtected == isLastRound_
+                    && gang.accelerators < job_.accelerators;
             }
         }
 
