Wire administration, membership and the timeline into the entry

Cause: the administration routes, heartbeats and event ring existed as libraries without a program that used them. Change: Administration carries out the admin functions; heartbeats share the RPC port number over UDP and carry the catalogue revision; the entry records start, drain, freshness and membership events; a VM dropped from the VM list is no longer asked for a freshness proof; DrainVm RPC.

--- a/src/agatevane/peer_api/messages.h
+++ b/src/agatevane/peer_api/messages.h
@@ -18,7 +18,8 @@
     CancelJob = 4,
     ShardStatus = 5,
     CataloguePull = 6,
-    BorrowLimit = 7
+    BorrowLimit = 7,
+    DrainVm = 8 //!< empty request; the reply is one byte: the VM is draining
 };
 
 //! What became of a job submission. Only `Accepted` and `Duplicate` mean that the job is durable and will run;
--- a/src/entry/catalogue_source.cpp
+++ b/src/entry/catalogue_source.cpp
@@ -22,11 +22,23 @@
 
 void CatalogueSource::setPeers(const MemberAddresses& peers)
 {
-    std::vector<CataloguePeer> list;
-    list.reserve(peers.size());
+    std::lock_guard lock(peersMutex_);
+    peers_.clear();
     for (const auto& [member, address] : peers)
-        list.push_back({ member, address, 0 });
-    feed_.setPeers(std::move(list));
+        peers_.push_back({ member, address, 0 });
+    feed_.setPeers(peers_);
+}
+
+void CatalogueSource::notePeerRevision(const MemberId& peer, std::int64_t revision)
+{
+    std::lock_guard lock(peersMutex_);
+    for (auto& known : peers_) {
+        if (known.member == peer && known.revision < revision) {
+            known.revision = revision;
+            feed_.setPeers(peers_);
+            return;
+        }
+    }
 }
 
 } // namespace agatevane::entry
--- a/src/entry/catalogue_source.h
+++ b/src/entry/catalogue_source.h
@@ -4,6 +4,8 @@
 #include "entry/catalogue_snapshot.h"
 #include "entry/settings.h"
 #include <atomic>
+#include <mutex>
+#include <vector>
 
 namespace agatevane::entry {
 
@@ -26,10 +28,15 @@
     //! All other entry VMs.
     void setPeers(const MemberAddresses& peers);
 
+    //! A heartbeat shows that the peer has a newer revision.
+    void notePeerRevision(const MemberId& peer, std::int64_t revision);
+
     CatalogueFeed& feed() { return feed_; }
 
 private:
     CatalogueFeed feed_;
+    std::mutex peersMutex_;
+    std::vector<CataloguePeer> peers_;
     std::atomic<Instant> freshUntil_ { Instant() };
 };
 
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -4,6 +4,8 @@
 #include "agatevane/metrics/process.h"
 #include "agatevane/net/archive.h"
 #include <algorithm>
+#include <glog/logging.h>
+#include <limits>
 #include <set>
 
 namespace agatevane::entry {
@@ -44,12 +46,15 @@
     , workGuard_(context_.get_executor())
     , ticker_(context_)
     , members_(1 + static_cast<int>(otherMembers().size()))
+    , timeline_("entry " + settings_.name.value)
     , metrics_(metrics::registry())
     , store_(settings_.stores)
     , source_(context_, store_, [this](SnapshotPointer snapshot) { applyCatalogue(std::move(snapshot)); })
     , router_(settings_.region)
     , limits_(context_, settings_.name, settings_.peers)
     , schedulers_(context_, settings_.schedulers)
+    , membership_(context_, memberSettings(), memberHooks())
+    , administration_(context_, settings_, store_, source_, catalogue_, schedulers_, membership_, [this] { drain(); })
     , rpcServer_(context_,
           [this](
               std::uint16_t kind, std::string_view payload, const net::Reply& reply) { onRpc(kind, payload, reply); })
@@ -74,8 +79,16 @@
         return error;
     if (auto error = server_.bind(settings_.listen.address, settings_.listen.port))
         return error;
+    // Heartbeats use the UDP port of the same number, so that a peer needs one address only.
+    if (auto error = membership_.start({ settings_.rpcListen.address, rpcServer_.port() }))
+        return error;
+    std::vector<membership::ListedMember> seeds;
+    for (const auto& [member, address] : otherMembers())
+        seeds.push_back({ member, address, false });
+    membership_.setListed(seeds);
     source_.setPeers(otherMembers());
     source_.start();
+    record(timeline::EventType::ProcessStarted);
     scheduleTick(0);
     for (int i = 0; i < ioThreadCount; ++i)
         ioThreads_.emplace_back([this] { context_.run(); });
@@ -106,15 +119,21 @@
     for (const auto& target : router_.targets())
         workers.insert(target.worker.value);
     int members = 0;
+    MemberAddresses listedPeers;
     for (const auto& vm : vms) {
         if (workers.contains(vm.name))
             router_.onListed({ vm.name }, vm.state == VmState::Leaving);
         else if (settings_.peers.contains({ vm.name }) || vm.name == settings_.name.value)
             ++members;
+        if (auto peer = settings_.peers.find({ vm.name }); peer != settings_.peers.end())
+            listedPeers.insert(*peer);
     }
     members = std::max(1, members);
-    if (members_.exchange(members) != members)
-        configure();
+    if (members_.exchange(members) == members)
+        return;
+    configure();
+    // A VM that the list has dropped no longer has to prove that it accepted no change.
+    source_.setPeers(listedPeers);
 }
 
 //! Called with the mutex held.
@@ -139,13 +158,17 @@
 
 void EntryServer::drain()
 {
-    isDraining_ = true;
+    if (isDraining_.exchange(true))
+        return;
+    membership_.leave();
+    record(timeline::EventType::ProcessStopping);
 }
 
 void EntryServer::stop()
 {
     drain();
     server_.stop();
+    membership_.stop();
     source_.stop();
     vmList_.reset();
     reports_.reset();
@@ -159,6 +182,7 @@
             return;
         source_.tick();
         gates_.tick();
+        recordFreshness();
         if (number % ticksBetweenBorrows == 0)
             limits_.borrow();
         scheduleTick(number + 1);
@@ -172,7 +196,10 @@
         reply(net::encode(limits_.lend(request)));
     else if (static_cast<MessageKind>(kind) == MessageKind::CataloguePull)
         reply(source_.feed().answerPull(payload));
-    else
+    else if (static_cast<MessageKind>(kind) == MessageKind::DrainVm) {
+        drain();
+        reply("1");
+    } else
         reply({}); // Decodes as no message, so that the peer fails at once instead of waiting.
 }
 
@@ -208,6 +235,8 @@
     addJobRoute("GET", "/v1/jobs", listJobs);
     addJobRoute("GET", R"(/v1/jobs/([A-Za-z0-9_.-]+))", showJob);
     addJobRoute("DELETE", R"(/v1/jobs/([A-Za-z0-9_.-]+))", cancelJob);
+    admin::registerAdminRoutes(server_, administration_.functions());
+    timeline::registerTimelineRoute(server_, timeline_);
     server_.route("GET", "/healthz", [](const Request&, Response& response) { response.body = "{}"; });
     server_.route("GET", "/readyz", [this](const Request&, Response& response) {
         if (isDraining_)
@@ -220,6 +249,66 @@
     server_.route("GET", "/metrics", [this](const Request&, Response& response) { writeMetrics(response); });
 }
 
+membership::Settings EntryServer::memberSettings() const
+{
+    membership::Settings settings;
+    settings.self.member = settings_.name;
+    settings.self.address = settings_.rpcListen;
+    return settings;
+}
+
+membership::Hooks EntryServer::memberHooks()
+{
+    membership::Hooks hooks;
+    hooks.onChange = [this](const membership::Change& change) {
+        using enum timeline::EventType;
+        auto detail
+            = change.member.value + ": " + std::string(nameOf(change.from)) + " to " + std::string(nameOf(change.to));
+        switch (change.to) {
+        case membership::MemberState::Alive:
+            record(change.from == membership::MemberState::Suspected ? MemberRefuted : MemberJoined, detail);
+            break;
+        case membership::MemberState::Suspected:
+            record(MemberSuspected, detail);
+            break;
+        default:
+            record(MemberLeft, detail);
+        }
+    };
+    hooks.lamportTick = [this] { return timeline_.clock().tick(); };
+    hooks.lamportObserve = [this](std::uint64_t clock) { timeline_.clock().observe(clock); };
+    hooks.catalogue = [this] {
+        auto status = source_.feed().status();
+        constexpr std::uint32_t noProof = std::numeric_limits<std::uint32_t>::max();
+        auto age = status.proofAge ? static_cast<std::uint32_t>(status.proofAge->count()) : noProof;
+        return std::make_pair(static_cast<std::uint64_t>(status.revision), age);
+    };
+    hooks.onNewerCatalogue = [this](const MemberId& member, const net::PeerAddress&, std::uint64_t revision) {
+        source_.notePeerRevision(member, static_cast<std::int64_t>(revision));
+    };
+    return hooks;
+}
+
+//! Logs and records only the change, not each refused request.
+void EntryServer::recordFreshness()
+{
+    bool isFresh = source_.isFresh();
+    if (isFresh == wasFresh_)
+        return;
+    wasFresh_ = isFresh;
+    record(isFresh ? timeline::EventType::CatalogueFresh : timeline::EventType::CatalogueStale);
+    LOG(INFO) << (isFresh ? "the catalogue is proved to be fresh" : "the catalogue is not proved to be fresh");
+}
+
+void EntryServer::record(timeline::EventType type, const std::string& detail)
+{
+    timeline::Event event;
+    event.type = type;
+    event.dataCentre = settings_.dataCentre;
+    event.detail = detail;
+    timeline_.record(std::move(event));
+}
+
 void EntryServer::writeMetrics(http::Response& response)
 {
     auto& registry = metrics::registry();
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "agatevane/http/server.h"
+#include "agatevane/timeline/ring.h"
+#include "entry/administration.h"
 #include "entry/call_handler.h"
 #include "entry/catalogue_source.h"
 #include "entry/job_handler.h"
@@ -43,6 +45,10 @@
     void scheduleTick(int number);
     void onRpc(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
     void writeMetrics(http::Response& response);
+    membership::Settings memberSettings() const;
+    membership::Hooks memberHooks();
+    void recordFreshness();
+    void record(timeline::EventType type, const std::string& detail = "");
 
     Settings settings_;
     asio::io_context context_;
@@ -52,6 +58,7 @@
     std::mutex configureMutex_; //!< catalogue and VM list arrive on different threads
     std::atomic<int> members_;
     CatalogueHolder catalogue_ { std::make_shared<const CatalogueSnapshot>() };
+    timeline::Ring timeline_;
     EntryMetrics metrics_;
     store::Client store_;
     CatalogueSource source_;
@@ -60,11 +67,14 @@
     GateTable gates_;
     LimitTable limits_;
     SchedulerClient schedulers_;
+    membership::Service membership_;
+    Administration administration_;
     net::RpcServer rpcServer_;
     CallContext calls_;
     JobContext jobs_;
     std::atomic<int> jobRequests_ = 0;
     std::atomic<bool> isDraining_ = false;
+    bool wasFresh_ = false; //!< touched by the ticker only
     http::Server server_;
     std::unique_ptr<VmListClient> vmList_;
     std::unique_ptr<ReportPoller> reports_;
