Run non-idempotent calls at most once through claims

Cause: calls without Agatevane-Idempotent were sent like idempotent ones, so that a retry could produce a booking twice. Change: they go through the claim store: claimed before they are sent, sent once to the instance of the worker that was chosen, recorded before the answer. A repeat at any VM gets the recorded answer; GET /v1/requests/{workspace}/{key} gives the answer again or what is known. With the store down they are refused as not run, idempotent ones go on. A worker that was chosen but not sent the call is released, so that it does not look busy.

--- a/src/agatevane/routing/routing.cpp
+++ b/src/agatevane/routing/routing.cpp
@@ -129,7 +129,7 @@
         ++worker.ownInProgress;
         if (isProbe)
             worker.health = Health::Probing;
-        return { worker.config.id, worker.config.address, isProbe };
+        return { worker.config.id, worker.config.address, worker.observed ? worker.observed->instance : "", isProbe };
     }
 
 } // namespace
@@ -237,6 +237,16 @@
     updateHealth(state, *worker, result, now, random);
 }
 
+void onUnused(State& state, const WorkerId& id)
+{
+    auto* worker = find(state, id);
+    if (!worker)
+        return;
+    worker->ownInProgress = std::max(0, worker->ownInProgress - 1);
+    if (worker->health == Health::Probing)
+        worker->health = Health::Ejected; // The probe is still due.
+}
+
 bool mayRetry(State& state, Result result, bool isIdempotent, int attempts, Instant deadline, Instant now)
 {
     if (result == Result::Success || attempts >= maxAttempts || now >= deadline)
--- a/src/agatevane/routing/routing.h
+++ b/src/agatevane/routing/routing.h
@@ -95,6 +95,7 @@
 struct Choice {
     WorkerId worker;
     std::string address;
+    std::string instance; //!< of the worker at its last report
     bool isProbe = false;
 };
 
@@ -113,6 +114,9 @@
 //! The chosen worker's request ended.
 void onResult(State& state, const WorkerId& worker, Result result, Millis took, Instant now, Random& random);
 
+//! The chosen worker was not sent the request after all.
+void onUnused(State& state, const WorkerId& worker);
+
 //! Whether to try another worker; takes from the retry budget if so. `attempts` counts those that were made.
 bool mayRetry(State& state, Result result, bool isIdempotent, int attempts, Instant deadline, Instant now);
 
--- a/src/entry/call_handler.cpp
+++ b/src/entry/call_handler.cpp
@@ -1,6 +1,7 @@
 #include "entry/call_handler.h"
 
 #include "agatevane/http/problem.h"
+#include "entry/claimed_call.h"
 #include "entry/identity.h"
 #include <algorithm>
 
@@ -78,6 +79,13 @@
             refuse(response, 503, "overloaded", std::string(nameOf(verdict.shed.reason)), verdict.shed.retryAfter);
             return Outcome::NotRun;
         }
+        if (!call.options.isIdempotent) {
+            ClaimedCall claimed { call.caller.workspace, call.options.idempotencyKey, call.service, request.body,
+                call.deadline };
+            auto finished = runClaimedCall(context.claims, context.router, context.workers, claimed);
+            writeClaimed(finished, resultLink(claimed.workspace, claimed.key), response);
+            return outcomeOf(finished);
+        }
         CallToRun toRun { call.service, request.body, call.options.isIdempotent, call.deadline };
         auto run = runIdempotentCall(context.router, context.workers, context.metrics, toRun);
         writeRun(run, response);
@@ -107,4 +115,27 @@
     context.metrics.countCall(call.options.workClass, outcome, elapsed(call.arrival, now()));
 }
 
+void showRequest(CallContext& context, const http::Request& request, http::Response& response)
+{
+    auto catalogue = context.catalogue.load();
+    auto caller = authenticate(request, *catalogue, response);
+    if (!caller)
+        return;
+    WorkspaceId workspace { request.matches.at(1) };
+    auto key = request.matches.at(2);
+    if (workspace != caller->workspace && !caller->isOperator)
+        return http::writeProblem({ .status = 404, .title = "no such request" }, response);
+    auto deadline = now() + context.defaultTimeout;
+    auto finished = lookUpClaimedCall(context.claims, context.workers, workspace, key, deadline);
+    if (finished) {
+        writeClaimed(*finished, resultLink(workspace, key), response);
+        return;
+    }
+    // The request may be about to be claimed at another VM, or the store cannot be read.
+    http::Problem problem { .status = 404, .title = "no record of this request" };
+    problem.outcome = Outcome::Unknown;
+    problem.resultLink = resultLink(workspace, key);
+    http::writeProblem(problem, response);
+}
+
 } // namespace agatevane::entry
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatevane/claim_store/claim_store.h"
 #include "agatevane/http/message.h"
 #include "entry/call_request.h"
 #include "entry/call_runner.h"
@@ -17,6 +18,7 @@
     WorkerRouter& router;
     GateTable& gates;
     LimitTable& limits;
+    ClaimStore& claims;
     EntryMetrics& metrics;
     Millis defaultTimeout;
 };
@@ -24,4 +26,7 @@
 //! POST /v1/services/{service}/calls
 void handleCall(CallContext& context, const http::Request& request, http::Response& response);
 
+//! GET /v1/requests/{workspace}/{key}: the answer again, or what is known of it.
+void showRequest(CallContext& context, const http::Request& request, http::Response& response);
+
 } // namespace agatevane::entry
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -46,6 +46,7 @@
     , members_(1 + static_cast<int>(otherMembers().size()))
     , metrics_(metrics::registry())
     , store_(settings_.stores)
+    , claims_(store_)
     , source_(context_, store_, [this](SnapshotPointer snapshot) { applyCatalogue(std::move(snapshot)); })
     , router_(settings_.region)
     , limits_(context_, settings_.name, settings_.peers)
@@ -53,7 +54,7 @@
     , rpcServer_(context_,
           [this](
               std::uint16_t kind, std::string_view payload, const net::Reply& reply) { onRpc(kind, payload, reply); })
-    , calls_ { catalogue_, source_, workers_, router_, gates_, limits_, metrics_, settings_.defaultTimeout }
+    , calls_ { catalogue_, source_, workers_, router_, gates_, limits_, claims_, metrics_, settings_.defaultTimeout }
     , jobs_ { catalogue_, source_, schedulers_, settings_.defaultTimeout }
     , server_(limitsOf(settings_), settings_.tls)
 {
@@ -204,6 +205,8 @@
     using http::Response;
     server_.route("POST", R"(/v1/services/([A-Za-z0-9_-]+)/calls)",
         [this](const Request& request, Response& response) { handleCall(calls_, request, response); });
+    server_.route("GET", R"(/v1/requests/([A-Za-z0-9_-]+)/(.+))",
+        [this](const Request& request, Response& response) { showRequest(calls_, request, response); });
     addJobRoute("POST", "/v1/jobs", submitJob);
     addJobRoute("GET", "/v1/jobs", listJobs);
     addJobRoute("GET", R"(/v1/jobs/([A-Za-z0-9_.-]+))", showJob);
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -54,6 +54,7 @@
     CatalogueHolder catalogue_ { std::make_shared<const CatalogueSnapshot>() };
     EntryMetrics metrics_;
     store::Client store_;
+    ClaimStore claims_;
     CatalogueSource source_;
     WorkerClient workers_;
     WorkerRouter router_;
--- a/src/entry/worker_client.cpp
+++ b/src/entry/worker_client.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-    //! Splits "ip:port/base" into the endpoint and the base path of one worker.
-    std::string basePathOf(const std::string& address)
-    {
-        auto slash = address.find('/');
-        return slash == std::string::npos ? std::string() : address.substr(slash);
-    }
-
     bool isWhole(const http::ClientResult& result, const AttemptId& attempt)
     {
         return http::headerOf(result.headers, "Agatevane-Attempt") == attempt.value
@@ -37,6 +30,12 @@
 
 } // namespace
 
+std::string basePathOf(const std::string& address)
+{
+    auto slash = address.find('/');
+    return slash == std::string::npos ? std::string() : address.substr(slash);
+}
+
 WorkerAnswer WorkerClient::call(const std::string& address, const AttemptId& attempt, const ServiceId& service,
     const std::string& body, Instant deadline)
 {
--- a/src/entry/worker_client.h
+++ b/src/entry/worker_client.h
@@ -31,6 +31,9 @@
     std::string body;
 };
 
+//! The path in "ip:port/base"; often empty.
+std::string basePathOf(const std::string& address);
+
 //! HTTP clients of the workers, by address. Thread-safe.
 class WorkerClient {
 public:
@@ -44,9 +47,10 @@
     //! Drops the connections to workers that are in use no more.
     void keepOnly(const std::vector<std::string>& addresses);
 
-private:
+    //! Null if the address cannot be read.
     std::shared_ptr<http::Client> clientOf(const std::string& address);
 
+private:
     std::mutex mutex_;
     std::unordered_map<std::string, std::shared_ptr<http::Client>> clients_;
 };
--- a/src/entry/worker_router.cpp
+++ b/src/entry/worker_router.cpp
@@ -41,6 +41,12 @@
     routing::onResult(state_, worker, result, took, now(), random_);
 }
 
+void WorkerRouter::release(const WorkerId& worker)
+{
+    std::lock_guard lock(mutex_);
+    routing::onUnused(state_, worker);
+}
+
 bool WorkerRouter::mayRetry(routing::Result result, bool isIdempotent, int attempts, Instant deadline)
 {
     std::lock_guard lock(mutex_);
--- a/src/entry/worker_router.h
+++ b/src/entry/worker_router.h
@@ -16,6 +16,7 @@
 
     std::optional<routing::Choice> choose(const routing::Query& query);
     void finish(const WorkerId& worker, routing::Result result, Millis took);
+    void release(const WorkerId& worker); //!< it was not sent the request after all
     bool mayRetry(routing::Result result, bool isIdempotent, int attempts, Instant deadline);
 
     //! Own requests in progress at the worker; to be read right before its report is asked for.
--- a/tests/entry/fakes.h
+++ b/tests/entry/fakes.h
@@ -38,8 +38,15 @@
         server_.route("POST", "/v1/calls", [this](const http::Request& request, http::Response& response) {
             auto message = nlohmann::json::parse(request.body);
             ++calls;
-            answer_({ message["attempt"], message["body"] }, response);
+            FakeCall call { message["attempt"], message["body"] };
+            answer_(call, response);
+            std::lock_guard lock(mutex_);
+            ran_[call.attempt] = call;
         });
+        server_.route("GET", "/v1/calls/([^/]+)",
+            [this](const http::Request& request, http::Response& response) { tell(request.matches.at(1), response); });
+        server_.route("POST", "/v1/calls/([^/]+)/forbid",
+            [this](const http::Request& request, http::Response& response) { tell(request.matches.at(1), response); });
         if (server_.bind("127.0.0.1", 0))
             throw std::runtime_error("cannot bind");
         server_.start();
@@ -70,6 +77,20 @@
     std::atomic<bool> isLeaving = false;
 
 private:
+    //! What became of an attempt; one that was never seen is refused from now on.
+    void tell(const std::string& attempt, http::Response& response)
+    {
+        std::lock_guard lock(mutex_);
+        auto found = ran_.find(attempt);
+        if (found != ran_.end())
+            echo(found->second, response);
+        else
+            response.headers.emplace("Agatevane-Attempt", attempt);
+        response.headers.emplace("Agatevane-Call-State", found != ran_.end() ? "done" : "forbidden");
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, FakeCall> ran_;
     Answer answer_;
     http::Server server_;
 };
