--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -61,6 +61,7 @@
     timeline::Ring timeline_;
     EntryMetrics metrics_;
     store::Client store_;
+    ClaimStore claims_;
     CatalogueSource source_;
     WorkerClient workers_;
     WorkerRouter router_;
