Add agatevane-scheduler

Cause: the owner's decisions need a process that polls workers, calls the store, hears the other schedulers and answers entries.

--- /dev/null
+++ b/src/scheduler/main.cpp
@@ -0,0 +1,37 @@
+#include "scheduler/scheduler.h"
+
+#include <csignal>
+#include <glog/logging.h>
+#include <iostream>
+
+using namespace agatevane;
+
+int main(int argc, char** argv)
+{
+    scheduler::SchedulerSettings settings;
+    if (auto exitCode = scheduler::readSettings(argc, argv, settings, std::cout, std::cerr))
+        return *exitCode;
+    settings::setUpLogging(argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    // Blocked before any thread starts, so that only sigwait receives them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    scheduler::Scheduler process(settings);
+    if (auto error = process.start()) {
+        LOG(ERROR) << "cannot listen: " << error.message();
+        return 1;
+    }
+    LOG(INFO) << "serving on " << settings.listen.address << ":" << settings.listen.port << ", HTTP port "
+              << process.httpPort();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    LOG(INFO) << "signal " << signal << ": handing over";
+    process.handOver();
+    process.stop();
+    LOG(INFO) << "stopped";
+    return 0;
+}
