Bound a claim's wait by its own deadline, and a fresh process's proof

Cause: a claim that shared a batch with one of a later deadline waited for that one; and a process started during a store outage took the answers of its peers for a proof, although the VMs before it may have known changes that nobody else knows. Change: a write that was sent and not answered by its deadline is reported as unknown; the proof without the store needs an earlier proof; CatalogueFeed::isFresh takes no lock, since every request asks for it. Ruled out: a batch for each deadline, which gives up group commit.

--- a/src/agatevane/catalogue/freshness.cpp
+++ b/src/agatevane/catalogue/freshness.cpp
@@ -53,6 +53,8 @@
 bool proveWithoutStore(Freshness& freshness, std::int64_t ownRevision)
 {
     std::optional<Instant> earliest;
+    if (!freshness.provenAt)
+        return false;
     for (const auto& vm : freshness.known) {
         auto found = freshness.statements.find(vm);
         if (found == freshness.statements.end())
--- a/src/agatevane/catalogue/freshness.h
+++ b/src/agatevane/catalogue/freshness.h
@@ -42,7 +42,8 @@
 //! (c) Every listed VM has answered and none reaches the store. Whoever accepted a change knows its revision, so after
 //! all have answered and their changes are applied, no change accepted before the first question is missing. A VM that
 //! has left the list counts only if its last statement was that it did not reach the store; otherwise it may have taken
-//! an accepted change with it.
+//! an accepted change with it. A process that never had another proof cannot use this one: the VMs that it replaced
+//! may have known changes that nobody else knows.
 //! `ownRevision`: of the applied catalogue.
 bool proveWithoutStore(Freshness& freshness, std::int64_t ownRevision);
 
--- a/src/agatevane/catalogue_feed/catalogue_feed.cpp
+++ b/src/agatevane/catalogue_feed/catalogue_feed.cpp
@@ -93,6 +93,12 @@
         onPublish_(std::move(catalogue));
 }
 
+void CatalogueFeed::noteProofLocked()
+{
+    if (freshness_.provenAt)
+        freshUntil_.store(*freshness_.provenAt + freshnessLimit, std::memory_order_release);
+}
+
 std::error_code CatalogueFeed::refresh(Instant deadline)
 {
     std::int64_t since = 0;
@@ -115,6 +121,7 @@
         publishLocked();
         if (isComplete) {
             proveByStore(freshness_, sentAt);
+            noteProofLocked();
             return {};
         }
     }
@@ -128,6 +135,7 @@
     changed_ = true;
     publishLocked();
     proveByStore(freshness_, sentAt);
+    noteProofLocked();
     return {};
 }
 
@@ -210,6 +218,7 @@
         pull.join();
     std::lock_guard lock(mutex_);
     proveWithoutStore(freshness_, view_.highestRevision());
+    noteProofLocked();
 }
 
 bool CatalogueFeed::pullFrom(const CataloguePeer& peer)
@@ -264,6 +273,7 @@
     if (reply.proofAgeMs >= 0)
         statement.proofAge = Millis(reply.proofAgeMs);
     recordStatement(freshness_, peer.member, statement);
+    noteProofLocked();
     return true;
 }
 
@@ -305,7 +315,7 @@
 {
     std::lock_guard lock(mutex_);
     auto at = now();
-    return { view_.highestRevision(), isFresh(freshness_, at), proofAge(freshness_, at),
+    return { view_.highestRevision(), agatevane::isFresh(freshness_, at), proofAge(freshness_, at),
         storeAnsweredAt_ && at - *storeAnsweredAt_ <= storeContactLimit };
 }
 
--- a/src/agatevane/catalogue_feed/catalogue_feed.h
+++ b/src/agatevane/catalogue_feed/catalogue_feed.h
@@ -53,6 +53,9 @@
     std::shared_ptr<const Catalogue> current() const { return published_.load(); }
     FeedStatus status() const;
 
+    //! Whether this VM may take new work. Takes no lock: it is asked for every request.
+    bool isFresh() const { return now() <= freshUntil_.load(std::memory_order_acquire); }
+
     //! All other VMs. To be called whenever the VM list, the membership or a peer's revision changes.
     void setPeers(std::vector<CataloguePeer> peers);
 
@@ -75,6 +78,7 @@
     void askPeersForProof();
     bool pullFrom(const CataloguePeer& peer);
     void publishLocked();
+    void noteProofLocked();
     bool waitUnlessStopping(Millis duration);
     store::WatchHandlers watchHandlers();
 
@@ -93,6 +97,7 @@
     bool changed_ = true; //!< the view differs from the published catalogue
     bool stopping_ = false;
 
+    std::atomic<Instant> freshUntil_ { Instant() };
     Published<Catalogue> published_ { std::make_shared<const Catalogue>() };
     store::Watcher watcher_;
     std::vector<std::thread> threads_;
--- a/src/agatevane/claim_store/claim_store.cpp
+++ b/src/agatevane/claim_store/claim_store.cpp
@@ -37,12 +37,11 @@
     ++counts_.writes;
     queue_.push_back(pending);
     wake_.notify_one();
-    // A write that is still queued at its deadline is taken back; one that was sent is waited for by its transaction.
-    done_.wait_until(lock, deadline, [&] { return pending->isDone; });
-    if (!pending->isDone && std::erase(queue_, pending) > 0)
-        return { WriteOutcome::NoEffect, 0, std::nullopt };
-    done_.wait(lock, [&] { return pending->isDone; });
-    return std::move(pending->result);
+    if (done_.wait_until(lock, deadline, [&] { return pending->isDone; }))
+        return std::move(pending->result);
+    // A write that is still queued at its deadline is taken back; one that was sent may still take effect.
+    bool wasQueued = std::erase(queue_, pending) > 0;
+    return { wasQueued ? WriteOutcome::NoEffect : WriteOutcome::Unknown, 0, std::nullopt };
 }
 
 std::vector<ClaimStore::PendingPtr> ClaimStore::takeBatch()
--- a/src/agatevane/claim_store/claim_store.h
+++ b/src/agatevane/claim_store/claim_store.h
@@ -44,7 +44,7 @@
     ClaimStore(const ClaimStore&) = delete;
     ClaimStore& operator=(const ClaimStore&) = delete;
 
-    //! Blocks until the outcome is known or the store has not answered in time. `NoEffect` if the write was never sent.
+    //! Blocks until the outcome is known or the deadline has passed. `NoEffect` if the write was never sent.
     ClaimWritten write(const std::string& key, WriteClaim write, Instant deadline);
     ClaimRead read(const std::string& key, Instant deadline);
     ClaimCounts counts() const;
--- a/tests/catalogue/view_tests.cpp
+++ b/tests/catalogue/view_tests.cpp
@@ -176,6 +176,9 @@
         return PeerStatement { start + Millis(atMs), revision, std::nullopt, false };
     };
     noteVms(freshness, { b, c });
+    recordStatement(freshness, b, silentStore(0, 1));
+    recordStatement(freshness, c, silentStore(0, 1));
+    BOOST_TEST(!proveWithoutStore(freshness, 1)); // a new process knows nothing of the VMs before it
     proveByStore(freshness, start);
     recordStatement(freshness, b, silentStore(8000, 4));
     BOOST_TEST(!proveWithoutStore(freshness, 5)); // c has not answered
--- a/tests/catalogue_feed/feed_tests.cpp
+++ b/tests/catalogue_feed/feed_tests.cpp
@@ -142,8 +142,9 @@
     auto& feed = network.add(true); // not started
     network.put("a");
     network.put("b");
-    BOOST_TEST(!feed.status().isFresh);
+    BOOST_TEST(!feed.isFresh());
     BOOST_TEST(!feed.refresh(now() + patience));
+    BOOST_TEST(feed.isFresh());
     BOOST_TEST(feed.status().isFresh);
     network.remove("a");
     network.put("c");
