Run the first end-to-end test against the real processes

Change: the harness passes comma-separated peer lists, as both programs read them; the scheduler ignores DrainVm.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -240,6 +240,7 @@
     }
     case MessageKind::CataloguePull:
     case MessageKind::BorrowLimit:
+    case MessageKind::DrainVm:
         return; // served by entry processes
     }
 }
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -44,6 +44,14 @@
         return first + count < 65535 ? first : first - count;
     }
 
+    std::string join(const std::vector<std::string>& parts)
+    {
+        std::string text;
+        for (const auto& part : parts)
+            text += (text.empty() ? "" : ",") + part;
+        return text;
+    }
+
     void append(std::vector<std::string>& to, const std::vector<std::string>& more)
     {
         to.insert(to.end(), more.begin(), more.end());
@@ -160,11 +168,14 @@
     std::vector<std::string> arguments { "--name", vm.name, "--region", vm.region, "--data-centre", vm.region,
         "--listen", at(vm.entryPort), "--rpc-listen", at(vm.entryRpcPort), "--store", at(storePort_), "--vm-list",
         at(vmListPort_), "--drain-wait-ms", "200" };
+    std::vector<std::string> schedulers;
+    std::vector<std::string> peers;
     for (const auto& other : vms_) {
-        append(arguments, { "--scheduler", other.name + "=" + at(other.schedulerRpcPort) });
+        schedulers.push_back(other.name + "=" + at(other.schedulerRpcPort));
         if (other.name != vm.name)
-            append(arguments, { "--peer", other.name + "=" + at(other.entryRpcPort) });
+            peers.push_back(other.name + "=" + at(other.entryRpcPort));
     }
+    append(arguments, { "--scheduler", join(schedulers), "--peer", join(peers) });
     append(arguments, options_.entryArguments);
     vm.entry = std::make_unique<Process>("agatevane-entry", arguments);
 }
@@ -172,12 +183,14 @@
 void Cluster::startScheduler(Vm& vm)
 {
     std::vector<std::string> arguments { "--name", vm.name, "--region", vm.region, "--data-centre", vm.region,
-        "--rpc-listen", at(vm.schedulerRpcPort), "--http-listen", at(vm.schedulerHttpPort), "--store", at(storePort_),
+        "--listen", at(vm.schedulerRpcPort), "--http-listen", at(vm.schedulerHttpPort), "--store", at(storePort_),
         "--vm-list", at(vmListPort_) };
+    std::vector<std::string> peers;
     for (const auto& other : vms_) {
         if (other.name != vm.name)
-            append(arguments, { "--peer", other.name + "=" + at(other.schedulerRpcPort) });
+            peers.push_back(other.name + "=" + at(other.schedulerRpcPort));
     }
+    append(arguments, { "--peer", join(peers) });
     append(arguments, options_.schedulerArguments);
     vm.scheduler = std::make_unique<Process>("agatevane-scheduler", arguments);
 }
