--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -37,13 +37,6 @@
         return json::parse(answer.body);
     }
 
-    int freePortRange(int count)
-    {
-        int first = freePort();
-        // Ports next to a free ephemeral port are usually free as well; a clash ends the stand-in and the test says so.
-        return first + count < 65535 ? first : first - count;
-    }
-
     std::string join(const std::vector<std::string>& parts)
     {
         std::string text;
@@ -102,13 +95,11 @@
         std::vector<std::string> { "--port", std::to_string(vmListPort_), "--control-port",
             std::to_string(vmListControlPort_), "--lag-ms", "200" });
     for (const auto& region : options_.regions) {
-        workerFirstPort_[region] = freePortRange(options_.workersPerDataCentre);
         workerControlPort_[region] = freePort();
         workers_[region] = std::make_unique<Process>("standin-worker",
             std::vector<std::string> { "--data-centre", region, "--count",
                 std::to_string(options_.workersPerDataCentre), "--rack-size", std::to_string(options_.rackSize),
-                "--first-port", std::to_string(workerFirstPort_[region]), "--control-port",
-                std::to_string(workerControlPort_[region]), "--accelerators",
+                "--control-port", std::to_string(workerControlPort_[region]), "--accelerators",
                 std::to_string(options_.acceleratorsPerWorker), "--threads", "16", "--checkpoint-ms",
                 std::to_string(options_.taskCheckpointMs) });
     }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -107,7 +107,6 @@
     int storeControlPort_ = 0;
     int vmListPort_ = 0;
     int vmListControlPort_ = 0;
-    std::map<std::string, int> workerFirstPort_;
     std::map<std::string, int> workerControlPort_;
     std::unique_ptr<Process> store_;
     std::unique_ptr<Process> vmList_;
