--- a/src/scheduler/scheduler_settings.cpp
+++ b/src/scheduler/scheduler_settings.cpp
@@ -6,13 +6,13 @@
     int argc, const char* const* argv, SchedulerSettings& result, std::ostream& out, std::ostream& err)
 {
     settings::Settings settings("agatevane-scheduler", "Owns data centres: places jobs, runs gangs, keeps guarantees",
-        "agatevane-scheduler --name vm1 --region harju --data-centre harju-1 --listen 127.0.0.1:7001 "
+        "agatevane-scheduler --name vm1 --region harju --data-centre harju-1 --rpc-listen 127.0.0.1:7001 "
         "--http-listen 127.0.0.1:7101 --store 127.0.0.1:2379 --peer vm2=127.0.0.1:7002");
     using settings::Presence;
     settings.text("--name", result.name, "name of this VM", Presence::Required, 256);
     settings.text("--region", result.region, "region of this VM", Presence::Required, 256);
     settings.text("--data-centre", result.dataCentre, "data centre of this VM", Presence::Optional, 256);
-    settings.address("--listen", result.listen, "address for other processes, TCP and UDP", Presence::Required);
+    settings.address("--rpc-listen", result.listen, "address for other processes, TCP and UDP", Presence::Required);
     settings.address("--http-listen", result.httpListen, "address for health, metrics and timeline");
     settings.endpoints("--store", result.stores, "endpoints of the store", Presence::Required);
     settings.namedAddresses("--peer", result.peers, "the other schedulers");
@@ -34,7 +34,7 @@
                 findings.push_back({ "--peer", "\"" + peer.name + "\" is this scheduler's own name" });
         }
         if (result.listen.port == 0)
-            findings.push_back({ "--listen", "needs a port, since the other schedulers have to know it" });
+            findings.push_back({ "--rpc-listen", "needs a port, since the other schedulers have to know it" });
     });
     return settings.parseOrPrint(argc, argv, out, err);
 }
--- a/tests/scheduler/scheduler_tests.cpp
+++ b/tests/scheduler/scheduler_tests.cpp
@@ -62,12 +62,47 @@
 
 BOOST_AUTO_TEST_CASE(Wrong_settings_are_reported_together, *boost::unit_test::label("settings"))
 {
-    std::vector<const char*> arguments { "agatevane-scheduler", "--name", "a", "--listen", "here", "--peer", "b" };
+    std::vector<const char*> arguments { "agatevane-scheduler", "--name", "a", "--rpc-listen", "here", "--peer", "b" };
     SchedulerSettings settings;
     std::ostringstream out;
     std::ostringstream err;
     auto code = readSettings(static_cast<int>(arguments.size()), arguments.data(), settings, out, err);
     BOOST_TEST((code == 2));
-    for (const char* flag : { "--region", "--listen", "--peer", "--store" })
+    for (const char* flag : { "--region", "--rpc-listen", "--peer", "--store" })
         BOOST_TEST(err.str().find(flag) != std::string::npos, flag);
 }
+
+// The budget of control traffic is 3 KB/s for a node; a change that polls or renews once for each task would exceed it.
+BOOST_AUTO_TEST_CASE(A_worker_with_running_tasks_costs_two_messages_a_second, *boost::unit_test::label("cost"))
+{
+    Deployment deployment(4, 1);
+    for (int i = 0; i < 16; ++i)
+        deployment.submit(Deployment::jobOf("j" + std::to_string(i), 2, 60000), Millis { 10000 });
+    deployment.waitFor(0, { "dc.j15" }, JobState::Running, Millis { 5000 });
+    auto measure = [&] {
+        std::pair<std::int64_t, std::int64_t> sum;
+        for (const auto& worker : deployment.fleet->workers()) {
+            auto counters = worker->counters();
+            sum.first += counters.at("requests").get<std::int64_t>();
+            sum.second += counters.at("bytesIn").get<std::int64_t>() + counters.at("bytesOut").get<std::int64_t>();
+        }
+        return sum;
+    };
+    auto storeCalls = [&] {
+        auto counters = deployment.store->counters();
+        return counters.at("reads").get<std::int64_t>() + counters.at("writes").get<std::int64_t>();
+    };
+    auto before = measure();
+    auto callsBefore = storeCalls();
+    constexpr int seconds = 5;
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    auto after = measure();
+    auto messages = static_cast<double>(after.first - before.first) / (4 * seconds);
+    auto bytes = static_cast<double>(after.second - before.second) / (4 * seconds);
+    auto calls = static_cast<double>(storeCalls() - callsBefore) / seconds;
+    std::cerr << "per worker and second: " << messages << " requests, " << bytes
+              << " bytes of bodies; store calls/s: " << calls << "\n";
+    BOOST_TEST(messages < 2.5);
+    BOOST_TEST(bytes < 3000);
+    BOOST_TEST(calls < 0.5);
+}
