Wait for a slot when all workers are full

Cause: at 2.2 times the capacity calls were refused at random by full workers instead of queueing at the gate: the small partner's 54 requests/s, well below its fair share, got 36 % of them served. Change: a call that a full worker refused, with no retry left in the budget, waits 10 to 30 ms and tries again while it keeps its slot, so that the requests behind it queue fairly. Ruled out: counting these waits against the retry budget, which is empty within the first second of a flood.

--- a/src/agatevane/routing/routing.cpp
+++ b/src/agatevane/routing/routing.cpp
@@ -10,7 +10,8 @@
 
     //! A worker may have begun to leave right after its last report, and gets no new work 3 s later at most.
     constexpr Millis maxReportAge { 2500 };
-    constexpr Millis fullPause { 200 };
+    //! A full worker frees a slot within a fraction of the service time; asking it at once again would be refused.
+    constexpr Millis fullPause { 25 };
     constexpr double meanSmoothing = 0.05;
     constexpr int maxAttempts = 3;
     constexpr int randomDraws = 8;
@@ -232,6 +233,8 @@
         worker->refusedLeaving = now;
     if (result == Result::Full)
         worker->fullUntil = now + fullPause;
+    else
+        worker->fullUntil = now; // The slot of this request is free now.
     if (result == Result::Success)
         state.meanServiceMs += meanSmoothing * (static_cast<double>(took.count()) - state.meanServiceMs);
     updateHealth(state, *worker, result, now, random);
--- a/src/entry/call_runner.h
+++ b/src/entry/call_runner.h
@@ -29,6 +29,13 @@
 WorkerAnswer attemptCall(WorkerRouter& router, WorkerClient& workers, const routing::Choice& choice,
     const AttemptId& attempt, const CallToRun& call);
 
+//! Waits a moment for a worker to free a slot; false if that would last beyond the deadline.
+bool waitForSlot(Instant deadline, Random& random);
+
+//! A worker; waits while all are full. Nothing if none can be used.
+std::optional<routing::Choice> chooseOrWait(
+    WorkerRouter& router, const routing::Query& query, Instant deadline, Random& random);
+
 routing::Result resultOf(const WorkerAnswer& answer);
 
 } // namespace agatevane::entry
--- a/src/entry/claimed_call.cpp
+++ b/src/entry/claimed_call.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/claim_store/worker_calls.h"
 #include "agatevane/http/problem.h"
+#include "entry/call_runner.h"
 #include <cctype>
 
 namespace agatevane::entry {
@@ -13,9 +14,11 @@
     //! The workers of one call: chosen ones count as in progress until they are sent the call or released.
     class ChosenWorkers {
     public:
-        ChosenWorkers(WorkerRouter& router, const ServiceId& service)
+        ChosenWorkers(WorkerRouter& router, const ServiceId& service, Instant deadline, Random& random)
             : router_(router)
             , query_ { service, false, {} }
+            , deadline_(deadline)
+            , random_(random)
         {
         }
         ChosenWorkers(const ChosenWorkers&) = delete;
@@ -25,7 +28,7 @@
         std::optional<ClaimWorker> choose()
         {
             release();
-            auto choice = router_.choose(query_);
+            auto choice = chooseOrWait(router_, query_, deadline_, random_);
             if (!choice)
                 return std::nullopt;
             unsent_ = choice->worker;
@@ -50,6 +53,8 @@
 
         WorkerRouter& router_;
         routing::Query query_;
+        Instant deadline_;
+        Random& random_;
         WorkerId unsent_; //!< empty: none
     };
 
@@ -93,7 +98,7 @@
 FinishClaim runClaimedCall(ClaimStore& claims, WorkerRouter& router, WorkerClient& workers, const ClaimedCall& call)
 {
     thread_local Random random = makeRandom();
-    ChosenWorkers chosen(router, call.service);
+    ChosenWorkers chosen(router, call.service, call.deadline, random);
     auto first = chosen.choose();
     if (!first)
         return { ClaimOutcome::NotRun, {}, "no worker is available" };
@@ -110,7 +115,7 @@
         return sent;
     };
     ports.choose = [&](const WorkerId&) -> std::optional<ClaimWorker> {
-        if (!router.mayRetry(routing::Result::Full, false, 1, call.deadline))
+        if (!router.mayRetry(routing::Result::Full, false, 1, call.deadline) && !waitForSlot(call.deadline, random))
             return std::nullopt;
         return chosen.choose();
     };
--- a/src/entry/worker_router.cpp
+++ b/src/entry/worker_router.cpp
@@ -1,5 +1,7 @@
 #include "entry/worker_router.h"
 
+#include <algorithm>
+
 namespace agatevane::entry {
 
 WorkerRouter::WorkerRouter(const RegionId& region)
@@ -41,6 +43,16 @@
     routing::onResult(state_, worker, result, took, now(), random_);
 }
 
+bool WorkerRouter::isAnyFull(const ServiceId& service)
+{
+    std::lock_guard lock(mutex_);
+    auto at = now();
+    return std::any_of(state_.workers.begin(), state_.workers.end(), [&service, at](const routing::Worker& worker) {
+        return worker.config.service == service && worker.health == routing::Health::Healthy && at < worker.fullUntil
+            && routing::isUsable(worker, worker.fullUntil);
+    });
+}
+
 void WorkerRouter::release(const WorkerId& worker)
 {
     std::lock_guard lock(mutex_);
--- a/src/entry/worker_router.h
+++ b/src/entry/worker_router.h
@@ -16,6 +16,8 @@
 
     std::optional<routing::Choice> choose(const routing::Query& query);
     void finish(const WorkerId& worker, routing::Result result, Millis took);
+    //! Whether a worker of the service would be usable but for a refusal a moment ago.
+    bool isAnyFull(const ServiceId& service);
     void release(const WorkerId& worker); //!< it was not sent the request after all
     bool mayRetry(routing::Result result, bool isIdempotent, int attempts, Instant deadline);
 
--- a/src/load/plan.cpp
+++ b/src/load/plan.cpp
@@ -32,7 +32,7 @@
     {
         double mean = std::max(1, settings.callMs);
         auto ms = static_cast<std::int64_t>(std::exponential_distribution<double>(1 / mean)(random));
-        return json::dump({ { "request", number }, { "seed", settings.seed }, { "durationMs", ms },
+        return json::dump({ { "request", number }, { "run", settings.runToken }, { "durationMs", ms },
             { "answerBytes", settings.answerBytes } });
     }
 
@@ -66,7 +66,7 @@
             request.isIdempotent = kind == RequestKind::Call && share(random) < settings.idempotentShare;
             request.isRepeated = !request.isIdempotent && share(random) < settings.repeatShare;
             if (!request.isIdempotent)
-                request.key = randomToken(random);
+                request.key = settings.runToken + "-" + std::to_string(plan.size());
             request.body = kind == RequestKind::Call ? makeCallBody(settings, plan.size(), random)
                                                      : makeJobBody(settings, request);
             plan.push_back(std::move(request));
@@ -101,13 +101,16 @@
     reader.integer("--accelerators", result.accelerators, 1, 128, "of each job");
     reader.integer("--job-seconds", result.jobSeconds, 1, 86400, "declared run time of each job");
     reader.integer("--threads", result.threads, 1, 4000, "requests in flight at most");
-    reader.integer("--seed", result.seed, std::int64_t(0), std::int64_t(1) << 62, "of arrivals, bodies and keys");
+    reader.integer(
+        "--seed", result.seed, std::int64_t(0), std::int64_t(1) << 62, "of arrivals, classes, callers and run times");
     reader.choice("--format", result.format, "of the report");
     reader.endpoint("--worker-control", control, "control path of standin-worker, to check what really ran");
     reader.check([&result](Findings& findings) {
         if (result.classWeights[0] + result.classWeights[1] + result.classWeights[2] <= 0)
             findings.push_back({ "--urgent, --standard, --batch", "one weight must be above 0" });
     });
+    auto random = makeRandom();
+    result.runToken = randomToken(random);
     auto exitCode = reader.parseOrPrint(argc, argv, out, err);
     if (reader.isGiven("--worker-control"))
         result.workerControl = control;
--- a/src/load/plan.h
+++ b/src/load/plan.h
@@ -49,6 +49,7 @@
     int jobSeconds = 10;
     int threads = 256; //!< requests in flight at most
     std::int64_t seed = 1;
+    std::string runToken; //!< part of bodies and keys, so that the workers' log tells runs with one seed apart
     Format format = Format::Table;
     std::optional<http::Endpoint> workerControl; //!< of standin-worker, to check what really ran
 };
@@ -59,7 +60,7 @@
 
 enum class RequestKind { Call, Job };
 
-//! One request, fixed before the run, so that the same seed asks for the same work.
+//! One request, fixed before the run, so that the same seed asks for the same work at the same instants.
 struct PlannedRequest {
     Millis at { 0 }; //!< since the start of the run
     RequestKind kind = RequestKind::Call;
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -41,6 +41,7 @@
 Runner::Runner(const LoadSettings& settings)
     : settings_(settings)
 {
+    entries_.reserve(settings.entries.size());
     for (const auto& entry : settings.entries)
         entries_.push_back(std::make_unique<http::Client>(entry));
 }
@@ -50,6 +51,7 @@
     std::atomic<std::size_t> next = 0;
     auto start = now() + Millis(20);
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(settings_.threads));
     for (int i = 0; i < settings_.threads; ++i) {
         threads.emplace_back([&] {
             for (auto index = next++; index < plan.size(); index = next++) {
