--- a/src/agatevane/scheduling/preemption.h
+++ b/src/agatevane/scheduling/preemption.h
@@ -8,6 +8,9 @@
 //! Gangs that the job may preempt, in order: least urgent class, furthest above share, latest checkpoint.
 std::vector<int> victimsFor(const Shard& shard, int job, ReservationKind kind, Instant at);
 
+//! Gangs above this size free far more than the job needs and are preempted only if no others suffice.
+int largestVictim(const Job& job);
+
 //! Preempts the plan's victims and holds the capacity for the job.
 void carryOut(
     Shard& shard, int job, ReservationKind kind, const Plan& plan, Instant at, std::vector<Decision>& decisions);
@@ -23,6 +26,6 @@
 int usedWith(const Shard& shard, const Job& job);
 
 //! Urgent work may preempt up to its workspace's fair share; one gang may exceed it, or large gangs could never start.
-bool isWithinUrgentShare(const Shard& shard, const Workspace& workspace, const Job& job);
+bool isWithinUrgentShare(const Workspace& workspace, int accelerators);
 
 } // namespace agatevane::scheduling
