Measure the catalogue with token digests of the present length

Token digests have 64 digits now, so the entries that agatevane-capacity applied could no longer be read and their figures were those of refused updates.

--- a/src/capacity/state_measure.cpp
+++ b/src/capacity/state_measure.cpp
@@ -1,3 +1,4 @@
+#include "agatevane/base/token.h"
 #include "agatevane/catalogue/codec.h"
 #include "agatevane/catalogue/view.h"
 #include "agatevane/journal/record.h"
@@ -20,7 +21,7 @@
         caller.id = { "caller-" + std::to_string(i) };
         caller.workspace = { "workspace" };
         caller.owner = "owner";
-        caller.tokenDigest = "0123456789abcdef";
+        caller.tokenDigest.assign(tokenDigestDigits, 'a');
         return { storeKeyOf({ EntryKind::Caller, caller.id.value }), revision, false, encodeEntry(caller) };
     }
 
