Let policy reserve by share

In the visitdesk setting 2 % of the work of gangs of 64 completed during a batch flood: the flood's old jobs held every reservation.

--- a/src/agatevane/scheduling/backlog.cpp
+++ b/src/agatevane/scheduling/backlog.cpp
@@ -13,7 +13,10 @@
     constexpr int headsPerWorkspace = 4; //!< oldest jobs considered, so that one blocked by the quota hides no other
     constexpr int mostBacklogs
         = 1; //!< three were tried: they hold more than backfill uses, and large gangs waited longer
-    constexpr int fairPeriods = 10; //!< after so many times reservationAfter a gang's share no longer matters
+    //! With reserveByShare, one reservation in so many goes to the oldest gang whatever its share. If age alone
+    //! decided, a flood would hold all of them, since its jobs are soon the oldest.
+    constexpr int turnsPerCycle = 8;
+    constexpr int fairPeriods = 10; //!< after so many times reservationAfter age alone decides
 
     std::vector<int> backlogJobs(const Shard& shard)
     {
@@ -119,11 +122,12 @@
     }
 
     //! The oldest job without a reservation that has waited for reservationAfter; those of workspaces below their fair
-    //! share come first unless another has waited many times as long.
+    //! share come first; see Policy::reserveByShare.
     int oldestStarved(const Shard& shard, Instant at)
     {
         int best = -1;
         std::pair<bool, Instant> bestKey;
+        bool isAnyonesTurn = shard.backlogTurns % turnsPerCycle == 0;
         for (const auto& workspace : shard.workspaces) {
             int heads = 0;
             for (const auto& key : workspace.byAge) {
@@ -132,8 +136,8 @@
                 const Job& job = shard.jobs[key.job];
                 if (job.hasReservation || !mayCharge(shard, workspace, shard.shapes[job.shape]))
                     continue;
-                bool isOwed
-                    = isBelowShare(workspace) || at - key.queuedAt >= fairPeriods * shard.policy.reservationAfter;
+                bool isOld = at - key.queuedAt >= fairPeriods * shard.policy.reservationAfter;
+                bool isOwed = isBelowShare(workspace) || (shard.policy.reserveByShare ? isAnyonesTurn : isOld);
                 std::pair order { !isOwed, key.queuedAt };
                 if (best < 0 || order < bestKey) {
                     best = key.job;
@@ -226,6 +230,8 @@
         preemptForStarved(shard, job, at, decisions);
     for (int count = static_cast<int>(backlogJobs(shard).size()); count < mostBacklogs; ++count) {
         int job = oldestStarved(shard, at);
+        if (job >= 0)
+            ++shard.backlogTurns;
         if (job < 0 || preemptForStarved(shard, job, at, decisions))
             return;
         auto room = expectedRoom(shard, job, at);
--- a/src/agatevane/scheduling/shard.h
+++ b/src/agatevane/scheduling/shard.h
@@ -47,6 +47,10 @@
     //! Share of the accelerators that workspaces and callers above their fair share leave free for the others, so that
     //! these start without waiting for checkpoints. Costs as much throughput while a few ask for everything.
     double headroom = 0;
+    //! Reservations go to workspaces below their fair share in all turns but one of eight, so that the old jobs of a
+    //! flood do not hold them all. Otherwise age decides once a gang has waited ten times reservationAfter, which
+    //! bounds every wait and completes ordinary load sooner.
+    bool reserveByShare = false;
 };
 
 struct PlacedPart {
--- a/src/agatevane/scheduling/shard_state.h
+++ b/src/agatevane/scheduling/shard_state.h
@@ -165,6 +165,7 @@
     //! Earliest repeat of a preemption search that found no victims, by kind, workspace and shape.
     std::map<std::tuple<int, int, int>, Instant> retryAt;
     bool hasShrunk = false; //!< a queued job may have become impossible
+    std::uint64_t backlogTurns = 1;
     bool hasFreedHeld = false; //!< a reservation was given up, so shapes that did not fit may fit now
     bool hasOvercommitted = false; //!< a worker shrank, or a gang found running exceeds what its worker has
     bool hasCommitmentChanged = false; //!< capacity fell or guarantees rose under work that cannot be stopped
--- a/src/experiment/workload.cpp
+++ b/src/experiment/workload.cpp
@@ -112,6 +112,7 @@
     };
     // Fairness and floods first: room is left for those below their share.
     all[0].policy.headroom = 0.1;
+    all[0].policy.reserveByShare = true;
     // Completion and fragmentation first: large gangs are served sooner at the cost of more preemption.
     all[1].policy.reservationAfter = Millis(20000);
     all[1].policy.starvedAfter = Millis(60000);
