--- a/src/experiment/cost.cpp
+++ b/src/experiment/cost.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <deque>
 #include <malloc.h>
-#include <map>
 
 namespace agatevane::experiment {
 
@@ -52,7 +51,6 @@
             policy.workspaces.push_back(
                 { .id = { "workspace-" + std::to_string(i) }, .guaranteedAccelerators = 4, .quotaAccelerators = 400 });
         }
-        std::map<JobId, JobSpec> specs;
         Instant at = Instant {} + std::chrono::hours(1);
         double before = allocatedMiB();
         ShardPtr shard = makeShard();
@@ -76,7 +74,6 @@
             submit();
         double withJobs = 0;
         std::vector<double> times;
-        std::map<JobId, JobSpec> preempted;
         for (int call = 0; call < calls; ++call) {
             at += Millis(100);
             // About one in six gangs ends per call, as if all ran for minutes: far more changes than at hours each.
--- a/src/experiment/scenarios.cpp
+++ b/src/experiment/scenarios.cpp
@@ -1,5 +1,6 @@
 #include "scenarios.h"
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace agatevane::experiment {
@@ -40,7 +41,7 @@
     {
         if (values.empty())
             return 0;
-        auto index = static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1) + 0.5);
+        auto index = static_cast<std::size_t>(std::lround(fraction * static_cast<double>(values.size() - 1)));
         std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
         return values[index];
     }
--- a/src/experiment/scheduler.cpp
+++ b/src/experiment/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler.h"
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 
 namespace agatevane::experiment {
 
@@ -100,11 +101,11 @@
         }
 
         bool mayOvertake_;
-        std::map<WorkerId, std::size_t> slots_;
+        std::unordered_map<WorkerId, std::size_t> slots_;
         std::vector<WorkerId> ids_;
         std::vector<int> free_;
         std::deque<JobSpec> queue_;
-        std::map<JobId, Placement> running_;
+        std::unordered_map<JobId, Placement> running_;
     };
 
 } // namespace
--- a/src/experiment/workload.cpp
+++ b/src/experiment/workload.cpp
@@ -131,6 +131,7 @@
 std::vector<scheduling::WorkerState> workersOf(const Setting& setting)
 {
     std::vector<scheduling::WorkerState> workers;
+    workers.reserve(setting.workers);
     for (int worker = 0; worker < setting.workers; ++worker) {
         workers.push_back({ .id = { "worker" + std::to_string(worker) },
             .rack = { "rack" + std::to_string(worker / workersPerRack) },
