--- a/src/experiment/workload.cpp
+++ b/src/experiment/workload.cpp
@@ -112,6 +112,7 @@
     };
     // Fairness and floods first: room is left for those below their share.
     all[0].policy.headroom = 0.1;
+    all[0].policy.reserveByShare = true;
     // Completion and fragmentation first: large gangs are served sooner at the cost of more preemption.
     all[1].policy.reservationAfter = Millis(20000);
     all[1].policy.starvedAfter = Millis(60000);
@@ -130,6 +131,7 @@
 std::vector<scheduling::WorkerState> workersOf(const Setting& setting)
 {
     std::vector<scheduling::WorkerState> workers;
+    workers.reserve(setting.workers);
     for (int worker = 0; worker < setting.workers; ++worker) {
         workers.push_back({ .id = { "worker" + std::to_string(worker) },
             .rack = { "rack" + std::to_string(worker / workersPerRack) },
