Set the feed's peers without holding the configuration mutex

Cause: with three VMs, 5 of 8 deployments stayed unready. A thread dump showed applyVmList holding configureMutex_ and waiting for the feed's mutex, while the feed published a catalogue and waited for configureMutex_. Change: setPeers is called after the mutex is released. Ruled out: threads of the store stand-in held by idle connections (128 threads, 58 connections in all).

--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -115,7 +115,7 @@
 
 void EntryServer::applyVmList(const std::vector<ListedVm>& vms)
 {
-    std::lock_guard lock(configureMutex_);
+    std::unique_lock lock(configureMutex_);
     std::set<std::string> workers;
     for (const auto& target : router_.targets())
         workers.insert(target.worker.value);
@@ -133,6 +133,8 @@
     if (members_.exchange(members) == members)
         return;
     configure();
+    // The feed publishes a catalogue with its own mutex held, which then takes this one.
+    lock.unlock();
     // A VM that the list has dropped no longer has to prove that it accepted no change.
     source_.setPeers(listedPeers);
 }
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -174,7 +174,7 @@
 void Cluster::startScheduler(Vm& vm)
 {
     std::vector<std::string> arguments { "--name", vm.name, "--region", vm.region, "--data-centre", vm.region,
-        "--listen", at(vm.schedulerRpcPort), "--http-listen", at(vm.schedulerHttpPort), "--store", at(storePort_),
+        "--rpc-listen", at(vm.schedulerRpcPort), "--http-listen", at(vm.schedulerHttpPort), "--store", at(storePort_),
         "--vm-list", at(vmListPort_) };
     std::vector<std::string> peers;
     for (const auto& other : vms_) {
