--- a/tests/admin/fake_entry.h
+++ b/tests/admin/fake_entry.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "agatevane/admin/admin.h"
-#include "agatevane/base/token.h"
 #include "agatevane/base/hash.h"
+#include "agatevane/base/token.h"
 #include "agatevane/http/client.h"
 #include <map>
 #include <mutex>
--- a/tests/system/path_tests.cpp
+++ b/tests/system/path_tests.cpp
@@ -1,21 +1,11 @@
 #include "cluster.h"
+#include "sample_jobs.h"
 #include <boost/test/unit_test.hpp>
 
 using namespace agatevane;
 using namespace agatevane::test;
 using nlohmann::json;
 
-namespace {
-
-json gangJob(int accelerators, std::int64_t expectedSeconds)
-{
-    return { { "workspace", "installers" }, { "kind", "thermal-scan" }, { "class", "standard" },
-        { "accelerators", accelerators }, { "acceleratorsPerWorker", 8 }, { "expectedSeconds", expectedSeconds },
-        { "canCheckpoint", true }, { "dataCentre", "harju" }, { "payload", "" } };
-}
-
-} // namespace
-
 // Guards against a path that works only inside one process.
 BOOST_AUTO_TEST_CASE(A_request_and_a_gang_are_served_end_to_end, *boost::unit_test::label("path"))
 {
