--- a/src/agatevane/catalogue/codec.cpp
+++ b/src/agatevane/catalogue/codec.cpp
@@ -153,6 +153,11 @@
         reader.read("reservationAfterMs", entry.reservationAfterMs, Presence::Optional, 0, maxMillis);
         reader.read("fairnessWeight", entry.fairnessWeight, Presence::Optional, 0.0, 1.0);
         reader.read("defragment", entry.defragment, Presence::Optional);
+        reader.read("classFloor", entry.classFloor, Presence::Optional, 0.0, 0.3);
+        reader.read("shareClaimAfterMs", entry.shareClaimAfterMs, Presence::Optional, 0, maxMillis);
+        reader.read("starvedAfterMs", entry.starvedAfterMs, Presence::Optional, 0, maxMillis);
+        reader.read("headroom", entry.headroom, Presence::Optional, 0.0, 0.5);
+        reader.read("reserveByShare", entry.reserveByShare, Presence::Optional);
         if (entry.id != "default")
             reader.report("id", "the only policy is \"default\"");
     }
@@ -218,7 +223,9 @@
         return { { "id", entry.id }, { "reclaimDeadlineMs", entry.reclaimDeadlineMs },
             { "urgentReclaimDeadlineMs", entry.urgentReclaimDeadlineMs },
             { "reservationAfterMs", entry.reservationAfterMs }, { "fairnessWeight", entry.fairnessWeight },
-            { "defragment", entry.defragment } };
+            { "defragment", entry.defragment }, { "classFloor", entry.classFloor },
+            { "shareClaimAfterMs", entry.shareClaimAfterMs }, { "starvedAfterMs", entry.starvedAfterMs },
+            { "headroom", entry.headroom }, { "reserveByShare", entry.reserveByShare } };
     }
 
 } // namespace
--- a/src/agatevane/catalogue/entries.h
+++ b/src/agatevane/catalogue/entries.h
@@ -108,6 +108,11 @@
     std::int64_t reservationAfterMs = 60000; //!< a gang that has waited this long gets a reservation
     double fairnessWeight = 1; //!< 0: order by age only; 1: order by dominant share only
     bool defragment = true;
+    double classFloor = 0.05; //!< share of the accelerators that each class with waiting jobs is served first up to
+    std::int64_t shareClaimAfterMs = 30000; //!< wait after which a job may preempt work above its fair share; 0: never
+    std::int64_t starvedAfterMs = 120000; //!< wait after which a gang below its fair share may preempt more; 0: never
+    double headroom = 0; //!< share of the accelerators left free by those above their fair share, 0 to 0.5
+    bool reserveByShare = false; //!< reservations go to workspaces below their fair share first, not to the oldest job
 
     bool operator==(const PolicyEntry&) const = default;
 };
--- a/src/scheduler/catalogue_source.cpp
+++ b/src/scheduler/catalogue_source.cpp
@@ -68,6 +68,11 @@
     fleet.policy.urgentReclaimDeadline = Millis { policy.urgentReclaimDeadlineMs };
     fleet.policy.reservationAfter = Millis { policy.reservationAfterMs };
     fleet.policy.fairnessWeight = policy.fairnessWeight;
+    fleet.policy.classFloor = policy.classFloor;
+    fleet.policy.shareClaimAfter = Millis(policy.shareClaimAfterMs);
+    fleet.policy.starvedAfter = Millis(policy.starvedAfterMs);
+    fleet.policy.headroom = policy.headroom;
+    fleet.policy.reserveByShare = policy.reserveByShare;
     fleet.policy.defragment = policy.defragment;
     return fleet;
 }
--- a/tests/catalogue/entry_tests.cpp
+++ b/tests/catalogue/entry_tests.cpp
@@ -43,7 +43,8 @@
         CallerEntry { { "c" }, { "a" }, "o", std::string(64, 'f'), WorkClass::Batch, 3, true },
         ServiceEntry { { "s" }, "o", { 0.2, 0.3, 0.4 }, 7, 8, 9 },
         DataCentreEntry { { "d" }, { "r" }, "o", { worker("w", "k") } },
-        LinkEntry { "l", "o", { "r" }, { "q" }, 8, 0.5 }, PolicyEntry { "default", "o", 1000, 500, 7, 0.5, false } };
+        LinkEntry { "l", "o", { "r" }, { "q" }, 8, 0.5 },
+        PolicyEntry { "default", "o", 1000, 500, 7, 0.5, false, 0.1, 11, 13, 0.25, true } };
     for (const auto& entry : entries) {
         Entry result;
         auto findings = decodeEntry(keyOf(entry).kind, encodeEntry(entry), result);
