--- a/src/agatevane/http/server.cpp
+++ b/src/agatevane/http/server.cpp
@@ -129,6 +129,12 @@
     server.set_keep_alive_timeout(std::max<time_t>(1, limits.keepAliveTimeout.count() / 1000));
     server.set_keep_alive_max_count(static_cast<size_t>(limits.keepAliveRequests));
     server.set_tcp_nodelay(true);
+    // httplib's default also sets SO_REUSEPORT, with which two programs on one port would both start and share its
+    // calls.
+    server.set_socket_options([](socket_t socket) {
+        int enabled = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    });
     const int bound = limits.threads + limits.queuedConnections;
     server.set_pre_routing_handler([bound, &queued](const httplib::Request&, httplib::Response& response) {
         if (queued.load(std::memory_order_relaxed) <= bound)
--- a/src/agatevane/ownership/record.cpp
+++ b/src/agatevane/ownership/record.cpp
@@ -46,9 +46,14 @@
 
 int preferenceOf(const State& state, const MemberId& member)
 {
+    // The regions of the others are learned from the VM list some time after the start. Until then a scheduler of
+    // another region must not take the data centre at once because it does not know who is nearer.
+    auto distance = [&](const Candidate& candidate) {
+        return candidate.region == state.region ? 0 : candidate.region.empty() ? 1 : 2;
+    };
     auto rank = [&](const Candidate& candidate) {
-        return std::make_tuple(candidate.region != state.region,
-            hash64(state.dataCentre.value + "/" + candidate.member.value), candidate.member.value);
+        return std::make_tuple(
+            distance(candidate), hash64(state.dataCentre.value + "/" + candidate.member.value), candidate.member.value);
     };
     auto self = std::find_if(state.candidates.begin(), state.candidates.end(),
         [&](const Candidate& candidate) { return candidate.member == member; });
--- a/tests/http/http_tests.cpp
+++ b/tests/http/http_tests.cpp
@@ -76,6 +76,16 @@
     BOOST_TEST(answer.body == "whole");
 }
 
+// Guards against two programs that serve one port without noticing each other.
+BOOST_AUTO_TEST_CASE(A_port_in_use_is_refused, *boost::unit_test::label("server"))
+{
+    http::Server first;
+    BOOST_REQUIRE(!first.bind("127.0.0.1", 0));
+    first.start();
+    http::Server second;
+    BOOST_TEST((second.bind("127.0.0.1", first.port()) == Errc::Refused));
+}
+
 BOOST_AUTO_TEST_CASE(A_body_over_the_bound_is_refused, *boost::unit_test::label("server"))
 {
     http::ServerLimits limits;
--- a/tests/ownership/ownership_tests.cpp
+++ b/tests/ownership/ownership_tests.cpp
@@ -111,3 +111,15 @@
     BOOST_TEST(onEpoch(state, 5).lost);
     BOOST_TEST(!mayAct(state, at + Millis { 6001 }));
 }
+
+// Guards against billed traffic between regions: a scheduler that has just started took the data centres of other
+// regions.
+BOOST_AUTO_TEST_CASE(
+    A_scheduler_that_knows_no_other_region_prefers_unknown_peers, *boost::unit_test::label("preference"))
+{
+    std::vector<Candidate> candidates { { { "a" }, { "harju" } }, { { "b" }, {} }, { { "c" }, {} } };
+    auto far = makeState({ "parnu" }, { "parnu" }, { "a" }, "1", candidates, Instant());
+    BOOST_TEST(preferenceOf(far, { "a" }) == 2);
+    auto near = makeState({ "harju" }, { "harju" }, { "a" }, "1", candidates, Instant());
+    BOOST_TEST(preferenceOf(near, { "a" }) == 0);
+}
