Let only operators change shares, quotas and limits

Cause: a partner who owns its workspace's entry could raise its own weight or guarantee; partners share one fleet and watch each other. Change: weight, guarantees, quota, floor and rate limits of a workspace, and class and rate limit of a caller, are reserved to operators. Two tests wrote a weight as the owner; they now write it as an operator, and a new check refuses the owner.

--- a/src/agatevane/admin/access.cpp
+++ b/src/agatevane/admin/access.cpp
@@ -25,10 +25,13 @@
         return left == right;
     }
 
+    //! Fields that only operators change. Partners share one fleet, so none may raise its own share or limit.
     std::vector<const char*> reservedFields(EntryKind kind)
     {
         if (kind == EntryKind::Caller)
-            return { "owner", "isOperator", "workspace" };
+            return { "owner", "isOperator", "workspace", "highestClass", "requestsPerSecond" };
+        if (kind == EntryKind::Workspace)
+            return { "owner", "weight", "guarantees", "quotaAccelerators", "floorShare", "requestsPerSecond" };
         return { "owner" };
     }
 
--- a/tests/admin/admin_tests.cpp
+++ b/tests/admin/admin_tests.cpp
@@ -19,9 +19,9 @@
     auto etag = http::headerOf(read.headers, "ETag");
     BOOST_TEST(read.status == 200);
     BOOST_TEST(etag == "\"11\"");
-    BOOST_TEST(entry.ask("north", "PUT", north, heavier).status == 428);
-    BOOST_TEST(entry.ask("north", "PUT", north, heavier, { { "If-Match", "11" } }).status == 400);
-    auto written = entry.ask("north", "PUT", north, heavier, { { "If-Match", etag } });
+    BOOST_TEST(entry.ask("root", "PUT", north, heavier).status == 428);
+    BOOST_TEST(entry.ask("root", "PUT", north, heavier, { { "If-Match", "11" } }).status == 400);
+    auto written = entry.ask("root", "PUT", north, heavier, { { "If-Match", etag } });
     BOOST_TEST(written.status == 200);
     BOOST_TEST(http::headerOf(written.headers, "ETag") == "\"13\"");
     // Guards against a second operator who overwrites a change that it has not seen.
@@ -42,6 +42,8 @@
     BOOST_TEST(entry.ask("wrong", "PUT", north, heavier, condition).status == 401);
     BOOST_TEST(entry.ask("south", "PUT", north, heavier, condition).status == 403);
     BOOST_TEST(entry.ask("south", "DELETE", north, "", condition).status == 403);
+    // Guards against a partner that raises its own share of the fleet.
+    BOOST_TEST(entry.ask("north", "PUT", north, heavier, condition).status == 403);
     http::Headers creation { { "If-None-Match", "*" } };
     auto path = "/v1/catalogue/workspaces/new";
     BOOST_TEST(entry.ask("south", "PUT", path, R"({"id":"new","owner":"south"})", creation).status == 403);
@@ -69,7 +71,7 @@
              Case { ChangeStatus::Unavailable, 503, "nothing was changed" },
              Case { ChangeStatus::Unknown, 504, "\"outcome\":\"unknown\"" } }) {
         entry.forced = each.status;
-        auto answer = entry.ask("north", "PUT", north, heavier, condition);
+        auto answer = entry.ask("root", "PUT", north, heavier, condition);
         BOOST_TEST(answer.status == each.expected);
         BOOST_TEST(answer.body.find(each.text) != std::string::npos, answer.body);
     }
