Name the address that cannot be bound, correct the drain page

Cause: a start on a port in use said only 'cannot listen: refused', and the drain page promised that the drain command ends the processes. Measured: agatevane-entry on a used port exits with 1 and names it.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -124,7 +124,7 @@
     addCommand(app, "fleet", "Accelerators, queues and owners of all data centres", chosen, ctl::showFleet);
     addCommand(app, "members", "Entry VMs as the asked one sees them", chosen, ctl::listMembers);
     addCommand(app, "owners", "Owner and epoch of each data centre", chosen, ctl::listOwners);
-    addCommand(app, "drain", "Let an entry VM finish its requests and end", chosen,
+    addCommand(app, "drain", "Let an entry VM take no new requests; end it with SIGTERM afterwards", chosen,
         [&](const auto& each) { return ctl::drain(each, arguments.name); })
         ->add_option("vm", arguments.name, "name of the VM")
         ->required();
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -21,9 +21,11 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
     auto drainWait = settings.drainWait;
+    auto addresses = settings.listen.address + ":" + std::to_string(settings.listen.port) + " or "
+        + settings.rpcListen.address + ":" + std::to_string(settings.rpcListen.port);
     entry::EntryServer server(std::move(settings));
     if (auto error = server.start()) {
-        LOG(ERROR) << "cannot listen: " << error.message();
+        LOG(ERROR) << "cannot listen on " << addresses << ": " << error.message();
         return 1;
     }
     LOG(INFO) << "serving on port " << server.port();
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -22,7 +22,8 @@
 
     scheduler::Scheduler process(settings);
     if (auto error = process.start()) {
-        LOG(ERROR) << "cannot listen: " << error.message();
+        LOG(ERROR) << "cannot listen on " << settings.listen.address << ":" << settings.listen.port
+                   << " or at the HTTP address: " << error.message();
         return 1;
     }
     LOG(INFO) << "serving on " << settings.listen.address << ":" << settings.listen.port << ", HTTP port "
