Wait up to 2 s for the store's answer, prove handover and a slow store

Cause: with a store that takes 0.8 s for each answer no job could be accepted: the scheduler gave up after 700 ms, and each submission ended as unknown. New process tests: slow store, SIGTERM of an owner. Ruled out: the entry; its reads wait 6 s.

--- a/src/scheduler/scheduler_settings.h
+++ b/src/scheduler/scheduler_settings.h
@@ -18,7 +18,9 @@
     int workerThreads = 32;
     int storeThreads = 4;
     Millis workerTimeout { 900 }; //!< below the poll interval
-    Millis storeTimeout { 700 };
+    //! A store that is slower than this cannot be used at all: every answer comes too late. Longer waits delay a
+    //! takeover while the store is silent, since a standby asks it before it uses its allocated epoch.
+    Millis storeTimeout { 2000 };
     Millis memberInterval { 10000 };
     Millis tick { 25 };
     Millis handoverTimeout { 3000 };
--- a/tests/system/job_failure_tests.cpp
+++ b/tests/system/job_failure_tests.cpp
@@ -176,3 +176,35 @@
     BOOST_TEST(cluster.waitForJob(vm, id, "finished", Millis(20000)));
     BOOST_TEST(finishedParts(cluster, id) == 1);
 }
+
+// Guards against a planned replacement that costs as much time without service as a crash, or stops running work.
+BOOST_AUTO_TEST_CASE(A_terminated_scheduler_hands_its_data_centre_over, *boost::unit_test::label("failure"))
+{
+    Cluster cluster;
+    int owner = cluster.ownerOf("harju");
+    auto& leaving = cluster.vms()[static_cast<std::size_t>(owner)];
+    auto& other = cluster.vms()[static_cast<std::size_t>(otherThan(owner, cluster))];
+    auto job = cluster.submitJob(other, gangJob(16, 6));
+    BOOST_REQUIRE(waitFor([&] { return isRunning(cluster, job); }, Millis(10000)));
+    BOOST_TEST(leaving.scheduler->terminate() == 0, leaving.scheduler->output());
+    auto endedAt = now();
+    BOOST_TEST(waitFor([&] { return cluster.ownerOf("harju") >= 0; }, Millis(5000)), cluster.outputs());
+    BOOST_TEST_MESSAGE("owner seen " << elapsed(endedAt, now()).count() << " ms after the exit");
+    BOOST_TEST(cluster.waitForJob(other, job, "finished", Millis(30000)), cluster.outputs());
+    BOOST_TEST(finishedParts(cluster, job) == 2);
+    BOOST_TEST(cluster.workerLog("runs", "harju").size() == 2U);
+}
+
+// Guards against a store that answers slowly and is taken for one that is down, or whose late answers are believed
+// twice.
+BOOST_AUTO_TEST_CASE(A_slow_store_delays_acceptance_and_loses_nothing, *boost::unit_test::label("failure"))
+{
+    Cluster cluster;
+    auto& vm = cluster.vmOf("harju");
+    cluster.storeControl({ { "slowMs", 800 } });
+    http::ClientResult answer;
+    auto job = cluster.submitJob(vm, gangJob(16, 1), &answer);
+    BOOST_REQUIRE_MESSAGE(!job.empty(), answer.status << answer.body);
+    BOOST_TEST(cluster.waitForJob(vm, job, "finished", Millis(30000)), cluster.outputs());
+    BOOST_TEST(finishedParts(cluster, job) == 2);
+}
