--- a/src/agatevane/store/base64.cpp
+++ b/src/agatevane/base/base64.cpp
@@ -1,9 +1,9 @@
-#include "agatevane/store/base64.h"
+#include "agatevane/base/base64.h"
 
 #include <array>
 #include <cstdint>
 
-namespace agatevane::store {
+namespace agatevane {
 
 namespace {
 
@@ -66,4 +66,4 @@
     return bytes;
 }
 
-} // namespace agatevane::store
+} // namespace agatevane
--- a/src/agatevane/base/instant.h
+++ b/src/agatevane/base/instant.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace agatevane {
 
@@ -14,6 +15,15 @@
     return std::chrono::steady_clock::now();
 }
 
+//! Like now(), but time goes on while the machine is suspended. Leases and other promises to the outside are checked
+//! against this clock. The two clocks are never compared with each other.
+inline Instant bootNow()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 //! Whole milliseconds from `from` to `to`; negative if `to` is earlier.
 inline Millis elapsed(Instant from, Instant to)
 {
--- /dev/null
+++ b/src/agatevane/event_http/client.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "agatevane/base/instant.h"
+#include "agatevane/event_http/message.h"
+#include "agatevane/net/rpc.h"
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace agatevane::event_http {
+
+using net::PeerAddress;
+
+//! `error` is `Unreachable` if no byte was sent (no effect); `Timeout` or `Disconnected` leave the effect unknown.
+using ResponseHandler = std::function<void(std::error_code error, Response response)>;
+
+//! Counts of a client since its start.
+struct ClientCounters {
+    std::uint64_t connections = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t timeouts = 0;
+};
+
+//! Sends requests over kept-alive connections, one request at a time on each. All on the event loop's thread.
+class Client {
+public:
+    explicit Client(asio::io_context& context);
+    ~Client();
+
+    //! `done` is called exactly once, never from within this call.
+    void send(const PeerAddress& peer, Request request, Instant deadline, ResponseHandler done);
+    //! Closes the idle connections to `peer`, for example when it has left.
+    void forget(const PeerAddress& peer);
+    const ClientCounters& counters() const;
+
+    struct State;
+
+private:
+    std::shared_ptr<State> state_;
+};
+
+} // namespace agatevane::event_http
--- /dev/null
+++ b/src/agatevane/event_http/message.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+//! HTTP/1.1 on one Asio event loop, for programs on small entry VMs where a thread for each connection is too dear.
+namespace agatevane::event_http {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+struct Request {
+    std::string method;
+    std::string target; //!< path with the query
+    Headers headers; //!< names in lower case
+    std::string body;
+};
+
+struct Response {
+    int status = 0;
+    Headers headers; //!< names in lower case when received
+    std::string body;
+};
+
+//! The value of the header `name` (lower case); empty if it is missing.
+std::string_view headerOf(const Headers& headers, std::string_view name);
+
+} // namespace agatevane::event_http
--- /dev/null
+++ b/src/agatevane/event_http/parser.cpp
@@ -0,0 +1,122 @@
+#include "agatevane/event_http/parser.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace agatevane::event_http {
+
+std::string_view headerOf(const Headers& headers, std::string_view name)
+{
+    for (const auto& [key, value] : headers) {
+        if (key == name)
+            return value;
+    }
+    return {};
+}
+
+Parser::Parser(http_parser_type type, const MessageLimits& limits, Complete complete)
+    : limits_(limits)
+    , complete_(std::move(complete))
+{
+    http_parser_init(&parser_, type);
+    parser_.data = this;
+}
+
+bool Parser::feed(std::string_view bytes)
+{
+    auto parsed = http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
+    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && parsed == bytes.size();
+}
+
+bool Parser::finish()
+{
+    http_parser_execute(&parser_, &settings(), nullptr, 0);
+    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK;
+}
+
+const http_parser_settings& Parser::settings()
+{
+    static const http_parser_settings table = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_message_begin = onBegin;
+        made.on_url = onUrl;
+        made.on_header_field = onField;
+        made.on_header_value = onValue;
+        made.on_body = onBody;
+        made.on_message_complete = onComplete;
+        return made;
+    }();
+    return table;
+}
+
+bool Parser::countHeaderBytes(std::size_t size)
+{
+    headerBytes_ += size;
+    return headerBytes_ <= limits_.headerBytes;
+}
+
+int Parser::onBegin(http_parser* parser)
+{
+    auto& self = *static_cast<Parser*>(parser->data);
+    self.inMessage_ = true;
+    self.lastWasField_ = false;
+    self.headerBytes_ = 0;
+    self.target_.clear();
+    self.headers_.clear();
+    self.body_.clear();
+    return 0;
+}
+
+int Parser::onUrl(http_parser* parser, const char* data, std::size_t size)
+{
+    auto& self = *static_cast<Parser*>(parser->data);
+    self.target_.append(data, size);
+    return self.countHeaderBytes(size) ? 0 : 1;
+}
+
+int Parser::onField(http_parser* parser, const char* data, std::size_t size)
+{
+    auto& self = *static_cast<Parser*>(parser->data);
+    if (!self.lastWasField_)
+        self.headers_.emplace_back();
+    self.lastWasField_ = true;
+    std::transform(data, data + size, std::back_inserter(self.headers_.back().first),
+        [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return self.countHeaderBytes(size) ? 0 : 1;
+}
+
+int Parser::onValue(http_parser* parser, const char* data, std::size_t size)
+{
+    auto& self = *static_cast<Parser*>(parser->data);
+    self.lastWasField_ = false;
+    self.headers_.back().second.append(data, size);
+    return self.countHeaderBytes(size) ? 0 : 1;
+}
+
+int Parser::onBody(http_parser* parser, const char* data, std::size_t size)
+{
+    auto& self = *static_cast<Parser*>(parser->data);
+    if (self.body_.size() + size > self.limits_.bodyBytes)
+        return 1;
+    self.body_.append(data, size);
+    return 0;
+}
+
+int Parser::onComplete(http_parser* parser)
+{
+    auto& self = *static_cast<Parser*>(parser->data);
+    self.inMessage_ = false;
+    bool keepAlive = http_should_keep_alive(parser) != 0;
+    if (parser->type == HTTP_REQUEST) {
+        Request request { http_method_str(static_cast<http_method>(parser->method)), std::move(self.target_),
+            std::move(self.headers_), std::move(self.body_) };
+        self.complete_(std::move(request), {}, keepAlive);
+    } else {
+        Response response { static_cast<int>(parser->status_code), std::move(self.headers_), std::move(self.body_) };
+        self.complete_({}, std::move(response), keepAlive);
+    }
+    return 0;
+}
+
+} // namespace agatevane::event_http
--- /dev/null
+++ b/src/agatevane/event_http/server.cpp
@@ -0,0 +1,247 @@
+#include "agatevane/event_http/server.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <deque>
+#include <set>
+
+namespace agatevane::event_http {
+
+namespace {
+
+    using asio::ip::tcp;
+
+    constexpr std::size_t readChunkBytes = 8 * 1024;
+    //! Requests that a client may send ahead on one connection before the server stops reading.
+    constexpr std::size_t maxPipelined = 16;
+
+    const char* reasonOf(int status)
+    {
+        return http_status_str(static_cast<http_status>(status));
+    }
+
+} // namespace
+
+class ServerConnection;
+
+struct Server::State : std::enable_shared_from_this<Server::State> {
+    State(asio::io_context& context, Handler requestHandler, const MessageLimits& messageLimits)
+        : acceptor(context)
+        , handler(std::move(requestHandler))
+        , limits(messageLimits)
+    {
+    }
+
+    void accept();
+
+    tcp::acceptor acceptor;
+    Handler handler;
+    MessageLimits limits;
+    int port = 0;
+    bool draining = false;
+    int inProgress = 0;
+    std::set<ServerConnection*> connections;
+};
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+public:
+    ServerConnection(tcp::socket socket, std::shared_ptr<Server::State> server)
+        : socket_(std::move(socket))
+        , server_(std::move(server))
+        , parser_(HTTP_REQUEST, server_->limits,
+              [this](Request request, const Response&, bool keepAlive) { enqueue(std::move(request), keepAlive); })
+    {
+        server_->connections.insert(this);
+    }
+
+    ~ServerConnection()
+    {
+        server_->connections.erase(this);
+        server_->inProgress -= static_cast<int>(queue_.size()) + (busy_ ? 1 : 0);
+    }
+
+    void start() { read(); }
+
+    void closeIfIdle()
+    {
+        if (!busy_ && queue_.empty() && !parser_.isInMessage())
+            close();
+    }
+
+private:
+    struct Queued {
+        Request request;
+        bool keepAlive = false;
+    };
+
+    void read()
+    {
+        if (reading_ || queue_.size() >= maxPipelined || !socket_.is_open())
+            return;
+        reading_ = true;
+        socket_.async_read_some(
+            asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, std::size_t size) {
+                self->reading_ = false;
+                if (error)
+                    return self->close();
+                if (!self->parser_.feed({ self->chunk_.data(), size }))
+                    return self->reject();
+                self->handleNext();
+                self->read();
+            });
+    }
+
+    void enqueue(Request request, bool keepAlive)
+    {
+        ++server_->inProgress;
+        queue_.push_back({ std::move(request), keepAlive });
+    }
+
+    void handleNext()
+    {
+        if (busy_ || queue_.empty())
+            return;
+        auto next = std::move(queue_.front());
+        queue_.pop_front();
+        busy_ = true;
+        keepAlive_ = next.keepAlive;
+        auto self = shared_from_this();
+        auto sent = std::make_shared<bool>(false);
+        server_->handler(std::move(next.request), [self, sent](Response response) {
+            if (std::exchange(*sent, true))
+                return;
+            self->send(std::move(response));
+        });
+    }
+
+    void send(Response response)
+    {
+        if (!socket_.is_open())
+            return endRequest();
+        bool keep = keepAlive_ && !server_->draining;
+        out_ = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonOf(response.status) + "\r\n";
+        for (const auto& [name, value] : response.headers)
+            out_ += name + ": " + value + "\r\n";
+        out_ += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+        if (!keep)
+            out_ += "connection: close\r\n";
+        out_ += "\r\n";
+        out_ += response.body;
+        asio::async_write(
+            socket_, asio::buffer(out_), [self = shared_from_this(), keep](std::error_code error, std::size_t) {
+                self->endRequest();
+                if (error || (!keep && self->queue_.empty()))
+                    return self->close();
+                self->handleNext();
+                self->read();
+            });
+    }
+
+    void endRequest()
+    {
+        if (!std::exchange(busy_, false))
+            return;
+        --server_->inProgress;
+    }
+
+    void reject()
+    {
+        if (busy_ || !queue_.empty())
+            return close();
+        busy_ = true;
+        ++server_->inProgress;
+        keepAlive_ = false;
+        send({ 400, {}, {} });
+    }
+
+    void close()
+    {
+        std::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
+    tcp::socket socket_;
+    std::shared_ptr<Server::State> server_;
+    Parser parser_;
+    std::array<char, readChunkBytes> chunk_ {};
+    std::deque<Queued> queue_;
+    std::string out_;
+    bool reading_ = false;
+    bool busy_ = false; //!< the handler or the writer has a request
+    bool keepAlive_ = false;
+};
+
+void Server::State::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](std::error_code error, tcp::socket socket) {
+        if (!self->acceptor.is_open())
+            return;
+        if (!error) {
+            std::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<ServerConnection>(std::move(socket), self)->start();
+        }
+        self->accept();
+    });
+}
+
+Server::Server(asio::io_context& context, Handler handler, const MessageLimits& limits)
+    : state_(std::make_shared<State>(context, std::move(handler), limits))
+{
+}
+
+Server::~Server()
+{
+    std::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+std::error_code Server::listen(const std::string& address, int port)
+{
+    std::error_code error;
+    auto ip = asio::ip::make_address(address, error);
+    if (error)
+        return error;
+    tcp::endpoint endpoint(ip, static_cast<unsigned short>(port));
+    auto& acceptor = state_->acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return error;
+    state_->port = acceptor.local_endpoint().port();
+    state_->accept();
+    return {};
+}
+
+int Server::port() const
+{
+    return state_->port;
+}
+
+void Server::startDraining()
+{
+    state_->draining = true;
+}
+
+void Server::closeIdle()
+{
+    std::error_code ignored;
+    state_->acceptor.close(ignored);
+    auto connections = state_->connections;
+    for (auto* connection : connections)
+        connection->closeIfIdle();
+}
+
+int Server::requestsInProgress() const
+{
+    return state_->inProgress;
+}
+
+} // namespace agatevane::event_http
--- /dev/null
+++ b/src/agatevane/event_http/server.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "agatevane/event_http/message.h"
+#include "agatevane/event_http/parser.h"
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace agatevane::event_http {
+
+//! Sends the response to one request; called at most once, at any time, on the event loop's thread.
+using Respond = std::function<void(Response response)>;
+using Handler = std::function<void(Request request, Respond respond)>;
+
+//! Serves requests on one address. Requests of one connection are answered one after the other.
+//! All members are called on the event loop's thread.
+class Server {
+public:
+    Server(asio::io_context& context, Handler handler, const MessageLimits& limits = {});
+    ~Server();
+
+    //! Port 0 chooses a free port.
+    std::error_code listen(const std::string& address, int port);
+    int port() const;
+    //! From now on each response asks the client to close its connection.
+    void startDraining();
+    //! Stops accepting and closes the connections that wait for a request.
+    void closeIdle();
+    //! Requests that were read whole and have no complete response yet.
+    int requestsInProgress() const;
+
+    struct State;
+
+private:
+    std::shared_ptr<State> state_;
+};
+
+} // namespace agatevane::event_http
--- /dev/null
+++ b/src/agatevane/event_log/event_log.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+//! Structured log lines on standard output: one for each decision that touches a request or changes a belief.
+//! A line is "time event key=value ...". Writing never blocks; lines beyond a bound are counted and dropped.
+namespace agatevane::event_log {
+
+//! Most lines a second that are written; a flood of requests must not turn into a flood of lines.
+constexpr int maxLinesPerSecond = 400;
+
+//! One line; it is written when the object is destroyed. Values with spaces or quotes are quoted.
+class Line {
+public:
+    explicit Line(std::string_view event);
+    ~Line();
+    Line(const Line&) = delete;
+    Line& operator=(const Line&) = delete;
+
+    Line& with(std::string_view key, std::string_view value);
+
+    template <typename Number>
+    requires std::is_arithmetic_v<Number> Line& with(std::string_view key, Number value)
+    {
+        if constexpr (std::is_same_v<Number, bool>)
+            return with(key, value ? std::string_view("true") : std::string_view("false"));
+        else
+            return with(key, std::string_view(std::to_string(value)));
+    }
+
+private:
+    std::string text_;
+};
+
+//! Sets the process's name, which stands on each line, and makes standard output non-blocking.
+void open(const std::string& processName);
+
+//! Lines that were dropped because of the bound or because the reader of standard output did not keep up.
+std::uint64_t droppedLines();
+
+} // namespace agatevane::event_log
--- /dev/null
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -0,0 +1,354 @@
+#include "agatevane/fleet/dispatch.h"
+
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/preemption.h"
+#include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/workers.h"
+#include <algorithm>
+
+namespace agatevane::fleet {
+
+namespace {
+
+    using event_log::Line;
+
+    //! Beyond this many times its objective a job earns nothing any more.
+    constexpr double lateFactor = 3;
+    //! Urgent work waits this long for its own rack, since beginning in time goes before the longer run elsewhere.
+    constexpr Millis urgentRackPatience { 800 };
+    //! Other work waits this long while the fleet has room elsewhere.
+    constexpr Millis rackPatience { 2000 };
+    //! A fleet with more of its accelerators or cores in use than this is too full to run work at a far rack's cost.
+    constexpr double fullShare = 0.5;
+
+    struct Objective {
+        std::int64_t dueMs = 0; //!< since acceptance or due time
+        std::int64_t lateMs = 0;
+    };
+
+    Objective objectiveOf(const Job& job)
+    {
+        auto chain = static_cast<double>(longestChainMs(job.spec.steps));
+        auto due = job.policy.stretch * chain + static_cast<double>(job.policy.objectiveBase.count());
+        return { static_cast<std::int64_t>(due), static_cast<std::int64_t>(lateFactor * due) };
+    }
+
+    std::int64_t remainingChainMs(const Job& job, const Occurrence& occurrence)
+    {
+        auto steps = job.spec.steps;
+        for (std::size_t s = 0; s < steps.size(); ++s) {
+            if (occurrence.steps[s].done == occurrence.steps[s].tasks.size())
+                steps[s].estimatedMs = 0;
+        }
+        return longestChainMs(steps);
+    }
+
+    bool arePredecessorsDone(const Occurrence& occurrence, const StepSpec& spec)
+    {
+        return std::all_of(spec.after.begin(), spec.after.end(), [&occurrence](std::uint32_t earlier) {
+            const auto& step = occurrence.steps[earlier];
+            return step.done == step.tasks.size();
+        });
+    }
+
+    class Round {
+    public:
+        Round(Fleet& fleet, std::int64_t unixMs, Instant at)
+            : fleet_(fleet)
+            , unixMs_(unixMs)
+            , at_(at)
+            , isInheritedBlocked_(mayRunUnseen(fleet, at))
+        {
+        }
+
+        void run()
+        {
+            collectRooms();
+            findClaimingTenants();
+            collectUnits();
+            std::stable_sort(units_.begin(), units_.end(), [](const Unit& a, const Unit& b) {
+                return std::pair(a.tier, a.slackMs) < std::pair(b.tier, b.slackMs);
+            });
+            for (auto& unit : units_) {
+                if (unit.isGang)
+                    placeGang(unit);
+                else
+                    placeSingles(unit);
+            }
+        }
+
+    private:
+        void collectRooms()
+        {
+            Capacity total;
+            Capacity used;
+            for (auto& [id, worker] : fleet_.workers) {
+                if (!isUsable(worker, at_))
+                    continue;
+                Room room { &worker, worker.capacity, {} };
+                room.free -= worker.used;
+                room.soon = room.free;
+                for (const auto& [key, run] : worker.runs) {
+                    if (run.state == RunState::Stopping)
+                        room.soon += run.need;
+                }
+                total += worker.capacity;
+                used += worker.used;
+                rooms_.push_back(room);
+            }
+            auto share = [](std::int64_t part, std::int64_t whole) {
+                return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+            };
+            fullness_
+                = std::max(share(used.accelerators, total.accelerators), share(used.milliCores, total.milliCores));
+        }
+
+        //! Tenants whose open urgent jobs need no more accelerators than they are guaranteed.
+        void findClaimingTenants()
+        {
+            fleet_.claimingTenants.clear();
+            std::map<std::string, std::int64_t> needs;
+            for (const auto& id : fleet_.openJobs) {
+                const auto& job = fleet_.jobs.at(id);
+                if (job.policy.priority != 0)
+                    continue;
+                auto& need = needs[job.spec.tenant];
+                for (const auto& step : job.spec.steps)
+                    need += static_cast<std::int64_t>(step.count) * step.need.accelerators;
+            }
+            for (const auto& [name, need] : needs) {
+                const auto* tenant = desired_state::findTenantByName(fleet_.desired, name);
+                if (tenant && need <= tenant->guaranteedAccelerators)
+                    fleet_.claimingTenants.insert(name);
+            }
+        }
+
+        void collectUnits()
+        {
+            for (const auto& id : fleet_.openJobs) {
+                auto& job = fleet_.jobs.at(id);
+                for (std::uint32_t k = 0; k < job.occurrences.size(); ++k)
+                    collectOccurrence(job, k);
+            }
+        }
+
+        void collectOccurrence(Job& job, std::uint32_t k)
+        {
+            auto& occurrence = job.occurrences[k];
+            if (occurrence.stepsDone == occurrence.steps.size())
+                return;
+            auto ageMs = elapsed(job.acceptedAt, at_).count();
+            if (job.spec.occurrences > 0) {
+                ageMs = unixMs_ - (job.spec.firstDueUnixMs + k * job.spec.intervalMs);
+                if (ageMs < 0)
+                    return;
+            }
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+                auto& step = occurrence.steps[s];
+                const auto& spec = job.spec.steps[s];
+                if (step.done + step.active >= step.tasks.size() || !arePredecessorsDone(occurrence, spec))
+                    continue;
+                addUnit(job, k, s, ageMs);
+            }
+        }
+
+        void addUnit(Job& job, std::uint32_t k, std::uint32_t s, std::int64_t ageMs)
+        {
+            Unit unit;
+            unit.job = &job;
+            unit.occurrence = k;
+            unit.step = s;
+            unit.isGang = unit.spec().isGang;
+            auto& step = unit.state();
+            // A gang starts whole, once all of its last run are gone.
+            if (unit.isGang && step.active > 0) {
+                if (!isInheritedBlocked_ || !job.isInherited)
+                    stopBrokenGang(unit);
+                return;
+            }
+            if (job.isInherited && isInheritedBlocked_)
+                return;
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+                if (!step.tasks[i].isDone && !step.tasks[i].worker)
+                    unit.indexes.push_back(i);
+            }
+            rank(unit, ageMs);
+            units_.push_back(std::move(unit));
+        }
+
+        //! Members of a gang that lack others: the rest was lost, or never started under an earlier owner.
+        void stopBrokenGang(const Unit& unit)
+        {
+            const auto& step = unit.state();
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+                if (step.tasks[i].worker)
+                    return stopTaskRuns(fleet_, *unit.job, unit.task(i), at_, "gang_not_whole");
+            }
+        }
+
+        void rank(Unit& unit, std::int64_t ageMs)
+        {
+            const auto& job = *unit.job;
+            auto objective = objectiveOf(job);
+            auto remaining = remainingChainMs(job, job.occurrences[unit.occurrence]);
+            auto dueSlack = objective.dueMs - ageMs - remaining;
+            auto lateSlack = objective.lateMs - ageMs - remaining;
+            unit.claimsGuarantee = job.policy.priority == 0 && fleet_.claimingTenants.contains(job.spec.tenant);
+            unit.slackMs = dueSlack >= 0 ? dueSlack : lateSlack;
+            if (unit.claimsGuarantee)
+                unit.tier = 0;
+            else if (job.policy.priority == 0)
+                unit.tier = 1;
+            else
+                unit.tier = lateSlack < 0 ? 100 : (dueSlack < 0 ? 50 : 10) + job.policy.priority;
+        }
+
+        bool isUrgent(const Unit& unit) const { return unit.job->policy.priority == 0; }
+
+        //! The rack that the unit has to run on for now; empty: any.
+        std::string wantedRack(const Unit& unit) const
+        {
+            return waitsForRack(unit) ? unit.spec().dataRack : std::string();
+        }
+
+        bool waitsForRack(const Unit& unit) const
+        {
+            auto waited = elapsed(unit.job->acceptedAt, at_);
+            if (isUrgent(unit))
+                return waited < urgentRackPatience;
+            return fullness_ >= fullShare || waited < rackPatience;
+        }
+
+        void placeGang(Unit& unit)
+        {
+            bool oneRack = unit.spec().isTightlyCoupled && waitsForRack(unit);
+            auto rack = wantedRack(unit);
+            auto count = unit.indexes.size();
+            if (auto places = findPlaces(unit, rooms_, count, RoomKind::Free, oneRack, rack))
+                return start(unit, unit.indexes, *places);
+            makeRoom(unit, oneRack, rack);
+        }
+
+        void placeSingles(Unit& unit)
+        {
+            auto rack = wantedRack(unit);
+            std::vector<std::uint32_t> left;
+            for (auto index : unit.indexes) {
+                if (auto places = findPlaces(unit, rooms_, 1, RoomKind::Free, false, rack))
+                    start(unit, { index }, *places);
+                else
+                    left.push_back(index);
+            }
+            if (left.empty())
+                return;
+            unit.indexes = std::move(left);
+            makeRoom(unit, false, rack);
+        }
+
+        void makeRoom(const Unit& unit, bool oneRack, const std::string& rack)
+        {
+            // Hopeless and late work takes nothing from others.
+            if (!isUrgent(unit) && unit.tier >= 50)
+                return;
+            auto count = unit.indexes.size();
+            if (auto places = findPlaces(unit, rooms_, count, RoomKind::Soon, oneRack, rack))
+                return reserve(unit, *places);
+            auto plan = planPreemption(fleet_, unit, rooms_, oneRack, rack, at_);
+            if (!plan)
+                return;
+            for (const auto& victim : plan->victims)
+                stopVictim(victim, unit);
+            reserve(unit, plan->places);
+        }
+
+        void stopVictim(const TaskId& victim, const Unit& unit)
+        {
+            auto* job = findJob(fleet_, victim.job);
+            ++fleet_.runsStoppedForOthers;
+            expectRoom(*job, victim);
+            Line("preempted").with("job", victim.job).with("task", toString(victim)).with("for", unit.job->spec.id);
+            stopTaskRuns(fleet_, *job, victim, at_, "preempted");
+        }
+
+        //! Counts the room of a run, or of a whole gang, that is about to be stopped.
+        void expectRoom(const Job& job, const TaskId& victim)
+        {
+            const auto& step = job.occurrences[victim.occurrence].steps[victim.step];
+            bool isGang = stepOf(job, victim).isGang;
+            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+                if ((!isGang && index != victim.index) || !step.tasks[index].worker)
+                    continue;
+                auto room = std::find_if(rooms_.begin(), rooms_.end(),
+                    [&](const Room& each) { return each.worker->id == *step.tasks[index].worker; });
+                if (room != rooms_.end())
+                    room->soon += roomOf(stepOf(job, victim));
+            }
+        }
+
+        void reserve(const Unit& unit, const Places& places)
+        {
+            auto need = roomOf(unit.spec());
+            for (auto place : places) {
+                rooms_[place].free -= need;
+                rooms_[place].soon -= need;
+            }
+        }
+
+        void start(const Unit& unit, const std::vector<std::uint32_t>& indexes, const Places& places)
+        {
+            reserve(unit, places);
+            auto number = nextRunNumber(fleet_, *unit.job, unit.task(indexes.front()));
+            for (std::size_t n = 0; n < indexes.size(); ++n) {
+                auto& worker = *rooms_[places[n]].worker;
+                auto id = unit.task(indexes[n]);
+                orderRun(fleet_, *unit.job, id, number, worker, at_);
+                ++fleet_.startsOrdered;
+                Line("start_ordered")
+                    .with("job", id.job)
+                    .with("task", toString(id))
+                    .with("run", number)
+                    .with("worker", worker.id)
+                    .with("look_age_ms", elapsed(worker.lastAnswerAt, at_).count())
+                    .with("tier", unit.tier);
+            }
+        }
+
+        Fleet& fleet_;
+        std::int64_t unixMs_;
+        Instant at_;
+        bool isInheritedBlocked_;
+        std::vector<Room> rooms_;
+        std::vector<Unit> units_;
+        double fullness_ = 0;
+    };
+
+} // namespace
+
+void place(Fleet& fleet, std::int64_t unixMs, Instant at)
+{
+    fleet.isPlacementDue = false;
+    Round(fleet, unixMs, at).run();
+}
+
+void applyDesiredState(Fleet& fleet, const desired_state::DesiredState& desired)
+{
+    fleet.desired = desired;
+    for (auto& [id, job] : fleet.jobs) {
+        if (const auto* queue = desired_state::findQueueByName(desired, job.spec.queue))
+            job.policy = *queue;
+    }
+    fleet.isPlacementDue = true;
+}
+
+Orders advance(Fleet& fleet, std::int64_t unixMs, Instant at)
+{
+    Orders orders;
+    expireRuns(fleet, at);
+    if (fleet.isPlacementDue)
+        place(fleet, unixMs, at);
+    emitRunOrders(fleet, at, orders);
+    emitLooks(fleet, at, orders);
+    return orders;
+}
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/jobs.cpp
@@ -0,0 +1,266 @@
+#include "agatevane/fleet/jobs.h"
+
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/record.h"
+#include "agatevane/fleet/runs.h"
+#include <algorithm>
+
+namespace agatevane::fleet {
+
+namespace {
+
+    using event_log::Line;
+
+    //! A worker that failed this many runs in a row gets no new work for a while: one that fails at once looks idle and
+    //! would draw all the work.
+    constexpr int failuresToAvoid = 2;
+    constexpr Millis avoidAfterFailures { 6000 };
+
+    bool hasEnded(JobPhase phase)
+    {
+        return phase == JobPhase::Completed || phase == JobPhase::Failed || phase == JobPhase::Cancelled;
+    }
+
+    bool isDone(const Job& job)
+    {
+        return std::all_of(job.occurrences.begin(), job.occurrences.end(),
+            [](const Occurrence& occurrence) { return occurrence.stepsDone == occurrence.steps.size(); });
+    }
+
+    void endJob(Fleet& fleet, Job& job, JobPhase phase, std::int64_t unixMs, Instant at)
+    {
+        if (!job.hasStarted && job.phase == JobPhase::Open && job.spec.occurrences == 0)
+            --fleet.waiting[job.spec.queue];
+        job.phase = phase;
+        job.endedUnixMs = unixMs;
+        fleet.openJobs.erase(job.spec.id);
+        job.phaseTicket = queueWrite(fleet, job.spec.id, Mutation::Progress);
+        fleet.phaseChanges.insert({ job.phaseTicket, { job.spec.id, phase } });
+        stopJobRuns(fleet, job, at);
+    }
+
+    void openJob(Fleet& fleet, Job& job)
+    {
+        job.phase = JobPhase::Open;
+        fleet.openJobs.insert(job.spec.id);
+        fleet.isPlacementDue = true;
+        if (!job.hasStarted && job.spec.occurrences == 0)
+            ++fleet.waiting[job.spec.queue];
+    }
+
+    void markDone(Step& step, Task& task)
+    {
+        if (std::exchange(task.isDone, true))
+            return;
+        ++step.done;
+    }
+
+    void finishTask(Fleet& fleet, Job& job, const TaskId& id, std::int64_t unixMs, Instant at)
+    {
+        auto& occurrence = job.occurrences[id.occurrence];
+        auto& step = occurrence.steps[id.step];
+        if (stepOf(job, id).isGang) {
+            for (auto& task : step.tasks)
+                markDone(step, task);
+        } else {
+            markDone(step, step.tasks[id.index]);
+        }
+        if (step.done == step.tasks.size())
+            ++occurrence.stepsDone;
+        fleet.isPlacementDue = true;
+        if (isDone(job)) {
+            endJob(fleet, job, JobPhase::Completed, unixMs, at);
+            Line("job_completed").with("job", id.job).with("age_ms", elapsed(job.acceptedAt, at).count());
+        }
+    }
+
+    void noteFailure(Fleet& fleet, Job& job, Worker& worker, const RunKey& key, std::int64_t unixMs, Instant at)
+    {
+        ++worker.failuresInRow;
+        if (worker.failuresInRow >= failuresToAvoid)
+            worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterFailures);
+        auto& task = sharedTask(job, key.first);
+        task.failedOn.push_back(worker.id);
+        auto& failed = task.failedRuns;
+        if (std::find(failed.begin(), failed.end(), key.second) == failed.end())
+            failed.push_back(key.second);
+        if (stepOf(job, key.first).isContinuous || static_cast<int>(failed.size()) < job.policy.maxAttempts)
+            return;
+        endJob(fleet, job, JobPhase::Failed, unixMs, at);
+        Line("job_failed").with("job", key.first.job).with("attempts", failed.size());
+    }
+
+} // namespace
+
+Task* findTask(Fleet& fleet, const TaskId& id)
+{
+    auto* job = findJob(fleet, id.job);
+    if (!job || id.occurrence >= job->occurrences.size() || id.step >= job->spec.steps.size())
+        return nullptr;
+    auto& tasks = job->occurrences[id.occurrence].steps[id.step].tasks;
+    return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+}
+
+Job* findJob(Fleet& fleet, const JobId& id)
+{
+    auto found = fleet.jobs.find(id);
+    return found == fleet.jobs.end() ? nullptr : &found->second;
+}
+
+Worker* findWorker(Fleet& fleet, const WorkerId& id)
+{
+    auto found = fleet.workers.find(id);
+    return found == fleet.workers.end() ? nullptr : &found->second;
+}
+
+Ticket queueWrite(Fleet& fleet, const JobId& job, Mutation mutation)
+{
+    if (mutation == Mutation::Progress) {
+        if (auto queued = fleet.queuedProgress.find(job); queued != fleet.queuedProgress.end())
+            return queued->second;
+        fleet.queuedProgress.emplace(job, fleet.lastTicket + 1);
+    }
+    fleet.writes.push_back({ ++fleet.lastTicket, job, mutation });
+    return fleet.lastTicket;
+}
+
+Ticket submit(Fleet& fleet, JobSpec spec, const desired_state::Queue& queue, std::int64_t unixMs, Instant at)
+{
+    if (auto* known = findJob(fleet, spec.id))
+        return known->durablePhase == JobPhase::Accepting ? known->phaseTicket : fleet.committedTicket;
+    auto id = spec.id;
+    auto job = makeJob(std::move(spec), unixMs);
+    job.policy = queue;
+    job.acceptedAt = at;
+    job.phaseTicket = queueWrite(fleet, id, Mutation::Accept);
+    auto ticket = job.phaseTicket;
+    fleet.phaseChanges.insert({ ticket, { id, JobPhase::Open } });
+    fleet.jobs.emplace(id, std::move(job));
+    return ticket;
+}
+
+bool withdraw(Fleet& fleet, const JobId& id)
+{
+    auto* job = findJob(fleet, id);
+    if (!job || job->phase != JobPhase::Accepting)
+        return false;
+    auto queued = std::find_if(fleet.writes.begin(), fleet.writes.end(),
+        [&id](const PendingWrite& write) { return write.job == id && write.mutation == Mutation::Accept; });
+    if (queued == fleet.writes.end())
+        return false;
+    fleet.phaseChanges.erase(queued->ticket);
+    fleet.writes.erase(queued);
+    fleet.jobs.erase(id);
+    return true;
+}
+
+std::optional<Ticket> cancel(Fleet& fleet, const JobId& id, std::string_view queue, std::int64_t unixMs, Instant at)
+{
+    auto* job = findJob(fleet, id);
+    if (!job || job->spec.queue != queue)
+        return std::nullopt;
+    if (!hasEnded(job->phase))
+        endJob(fleet, *job, JobPhase::Cancelled, unixMs, at);
+    return job->phaseTicket;
+}
+
+std::optional<VisibleState> visibleState(const Fleet& fleet, const JobId& id, std::string_view queue)
+{
+    auto found = fleet.jobs.find(id);
+    if (found == fleet.jobs.end() || found->second.spec.queue != queue)
+        return std::nullopt;
+    const auto& job = found->second;
+    switch (job.durablePhase) {
+    case JobPhase::Accepting:
+        return std::nullopt;
+    case JobPhase::Open:
+        return job.hasStarted ? VisibleState::Running : VisibleState::Queued;
+    case JobPhase::Completed:
+        return VisibleState::Completed;
+    case JobPhase::Failed:
+        return VisibleState::Failed;
+    case JobPhase::Cancelled:
+        return VisibleState::Cancelled;
+    }
+    return std::nullopt;
+}
+
+std::uint32_t waitingJobs(const Fleet& fleet, const std::string& queue)
+{
+    auto found = fleet.waiting.find(queue);
+    return found == fleet.waiting.end() ? 0 : found->second;
+}
+
+void inherit(Fleet& fleet, Job job, std::int64_t unixMs, Instant at)
+{
+    job.isInherited = true;
+    job.acceptedAt = at - Millis(std::max<std::int64_t>(0, unixMs - job.acceptedUnixMs));
+    if (const auto* queue = desired_state::findQueueByName(fleet.desired, job.spec.queue))
+        job.policy = *queue;
+    if (job.phase == JobPhase::Open)
+        openJob(fleet, job);
+    auto id = job.spec.id;
+    fleet.jobs.insert_or_assign(id, std::move(job));
+}
+
+Ticket applyEnd(Fleet& fleet, Worker& worker, const RunKey& key, EndKind kind, const std::string& checkpoint,
+    std::int64_t unixMs, Instant at)
+{
+    const auto& id = key.first;
+    auto* job = findJob(fleet, id.job);
+    auto* task = findTask(fleet, id);
+    Line("run_ended")
+        .with("job", id.job)
+        .with("task", toString(id))
+        .with("run", key.second)
+        .with("worker", worker.id)
+        .with("how", nameOf(kind));
+    if (kind == EndKind::Done)
+        worker.failuresInRow = 0;
+    if (!task || hasEnded(job->phase) || task->isDone)
+        return 0;
+    bool isNewest = key.second >= task->lastRun;
+    task->lastRun = std::max(task->lastRun, key.second);
+    if (!checkpoint.empty() && isNewest)
+        sharedTask(*job, id).checkpoint = checkpoint;
+    if (kind == EndKind::Done && isNewest && !stepOf(*job, id).isContinuous) {
+        finishTask(fleet, *job, id, unixMs, at);
+    } else if (kind == EndKind::Failed) {
+        noteFailure(fleet, *job, worker, key, unixMs, at);
+    }
+    if (kind != EndKind::Done && isNewest && !hasEnded(job->phase) && stepOf(*job, id).isGang)
+        stopTaskRuns(fleet, *job, id, at, "member_ended");
+    return queueWrite(fleet, id.job, Mutation::Progress);
+}
+
+void applyCommitted(Fleet& fleet, Ticket ticket)
+{
+    fleet.committedTicket = std::max(fleet.committedTicket, ticket);
+    auto end = fleet.phaseChanges.upper_bound(ticket);
+    for (auto change = fleet.phaseChanges.begin(); change != end; ++change) {
+        auto* job = findJob(fleet, change->second.job);
+        if (!job)
+            continue;
+        job->durablePhase = change->second.phase;
+        if (change->second.phase == JobPhase::Open && job->phase == JobPhase::Accepting)
+            openJob(fleet, *job);
+    }
+    fleet.phaseChanges.erase(fleet.phaseChanges.begin(), end);
+}
+
+void pruneEnded(Fleet& fleet, std::int64_t unixMs)
+{
+    // Twice the time that callers are promised covers clocks that differ between machines.
+    auto keptMs = 2 * fleet.limits.statusRetention.count();
+    for (auto each = fleet.jobs.begin(); each != fleet.jobs.end();) {
+        auto& job = each->second;
+        if (!hasEnded(job.durablePhase) || unixMs - job.endedUnixMs < keptMs) {
+            ++each;
+            continue;
+        }
+        queueWrite(fleet, job.spec.id, Mutation::Prune);
+        each = fleet.jobs.erase(each);
+    }
+}
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/journal.cpp
@@ -0,0 +1,57 @@
+#include "agatevane/fleet/journal.h"
+
+#include "agatevane/fleet/record.h"
+
+namespace agatevane::fleet {
+
+namespace {
+
+    std::size_t entriesOf(Mutation mutation)
+    {
+        return mutation == Mutation::Prune ? 2 : 1;
+    }
+
+} // namespace
+
+Batch takeBatch(Fleet& fleet, std::size_t maxEntries)
+{
+    Batch batch;
+    std::size_t entries = 0;
+    while (!fleet.writes.empty()) {
+        const auto& next = fleet.writes.front();
+        entries += entriesOf(next.mutation);
+        if (entries > maxEntries)
+            break;
+        auto queued = fleet.queuedProgress.find(next.job);
+        if (next.mutation == Mutation::Progress && queued != fleet.queuedProgress.end()
+            && queued->second == next.ticket)
+            fleet.queuedProgress.erase(queued);
+        batch.writes.push_back(next);
+        fleet.writes.pop_front();
+    }
+    return batch;
+}
+
+void returnBatch(Fleet& fleet, const Batch& batch)
+{
+    for (auto write = batch.writes.rbegin(); write != batch.writes.rend(); ++write)
+        fleet.writes.push_front(*write);
+}
+
+void encodeBatch(Fleet& fleet, const Batch& batch, kv::Txn& txn)
+{
+    std::set<std::string> keys;
+    for (const auto& write : batch.writes) {
+        auto* job = findJob(fleet, write.job);
+        if (write.mutation == Mutation::Prune) {
+            txn.deletes.push_back(acceptancePrefix + write.job);
+            txn.deletes.push_back(progressPrefix + write.job);
+        } else if (job && write.mutation == Mutation::Accept) {
+            txn.puts.push_back({ acceptancePrefix + write.job, encodeAcceptance(*job) });
+        } else if (job && keys.insert(write.job).second) {
+            txn.puts.push_back({ progressPrefix + write.job, encodeProgress(*job) });
+        }
+    }
+}
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/record.cpp
@@ -0,0 +1,168 @@
+#include "agatevane/fleet/record.h"
+
+#include "agatevane/net/archive.h"
+
+namespace agatevane::fleet {
+
+namespace {
+
+    constexpr std::uint8_t recordVersion = 1;
+
+    struct TaskRecord {
+        bool isDone = false;
+        std::vector<RunNumber> failedRuns;
+        RunNumber lastRun = 0;
+        std::string checkpoint;
+
+        template <typename Archive> void serialize(Archive& archive)
+        {
+            archive(isDone, failedRuns, lastRun, checkpoint);
+        }
+    };
+
+    struct AcceptanceRecord {
+        std::uint8_t version = recordVersion;
+        std::int64_t acceptedUnixMs = 0;
+        JobSpec spec;
+
+        template <typename Archive> void serialize(Archive& archive) { archive(version, acceptedUnixMs, spec); }
+    };
+
+    struct ProgressRecord {
+        std::uint8_t version = recordVersion;
+        std::uint8_t phase = 0;
+        std::int64_t endedUnixMs = 0;
+        bool hasStarted = false;
+        std::vector<std::vector<std::vector<TaskRecord>>> tasks; //!< by occurrence, step and index; empty once ended
+
+        template <typename Archive> void serialize(Archive& archive)
+        {
+            archive(version, phase, endedUnixMs, hasStarted, tasks);
+        }
+    };
+
+    bool isOpen(JobPhase phase)
+    {
+        return phase == JobPhase::Open || phase == JobPhase::Accepting;
+    }
+
+    TaskRecord recordOf(const Task& task)
+    {
+        return { task.isDone, task.failedRuns, task.lastRun, task.checkpoint };
+    }
+
+    bool restore(const ProgressRecord& record, Job& job)
+    {
+        if (record.tasks.size() != job.occurrences.size())
+            return false;
+        for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+            auto& occurrence = job.occurrences[k];
+            if (record.tasks[k].size() != occurrence.steps.size())
+                return false;
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                auto& step = occurrence.steps[s];
+                if (record.tasks[k][s].size() != step.tasks.size())
+                    return false;
+                for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+                    const auto& from = record.tasks[k][s][i];
+                    auto& task = step.tasks[i];
+                    task.isDone = from.isDone;
+                    task.failedRuns = from.failedRuns;
+                    task.lastRun = from.lastRun;
+                    task.checkpoint = from.checkpoint;
+                    step.done += from.isDone ? 1 : 0;
+                }
+                occurrence.stepsDone += step.done == step.tasks.size() ? 1 : 0;
+            }
+        }
+        return true;
+    }
+
+} // namespace
+
+std::int64_t longestChainMs(const std::vector<StepSpec>& steps)
+{
+    std::vector<std::int64_t> until(steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        std::int64_t begin = 0;
+        for (auto earlier : steps[s].after) {
+            if (earlier < s)
+                begin = std::max(begin, until[earlier]);
+        }
+        until[s] = begin + steps[s].estimatedMs;
+        longest = std::max(longest, until[s]);
+    }
+    return longest;
+}
+
+Job makeJob(JobSpec spec, std::int64_t acceptedUnixMs)
+{
+    Job job;
+    job.acceptedUnixMs = acceptedUnixMs;
+    job.occurrences.resize(std::max<std::uint32_t>(1, spec.occurrences));
+    for (auto& occurrence : job.occurrences) {
+        for (const auto& step : spec.steps)
+            occurrence.steps.emplace_back().tasks.resize(step.count);
+    }
+    job.spec = std::move(spec);
+    return job;
+}
+
+std::string encodeAcceptance(const Job& job)
+{
+    AcceptanceRecord record;
+    record.acceptedUnixMs = job.acceptedUnixMs;
+    record.spec = job.spec;
+    return net::encode(record);
+}
+
+std::string encodeProgress(const Job& job)
+{
+    ProgressRecord record;
+    record.phase = static_cast<std::uint8_t>(job.phase);
+    record.endedUnixMs = job.endedUnixMs;
+    record.hasStarted = job.hasStarted;
+    if (isOpen(job.phase)) {
+        for (const auto& occurrence : job.occurrences) {
+            auto& steps = record.tasks.emplace_back();
+            for (const auto& step : occurrence.steps) {
+                auto& tasks = steps.emplace_back();
+                tasks.reserve(step.tasks.size());
+                for (const auto& task : step.tasks)
+                    tasks.push_back(recordOf(task));
+            }
+        }
+    }
+    return net::encode(record);
+}
+
+std::optional<Job> decodeAcceptance(std::string_view bytes)
+{
+    AcceptanceRecord record;
+    if (!net::decode(bytes, record) || record.version != recordVersion)
+        return std::nullopt;
+    auto job = makeJob(std::move(record.spec), record.acceptedUnixMs);
+    job.phase = JobPhase::Open;
+    job.durablePhase = JobPhase::Open;
+    return job;
+}
+
+bool decodeProgress(std::string_view bytes, Job& job)
+{
+    ProgressRecord record;
+    if (!net::decode(bytes, record) || record.version != recordVersion)
+        return false;
+    if (record.phase > static_cast<std::uint8_t>(JobPhase::Cancelled))
+        return false;
+    auto phase = static_cast<JobPhase>(record.phase);
+    if (isOpen(phase) && !restore(record, job))
+        return false;
+    job.phase = isOpen(phase) ? JobPhase::Open : phase;
+    job.durablePhase = job.phase;
+    job.endedUnixMs = record.endedUnixMs;
+    job.hasStarted = record.hasStarted;
+    return true;
+}
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/runs.cpp
@@ -0,0 +1,281 @@
+#include "agatevane/fleet/runs.h"
+
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/leases.h"
+
+namespace agatevane::fleet {
+
+namespace {
+
+    using event_log::Line;
+
+    //! Numbers of runs that one tenure may use for a task before those of the next begin.
+    constexpr RunNumber runsPerTenure = 10000;
+    //! An order without an answer is sent again after this; the answer of a worker takes tens of milliseconds.
+    constexpr Millis resendAfter { 150 };
+    //! A start that is not confirmed by then is given up, so that a gang can form elsewhere.
+    constexpr Millis startPatience { 1500 };
+    //! A worker that could not be reached or refused is not given new work for this long.
+    constexpr Millis refusalPause { 1000 };
+
+    void cancelUnstarted(Fleet& fleet, Worker& worker, const RunKey& key, Instant at)
+    {
+        auto* job = findJob(fleet, key.first.job);
+        removeRun(fleet, worker, key);
+        if (job && stepOf(*job, key.first).isGang)
+            stopTaskRuns(fleet, *job, key.first, at, "member_not_started");
+    }
+
+} // namespace
+
+Capacity roomOf(const StepSpec& step)
+{
+    auto room = step.need;
+    if (step.isFiller)
+        room.milliCores = 0;
+    return room;
+}
+
+const StepSpec& stepOf(const Job& job, const TaskId& id)
+{
+    return job.spec.steps[id.step];
+}
+
+Task& sharedTask(Job& job, const TaskId& id)
+{
+    auto index = stepOf(job, id).isGang ? 0 : id.index;
+    return job.occurrences[id.occurrence].steps[id.step].tasks[index];
+}
+
+RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id)
+{
+    const auto& step = job.occurrences[id.occurrence].steps[id.step];
+    RunNumber last = step.tasks[id.index].lastRun;
+    if (stepOf(job, id).isGang) {
+        for (const auto& task : step.tasks)
+            last = std::max(last, task.lastRun);
+    }
+    return std::max(last + 1, (fleet.tenure - 1) * runsPerTenure + 1);
+}
+
+void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at)
+{
+    auto& step = job.occurrences[id.occurrence].steps[id.step];
+    auto& task = step.tasks[id.index];
+    Run run;
+    run.task = id;
+    run.number = number;
+    run.need = roomOf(stepOf(job, id));
+    run.priority = job.policy.priority;
+    run.orderedAt = run.nextSendAt = run.progressAt = at;
+    worker.used += run.need;
+    worker.runs.emplace(RunKey { id, number }, run);
+    task.worker = worker.id;
+    task.lastRun = number;
+    ++step.active;
+    if (!job.hasStarted) {
+        job.hasStarted = true;
+        if (job.spec.occurrences == 0)
+            --fleet.waiting[job.spec.queue];
+    }
+}
+
+void adoptRun(Fleet& fleet, Worker& worker, const RunKey& key, bool isOurs, Instant at)
+{
+    Run run;
+    run.task = key.first;
+    run.number = key.second;
+    run.orderedAt = run.nextSendAt = run.progressAt = run.confirmedAt = at;
+    run.isOurs = isOurs;
+    run.isConfirmed = isOurs;
+    run.state = isOurs ? RunState::Running : RunState::Stopping;
+    auto* job = findJob(fleet, key.first.job);
+    auto* task = findTask(fleet, key.first);
+    if (!task) {
+        worker.hasUnknownUse = true;
+    } else {
+        run.need = roomOf(stepOf(*job, key.first));
+        run.priority = job->policy.priority;
+    }
+    if (task && isOurs) {
+        task->worker = worker.id;
+        task->lastRun = key.second;
+        ++job->occurrences[key.first.occurrence].steps[key.first.step].active;
+        if (!job->hasStarted) {
+            job->hasStarted = true;
+            if (job->spec.occurrences == 0)
+                --fleet.waiting[job->spec.queue];
+        }
+    }
+    worker.used += run.need;
+    worker.runs.emplace(key, run);
+}
+
+void removeRun(Fleet& fleet, Worker& worker, const RunKey& key)
+{
+    auto found = worker.runs.find(key);
+    if (found == worker.runs.end())
+        return;
+    worker.used -= found->second.need;
+    bool isOurs = found->second.isOurs;
+    worker.runs.erase(found);
+    if (worker.hasUnknownUse) {
+        worker.hasUnknownUse = std::any_of(worker.runs.begin(), worker.runs.end(),
+            [&fleet](const auto& each) { return findTask(fleet, each.first.first) == nullptr; });
+    }
+    fleet.isPlacementDue = true;
+    auto* task = findTask(fleet, key.first);
+    if (!task || !isOurs || task->worker != worker.id || task->lastRun != key.second)
+        return;
+    task->worker.reset();
+    --findJob(fleet, key.first.job)->occurrences[key.first.occurrence].steps[key.first.step].active;
+}
+
+void requestStop(Run& run, Instant at)
+{
+    if (run.state == RunState::Stopping)
+        return;
+    run.state = RunState::Stopping;
+    run.isConfirmed = false;
+    run.isOrderInFlight = false;
+    run.nextSendAt = at;
+}
+
+void stopTaskRuns(Fleet& fleet, Job& job, const TaskId& id, Instant at, std::string_view reason)
+{
+    auto& step = job.occurrences[id.occurrence].steps[id.step];
+    bool isGang = stepOf(job, id).isGang;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        auto& task = step.tasks[index];
+        if ((!isGang && index != id.index) || !task.worker)
+            continue;
+        auto* worker = findWorker(fleet, *task.worker);
+        TaskId member { id.job, id.occurrence, id.step, index };
+        auto found = worker ? worker->runs.find({ member, task.lastRun }) : std::map<RunKey, Run>::iterator {};
+        if (!worker || found == worker->runs.end() || found->second.state == RunState::Stopping)
+            continue;
+        requestStop(found->second, at);
+        Line("stop_ordered")
+            .with("job", id.job)
+            .with("task", toString(member))
+            .with("run", task.lastRun)
+            .with("worker", worker->id)
+            .with("reason", reason);
+    }
+}
+
+void stopJobRuns(Fleet& fleet, Job& job, Instant at)
+{
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+            auto& step = job.occurrences[k].steps[s];
+            for (std::uint32_t i = 0; i < step.tasks.size() && step.active > 0; ++i)
+                stopTaskRuns(fleet, job, { job.spec.id, k, s, i }, at, "job_ended");
+        }
+    }
+}
+
+void applyStartOutcome(Fleet& fleet, const WorkerId& workerId, const RunKey& key, OrderOutcome outcome, Instant at)
+{
+    auto* worker = findWorker(fleet, workerId);
+    if (!worker)
+        return;
+    auto found = worker->runs.find(key);
+    if (found == worker->runs.end() || found->second.state != RunState::Ordered)
+        return;
+    auto& run = found->second;
+    run.isOrderInFlight = false;
+    if (outcome != OrderOutcome::Done)
+        Line("start_not_confirmed")
+            .with("job", key.first.job)
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", workerId)
+            .with("orders_sent", run.ordersSent)
+            .with("outcome", nameOf(outcome));
+    switch (outcome) {
+    case OrderOutcome::Done:
+        run.state = RunState::Running;
+        run.isConfirmed = true;
+        run.confirmedAt = run.progressAt = at;
+        return;
+    case OrderOutcome::Unknown:
+        run.nextSendAt = at + resendAfter;
+        return;
+    case OrderOutcome::NotSent:
+        worker->avoidUntil = std::max(worker->avoidUntil, at + refusalPause);
+        worker->nextLookAt = at;
+        // An earlier order of this run may still be carried out.
+        if (run.ordersSent > 1) {
+            run.nextSendAt = at + resendAfter;
+            return;
+        }
+        return cancelUnstarted(fleet, *worker, key, at);
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::Unhealthy:
+    case OrderOutcome::Malformed:
+        worker->avoidUntil = std::max(worker->avoidUntil, at + refusalPause);
+        if (run.ordersSent > 1)
+            return requestStop(run, at);
+        return cancelUnstarted(fleet, *worker, key, at);
+    case OrderOutcome::Late:
+    case OrderOutcome::OtherLifetime:
+        worker->nextLookAt = at;
+        worker->avoidUntil = std::max(worker->avoidUntil, at + resendAfter);
+        return cancelUnstarted(fleet, *worker, key, at);
+    case OrderOutcome::Outdated:
+        return cancelUnstarted(fleet, *worker, key, at);
+    }
+}
+
+void applyStopOutcome(Fleet& fleet, const WorkerId& workerId, const RunKey& key, OrderOutcome outcome, Instant at)
+{
+    auto* worker = findWorker(fleet, workerId);
+    if (!worker)
+        return;
+    auto found = worker->runs.find(key);
+    if (found == worker->runs.end() || found->second.state != RunState::Stopping)
+        return;
+    auto& run = found->second;
+    run.isOrderInFlight = false;
+    if (outcome == OrderOutcome::Done) {
+        run.isConfirmed = true;
+        run.confirmedAt = at;
+        worker->nextLookAt = at;
+        return;
+    }
+    run.nextSendAt = at + resendAfter;
+}
+
+void emitRunOrders(Fleet& fleet, Instant at, Orders& orders)
+{
+    for (auto& [workerId, worker] : fleet.workers) {
+        for (auto& [key, run] : worker.runs) {
+            if (run.state == RunState::Ordered && at - run.orderedAt > startPatience) {
+                if (auto* job = findJob(fleet, key.first.job))
+                    stopTaskRuns(fleet, *job, key.first, at, "start_not_confirmed");
+                requestStop(run, at);
+            }
+            if (run.isOrderInFlight || run.state == RunState::Running || at < run.nextSendAt)
+                continue;
+            if (run.state == RunState::Stopping) {
+                if (run.isConfirmed)
+                    continue;
+                run.isOrderInFlight = true;
+                ++run.ordersSent;
+                orders.stops.push_back({ workerId, worker.address, key.first, key.second, fleet.fencingToken });
+                continue;
+            }
+            auto* job = findJob(fleet, key.first.job);
+            if (!job)
+                continue;
+            run.isOrderInFlight = true;
+            ++run.ordersSent;
+            auto until = extendLease(fleet, worker, at);
+            orders.starts.push_back({ workerId, worker.address, key.first, key.second, job->spec.payload,
+                sharedTask(*job, key.first).checkpoint, until, fleet.fencingToken });
+        }
+    }
+}
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/state.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include "agatevane/base/enum_names.h"
+#include "agatevane/desired_state/desired_state.h"
+#include "agatevane/fleet/model.h"
+#include "agatevane/net/rpc.h"
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+//! What the owner of the fleet knows of jobs and workers. Decisions are free functions over it; no I/O.
+namespace agatevane::fleet {
+
+//! Position of a change in the order in which changes become durable.
+using Ticket = std::uint64_t;
+
+enum class JobPhase { Accepting, Open, Completed, Failed, Cancelled };
+
+//! One task of one occurrence of a job.
+struct Task {
+    bool isDone = false;
+    std::vector<RunNumber> failedRuns;
+    RunNumber lastRun = 0;
+    std::string checkpoint; //!< newest known; empty: none
+    std::optional<WorkerId> worker; //!< where run `lastRun` is ordered, running or being stopped
+    std::vector<WorkerId> failedOn; //!< workers on which it failed
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+    std::uint32_t active = 0; //!< tasks with a worker
+};
+
+struct Occurrence {
+    std::vector<Step> steps;
+    std::uint32_t stepsDone = 0;
+};
+
+struct Job {
+    JobSpec spec;
+    desired_state::Queue policy; //!< the newest version known of its queue
+    JobPhase phase = JobPhase::Accepting;
+    Ticket phaseTicket = 0; //!< the phase is durable, and may be told, once this is committed
+    JobPhase durablePhase = JobPhase::Accepting;
+    std::int64_t acceptedUnixMs = 0;
+    std::int64_t endedUnixMs = 0;
+    Instant acceptedAt; //!< on this process's clock; estimated for inherited jobs
+    bool isInherited = false; //!< accepted before this process became the owner
+    bool hasStarted = false; //!< a task has been started at some time
+    std::vector<Occurrence> occurrences;
+};
+
+enum class RunState {
+    Ordered, //!< start sent or about to be sent; not confirmed
+    Running,
+    Stopping, //!< stop ordered; room stays taken until the end is listed
+};
+
+} // namespace agatevane::fleet
+
+template <> struct agatevane::EnumNames<agatevane::fleet::RunState> {
+    static constexpr std::array<std::pair<agatevane::fleet::RunState, std::string_view>, 3> table { {
+        { agatevane::fleet::RunState::Ordered, "ordered" },
+        { agatevane::fleet::RunState::Running, "running" },
+        { agatevane::fleet::RunState::Stopping, "stopping" },
+    } };
+};
+
+namespace agatevane::fleet {
+
+//! A run that takes, or may take, room on a worker.
+struct Run {
+    TaskId task;
+    RunNumber number = 0;
+    Capacity need;
+    RunState state = RunState::Ordered;
+    bool isOurs = true; //!< false: found on the worker but not wanted
+    int priority = 0;
+    Instant orderedAt;
+    Instant nextSendAt; //!< the start or stop order is sent (again) from then on
+    bool isOrderInFlight = false;
+    int ordersSent = 0;
+    Instant confirmedAt; //!< start answered, or seen in a list; for Stopping: stop answered
+    bool isConfirmed = false;
+    int percent = 0; //!< of its work, as the worker last said
+    Instant progressAt; //!< when `percent` last changed
+};
+
+using RunKey = std::pair<TaskId, RunNumber>;
+
+//! An end that a worker has listed and that is acknowledged to it once `ticket` is durable.
+struct ListedEnd {
+    std::int64_t number = 0;
+    Ticket ticket = 0; //!< 0: nothing to store
+};
+
+struct Worker {
+    WorkerId id;
+    net::PeerAddress address;
+    std::string service;
+    std::string zone;
+    std::string rack;
+    std::vector<std::string> labels;
+    Capacity capacity;
+    bool isListed = false; //!< in the platform's list
+    bool isDraining = false;
+    std::int64_t lifetime = 0; //!< identifies one life of the worker; 0: not known
+
+    bool isLookedAt = false; //!< it has answered to our fencing token in this lifetime
+    bool isLookInFlight = false;
+    Instant lookSentAt;
+    Instant nextLookAt;
+    Instant lastAnswerAt;
+    int missedLooks = 0; //!< in a row
+    std::int64_t clockMs = 0; //!< its clock ...
+    Instant clockAt; //!< ... was at most `clockMs` at this instant
+    Instant leaseBound; //!< everything that runs there without a further order is dead by then
+    std::deque<ListedEnd> listedEnds;
+    std::int64_t acknowledgedEnd = 0;
+
+    std::map<RunKey, Run> runs;
+    Capacity used; //!< by `runs`
+    bool hasUnknownUse = false; //!< a run of unknown size is there: nothing is placed
+    int failuresInRow = 0; //!< runs that failed since one ended well
+    Instant avoidUntil; //!< fails or hangs what it starts
+    Instant unlistedAt;
+};
+
+//! Limits and times; the platform's settings give them.
+struct Limits {
+    Millis leaseSpan { 6000 }; //!< that each order asks for
+    Millis gangAssembly { 3000 }; //!< a member waits that long for the others
+    Millis reclaim { 2700 }; //!< within which guaranteed work must begin
+    Millis statusRetention { 120000 }; //!< ended jobs are known for that long
+    double farFactor = 3; //!< how much longer work takes on the wrong rack
+    Millis inheritedWait { 16000 }; //!< after a takeover, until unseen runs of an unreachable worker are dead
+};
+
+enum class Mutation { Accept, Progress, Prune };
+
+//! A record that waits to become durable.
+struct PendingWrite {
+    Ticket ticket = 0;
+    JobId job;
+    Mutation mutation = Mutation::Progress;
+};
+
+//! A phase that a job has once its record is durable.
+struct PhaseChange {
+    JobId job;
+    JobPhase phase = JobPhase::Open;
+};
+
+struct Fleet {
+    Limits limits;
+    std::uint64_t fencingToken = 0;
+    std::uint32_t tenure = 0; //!< counts owners; run numbers of a later tenure are higher
+    Instant tookOverAt;
+    desired_state::DesiredState desired;
+    std::map<JobId, Job> jobs;
+    std::map<WorkerId, Worker> workers;
+    std::set<JobId> openJobs; //!< in phase Open
+    std::map<std::string, std::uint32_t> waiting; //!< queue -> open jobs without times of which nothing has started
+
+    std::deque<PendingWrite> writes;
+    std::map<JobId, Ticket> queuedProgress; //!< progress writes in `writes`
+    std::multimap<Ticket, PhaseChange> phaseChanges; //!< not durable yet
+    Ticket lastTicket = 0;
+    Ticket committedTicket = 0;
+    std::set<std::string> claimingTenants; //!< their open urgent jobs need no more than they are guaranteed
+    std::uint64_t startsOrdered = 0;
+    std::uint64_t runsStoppedForOthers = 0;
+    bool isPlacementDue = true; //!< something changed that may let work start
+};
+
+//! Orders for the edge to carry out.
+struct StartOrder {
+    WorkerId worker;
+    net::PeerAddress address;
+    TaskId task;
+    RunNumber run = 0;
+    std::string payload;
+    std::string checkpoint;
+    std::int64_t leaseUntilMs = 0; //!< on the worker's clock
+    std::uint64_t fencingToken = 0;
+};
+
+struct StopOrder {
+    WorkerId worker;
+    net::PeerAddress address;
+    TaskId task;
+    RunNumber run = 0;
+    std::uint64_t fencingToken = 0;
+};
+
+//! Asks for the lists of runs and ends, acknowledges ends and renews the lease of all that runs there.
+struct LookOrder {
+    WorkerId worker;
+    net::PeerAddress address;
+    std::int64_t acknowledgedEnd = 0;
+    std::optional<std::int64_t> leaseUntilMs;
+    Millis wait { 0 }; //!< the worker may hold the answer back that long until a run ends
+    std::uint64_t fencingToken = 0;
+};
+
+struct Orders {
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<LookOrder> looks;
+};
+
+Task* findTask(Fleet& fleet, const TaskId& id);
+Job* findJob(Fleet& fleet, const JobId& id);
+Worker* findWorker(Fleet& fleet, const WorkerId& id);
+
+//! Queues a durable write of `mutation` and returns its ticket.
+Ticket queueWrite(Fleet& fleet, const JobId& job, Mutation mutation);
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/workers.cpp
@@ -0,0 +1,300 @@
+#include "agatevane/fleet/workers.h"
+
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/leases.h"
+#include "agatevane/fleet/runs.h"
+#include <algorithm>
+
+namespace agatevane::fleet {
+
+namespace {
+
+    using event_log::Line;
+
+    //! A look returns at an end or after this, and so renews the lease several times within its span.
+    constexpr Millis lookWait { 1000 };
+    //! Between looks at a worker whose ends are not durable yet; the answer would come at once.
+    constexpr Millis lookPauseForCommit { 500 };
+    constexpr Millis lookRetry { 250 };
+    //! Without an answer for this many looks a worker gets no new work.
+    constexpr int missesToAvoid = 2;
+    //! A run whose percentage stands still for this long hangs: work of minutes moves a percent in less.
+    constexpr Millis standstill { 3500 };
+    constexpr Millis avoidAfterStandstill { 8000 };
+
+    void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
+    {
+        std::vector<RunKey> keys;
+        for (const auto& [key, run] : worker.runs)
+            keys.push_back(key);
+        for (const auto& key : keys) {
+            Line("run_lost")
+                .with("job", key.first.job)
+                .with("task", toString(key.first))
+                .with("run", key.second)
+                .with("worker", worker.id)
+                .with("reason", reason);
+            removeRun(fleet, worker, key);
+            if (auto* job = findJob(fleet, key.first.job);
+                job && findTask(fleet, key.first) && stepOf(*job, key.first).isGang)
+                stopTaskRuns(fleet, *job, key.first, at, "member_lost");
+        }
+    }
+
+    void beginLifetime(Fleet& fleet, Worker& worker, std::int64_t lifetime, Instant at)
+    {
+        if (worker.lifetime != 0)
+            loseRuns(fleet, worker, at, "worker_restarted");
+        worker.lifetime = lifetime;
+        worker.isLookedAt = false;
+        worker.listedEnds.clear();
+        worker.acknowledgedEnd = 0;
+        worker.clockMs = 0;
+        worker.leaseBound = {};
+        worker.failuresInRow = 0;
+        worker.nextLookAt = at;
+    }
+
+    void applyEnds(Fleet& fleet, Worker& worker, const std::vector<EndReport>& ends, std::int64_t unixMs, Instant at)
+    {
+        for (const auto& end : ends) {
+            auto last = worker.listedEnds.empty() ? worker.acknowledgedEnd : worker.listedEnds.back().number;
+            if (end.number <= last)
+                continue;
+            removeRun(fleet, worker, end.key);
+            auto ticket = applyEnd(fleet, worker, end.key, end.kind, end.checkpoint, unixMs, at);
+            worker.listedEnds.push_back({ end.number, ticket });
+        }
+    }
+
+    void refreshRun(Fleet& fleet, Run& run, const RunningReport& report, Instant at)
+    {
+        if (run.state == RunState::Ordered) {
+            run.state = RunState::Running;
+            run.isOrderInFlight = false;
+        }
+        if (run.state == RunState::Running && !std::exchange(run.isConfirmed, true))
+            run.confirmedAt = at;
+        if (report.percent != run.percent) {
+            run.percent = report.percent;
+            run.progressAt = at;
+        }
+        auto* job = findJob(fleet, run.task.job);
+        if (run.isOurs && job && !report.checkpoint.empty())
+            sharedTask(*job, run.task).checkpoint = report.checkpoint;
+    }
+
+    void meetUnknownRun(Fleet& fleet, Worker& worker, const RunningReport& report, Instant at)
+    {
+        const auto& key = report.key;
+        auto* job = findJob(fleet, key.first.job);
+        auto* task = findTask(fleet, key.first);
+        bool isOurs = task && job->phase == JobPhase::Open && !task->isDone && !task->worker
+            && key.second >= task->lastRun && job->isInherited && !worker.isLookedAt;
+        adoptRun(fleet, worker, key, isOurs, at);
+        Line(isOurs ? "run_adopted" : "run_unwanted")
+            .with("job", key.first.job)
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", worker.id);
+        if (isOurs)
+            refreshRun(fleet, worker.runs.at(key), report, at);
+    }
+
+    //! Drops runs that the answer, which was asked for after they were confirmed, does not show any more.
+    void dropMissing(Fleet& fleet, Worker& worker, const std::set<RunKey>& seen, Instant at)
+    {
+        std::vector<RunKey> missing;
+        for (const auto& [key, run] : worker.runs) {
+            if (!seen.contains(key) && run.isConfirmed && run.confirmedAt < worker.lookSentAt)
+                missing.push_back(key);
+        }
+        for (const auto& key : missing) {
+            Line("run_missing")
+                .with("job", key.first.job)
+                .with("task", toString(key.first))
+                .with("run", key.second)
+                .with("worker", worker.id);
+            removeRun(fleet, worker, key);
+            if (auto* job = findJob(fleet, key.first.job);
+                job && findTask(fleet, key.first) && stepOf(*job, key.first).isGang)
+                stopTaskRuns(fleet, *job, key.first, at, "member_missing");
+        }
+    }
+
+    bool hasReadyEnd(const Fleet& fleet, const Worker& worker)
+    {
+        return !worker.listedEnds.empty() && worker.listedEnds.front().ticket <= fleet.committedTicket;
+    }
+
+    void acknowledgeCommitted(const Fleet& fleet, Worker& worker)
+    {
+        while (hasReadyEnd(fleet, worker)) {
+            worker.acknowledgedEnd = worker.listedEnds.front().number;
+            worker.listedEnds.pop_front();
+        }
+    }
+
+    bool needsLook(const Fleet& fleet, const Worker& worker)
+    {
+        if (!worker.isLookedAt)
+            return true;
+        return !worker.runs.empty() || hasReadyEnd(fleet, worker);
+    }
+
+} // namespace
+
+void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at)
+{
+    auto [found, isNew] = fleet.workers.try_emplace(listing.id);
+    auto& worker = found->second;
+    // An older life's entry may be read late.
+    if (!isNew && listing.lifetime < worker.lifetime)
+        return;
+    worker.id = listing.id;
+    if (isNew || listing.lifetime != worker.lifetime)
+        beginLifetime(fleet, worker, listing.lifetime, at);
+    if (isNew || worker.isDraining != listing.isDraining || !worker.isListed) {
+        fleet.isPlacementDue = true;
+        Line("worker_listed")
+            .with("worker", listing.id)
+            .with("lifetime", listing.lifetime)
+            .with("draining", listing.isDraining);
+    }
+    worker.address = listing.address;
+    worker.service = listing.service;
+    worker.zone = listing.zone;
+    worker.rack = listing.rack;
+    worker.labels = listing.labels;
+    worker.capacity = listing.capacity;
+    worker.isDraining = listing.isDraining;
+    worker.isListed = true;
+}
+
+void applyUnlisted(Fleet& fleet, const WorkerId& id, Instant at)
+{
+    auto* worker = findWorker(fleet, id);
+    if (!worker || !std::exchange(worker->isListed, false))
+        return;
+    worker->unlistedAt = at;
+    Line("worker_unlisted").with("worker", id).with("runs", worker->runs.size());
+}
+
+void applyFullList(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at)
+{
+    std::set<WorkerId> listed;
+    for (const auto& listing : listings) {
+        listed.insert(listing.id);
+        applyListing(fleet, listing, at);
+    }
+    for (auto& [id, worker] : fleet.workers) {
+        if (!listed.contains(id))
+            applyUnlisted(fleet, id, at);
+    }
+}
+
+void applyLookAnswer(Fleet& fleet, const WorkerId& id, const LookAnswer& answer, std::int64_t unixMs, Instant at)
+{
+    auto* worker = findWorker(fleet, id);
+    if (!worker)
+        return;
+    worker->isLookInFlight = false;
+    if (answer.lifetime != 0 && answer.lifetime < worker->lifetime)
+        return;
+    if (answer.lifetime > worker->lifetime)
+        beginLifetime(fleet, *worker, answer.lifetime, at);
+    if (worker->missedLooks >= missesToAvoid)
+        Line("worker_regained").with("worker", id).with("missed_looks", worker->missedLooks);
+    worker->missedLooks = 0;
+    worker->lastAnswerAt = worker->clockAt = at;
+    worker->clockMs = answer.clockMs;
+    applyEnds(fleet, *worker, answer.ended, unixMs, at);
+    std::set<RunKey> seen;
+    for (const auto& report : answer.running) {
+        seen.insert(report.key);
+        if (auto found = worker->runs.find(report.key); found != worker->runs.end())
+            refreshRun(fleet, found->second, report, at);
+        else
+            meetUnknownRun(fleet, *worker, report, at);
+    }
+    dropMissing(fleet, *worker, seen, at);
+    if (!std::exchange(worker->isLookedAt, true))
+        fleet.isPlacementDue = true;
+    worker->nextLookAt = worker->listedEnds.empty() || hasReadyEnd(fleet, *worker) ? at : at + lookPauseForCommit;
+}
+
+void applyLookFailure(Fleet& fleet, const WorkerId& id, Instant at)
+{
+    auto* worker = findWorker(fleet, id);
+    if (!worker)
+        return;
+    worker->isLookInFlight = false;
+    worker->nextLookAt = at + lookRetry;
+    if (++worker->missedLooks == missesToAvoid)
+        Line("worker_silent").with("worker", id).with("listed", worker->isListed).with("runs", worker->runs.size());
+}
+
+bool isUsable(const Worker& worker, Instant at)
+{
+    return worker.isListed && worker.isLookedAt && !worker.isDraining && !worker.hasUnknownUse
+        && worker.missedLooks < missesToAvoid && at >= worker.avoidUntil;
+}
+
+bool mayRunUnseen(const Fleet& fleet, Instant at)
+{
+    if (at >= fleet.tookOverAt + fleet.limits.inheritedWait)
+        return false;
+    return std::any_of(fleet.workers.begin(), fleet.workers.end(),
+        [](const auto& each) { return !each.second.isLookedAt && each.second.leaseBound == Instant {}; });
+}
+
+void expireRuns(Fleet& fleet, Instant at)
+{
+    for (auto each = fleet.workers.begin(); each != fleet.workers.end();) {
+        auto& worker = each->second;
+        if (worker.missedLooks > 0 && at >= worker.leaseBound && !worker.runs.empty()) {
+            loseRuns(fleet, worker, at, "lease_passed");
+            worker.isLookedAt = false;
+        }
+        for (auto& [key, run] : worker.runs) {
+            if (run.state != RunState::Running || !run.isOurs || at - run.progressAt < standstill
+                || worker.missedLooks > 0)
+                continue;
+            auto* job = findJob(fleet, key.first.job);
+            if (!job || stepOf(*job, key.first).isContinuous || run.percent >= 100)
+                continue;
+            worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStandstill);
+            stopTaskRuns(fleet, *job, key.first, at, "no_progress");
+        }
+        bool isForgotten = !worker.isListed && worker.runs.empty() && worker.listedEnds.empty()
+            && (worker.isLookedAt || at >= fleet.tookOverAt + fleet.limits.inheritedWait);
+        each = isForgotten ? fleet.workers.erase(each) : std::next(each);
+    }
+}
+
+void emitLooks(Fleet& fleet, Instant at, Orders& orders)
+{
+    for (auto& [id, worker] : fleet.workers) {
+        if (worker.isLookInFlight || at < worker.nextLookAt || !needsLook(fleet, worker))
+            continue;
+        acknowledgeCommitted(fleet, worker);
+        LookOrder look { id, worker.address, worker.acknowledgedEnd, std::nullopt, Millis(0), fleet.fencingToken };
+        if (worker.clockMs > 0)
+            look.leaseUntilMs = extendLease(fleet, worker, at);
+        if (worker.isLookedAt && worker.listedEnds.empty() && !worker.runs.empty())
+            look.wait = lookWait;
+        worker.isLookInFlight = true;
+        worker.lookSentAt = at;
+        orders.looks.push_back(std::move(look));
+    }
+}
+
+void hastenAcknowledgements(Fleet& fleet, Instant at)
+{
+    for (auto& [id, worker] : fleet.workers) {
+        if (hasReadyEnd(fleet, worker) && worker.nextLookAt > at)
+            worker.nextLookAt = at;
+    }
+}
+
+} // namespace agatevane::fleet
--- /dev/null
+++ b/src/agatevane/fleet/workers.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "agatevane/fleet/jobs.h"
+#include "agatevane/fleet/state.h"
+#include <string>
+#include <vector>
+
+//! What workers say of themselves, and what is concluded when they say nothing.
+namespace agatevane::fleet {
+
+//! A worker's entry in the platform's list.
+struct WorkerListing {
+    WorkerId id;
+    net::PeerAddress address;
+    std::string service;
+    std::string zone;
+    std::string rack;
+    std::vector<std::string> labels;
+    Capacity capacity;
+    bool isDraining = false;
+    std::int64_t lifetime = 0;
+
+    bool operator==(const WorkerListing&) const = default;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(id, address.address, address.port, service, zone, rack, labels, capacity, isDraining, lifetime);
+    }
+};
+
+struct RunningReport {
+    RunKey key;
+    std::string checkpoint;
+    int percent = 0;
+};
+
+struct EndReport {
+    std::int64_t number = 0; //!< ascends within one lifetime
+    RunKey key;
+    EndKind kind = EndKind::Stopped;
+    std::string checkpoint;
+};
+
+struct LookAnswer {
+    std::int64_t lifetime = 0; //!< 0: not said
+    std::int64_t clockMs = 0;
+    std::vector<RunningReport> running;
+    std::vector<EndReport> ended;
+};
+
+void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at);
+void applyUnlisted(Fleet& fleet, const WorkerId& id, Instant at);
+//! Every worker that is missing in `ids` is unlisted.
+void applyFullList(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at);
+
+void applyLookAnswer(Fleet& fleet, const WorkerId& id, const LookAnswer& answer, std::int64_t unixMs, Instant at);
+void applyLookFailure(Fleet& fleet, const WorkerId& id, Instant at);
+
+//! True if new work may be placed on the worker.
+bool isUsable(const Worker& worker, Instant at);
+//! True while a task that an earlier owner has started may run on a worker that has not answered yet.
+bool mayRunUnseen(const Fleet& fleet, Instant at);
+
+//! Gives up the runs of workers whose lease has passed without an answer, and runs that stand still.
+void expireRuns(Fleet& fleet, Instant at);
+//! Emits the looks that are due.
+void emitLooks(Fleet& fleet, Instant at, Orders& orders);
+//! Moves the next looks forward where ends became durable.
+void hastenAcknowledgements(Fleet& fleet, Instant at);
+
+} // namespace agatevane::fleet
--- a/src/agatevane/net/rpc_client.cpp
+++ b/src/agatevane/net/rpc_client.cpp
@@ -22,6 +22,7 @@
         CallResult done;
         std::shared_ptr<asio::steady_timer> timer;
         bool written = false;
+        Instant writtenAt;
     };
 
     struct Outgoing {
@@ -64,9 +65,13 @@
             return;
         // A frame still in the queue is withdrawn, so that a call reported as without effect can have none later.
         bool sent = found->second.written;
+        bool isSilent = sent ? lastReceived < found->second.writtenAt : link == Link::Connecting;
         if (!sent)
             std::erase_if(outgoing, [id](const Outgoing& frame) { return frame.id == id; });
         finish(id, sent ? Errc::Timeout : Errc::Unreachable, {});
+        // Nothing has come since the call was written: the connection may have gone silent without a reset.
+        if (isSilent)
+            fail();
     }
 
     void finish(std::uint64_t id, std::error_code error, std::string payload)
@@ -110,7 +115,7 @@
         current = std::move(outgoing.front());
         outgoing.pop_front();
         if (auto found = pending.find(current.id); found != pending.end())
-            found->second.written = true;
+            markWritten(found->second);
         asio::async_write(socket, asio::buffer(current.bytes),
             [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
                 if (started != self->generation)
@@ -123,12 +128,19 @@
             });
     }
 
+    static void markWritten(Pending& call)
+    {
+        call.written = true;
+        call.writtenAt = now();
+    }
+
     void readHeader()
     {
         asio::async_read(socket, asio::buffer(header),
             [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
                 if (started != self->generation)
                     return;
+                self->lastReceived = now();
                 if (error || !decodeHeader(self->header, self->frame))
                     return self->fail();
                 self->readPayload();
@@ -179,6 +191,7 @@
     std::array<char, headerBytes> header {};
     FrameHeader frame;
     std::string incoming;
+    Instant lastReceived;
 };
 
 RpcClient::RpcClient(asio::io_context& context, const PeerAddress& peer)
--- /dev/null
+++ b/src/node/fleet_owner.cpp
@@ -0,0 +1,473 @@
+#include "node/fleet_owner.h"
+
+#include "agatevane/base/error.h"
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/dispatch.h"
+#include "agatevane/fleet/record.h"
+#include <asio/post.hpp>
+
+namespace agatevane::node {
+
+namespace {
+
+    using event_log::Line;
+
+    constexpr const char* knownWorkersKey = "agatevane/workers";
+    constexpr Millis tickInterval { 50 };
+    //! Placement depends on time too: patience ends, jobs become due.
+    constexpr Millis placementInterval { 200 };
+    constexpr Millis storeTimeout { 1000 };
+    constexpr Millis loadTimeout { 3000 };
+    constexpr Millis storeRetry { 100 };
+    constexpr Millis orderTimeout { 500 };
+    //! Beyond the time that a worker may hold a look back.
+    constexpr Millis lookMargin { 600 };
+    constexpr Millis watchWait { 1000 };
+    constexpr Millis watchMargin { 800 };
+    //! Workers report every second or so each; collecting their changes saves calls.
+    constexpr Millis watchPause { 250 };
+    constexpr Millis pruneInterval { 10000 };
+    //! The store takes at most 32 entries in one transaction; one condition and one put are the commit key's.
+    constexpr std::size_t maxBatchEntries = 30;
+
+    std::string encodeKnownWorkers(const fleet::Fleet& fleet)
+    {
+        std::vector<fleet::WorkerListing> listings;
+        for (const auto& [id, worker] : fleet.workers)
+            listings.push_back({ id, worker.address, worker.service, worker.zone, worker.rack, worker.labels,
+                worker.capacity, worker.isDraining, worker.lifetime });
+        return net::encode(listings);
+    }
+
+} // namespace
+
+FleetOwner::FleetOwner(const Environment& environment, const fleet::Limits& limits, std::uint32_t tenure,
+    kv::Revision commitRevision, const desired_state::DesiredState& desired)
+    : environment_(environment)
+    , commitRevision_(commitRevision)
+    , tickTimer_(environment.context)
+    , commitTimer_(environment.context)
+    , listTimer_(environment.context)
+{
+    fleet_.limits = limits;
+    fleet_.tenure = tenure;
+    fleet_.fencingToken = tenure;
+    fleet_.desired = desired;
+    fleet_.tookOverAt = bootNow();
+}
+
+void FleetOwner::start()
+{
+    load();
+}
+
+void FleetOwner::stop()
+{
+    isStopped_ = true;
+    auto waiters = std::exchange(waiters_, {});
+    for (auto& [ticket, waiter] : waiters)
+        giveUp(waiter);
+}
+
+void FleetOwner::load()
+{
+    auto read = [this](const char* prefix, std::optional<kv::ReadResult>& target) {
+        if (target)
+            return;
+        environment_.store.list(
+            prefix, now() + loadTimeout, liveness_.guard([this, &target](const kv::ReadResult& result) {
+                if (isStopped_)
+                    return;
+                if (result.error) {
+                    Line("load_failed").with("error", result.error.message());
+                    listTimer_.arm(storeRetry, [this] { load(); });
+                    return;
+                }
+                target = result;
+                if (isReady_ || !acceptances_ || !progress_ || !known_ || !listed_)
+                    return;
+                takeJobs(*acceptances_, *progress_);
+                takeKnownWorkers(*known_);
+                takeListings(*listed_);
+                acceptances_.reset();
+                progress_.reset();
+                isReady_ = true;
+                Line("fleet_loaded")
+                    .with("tenure", fleet_.tenure)
+                    .with("jobs", fleet_.jobs.size())
+                    .with("open", fleet_.openJobs.size())
+                    .with("workers", fleet_.workers.size())
+                    .with("as_of", workersAsOf_);
+                watchWorkers();
+                tick();
+            }));
+    };
+    read(fleet::acceptancePrefix, acceptances_);
+    read(fleet::progressPrefix, progress_);
+    read(knownWorkersKey, known_);
+    read(environment_.translation.workerPrefix.c_str(), listed_);
+}
+
+void FleetOwner::takeJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress)
+{
+    std::map<std::string_view, const kv::Item*> progressOf;
+    for (const auto& item : progress.items)
+        progressOf.emplace(std::string_view(item.key).substr(std::string_view(fleet::progressPrefix).size()), &item);
+    auto unixMs = unixMillis();
+    auto at = bootNow();
+    for (const auto& item : acceptances.items) {
+        auto job = fleet::decodeAcceptance(item.value);
+        if (!job) {
+            Line("record_unreadable").with("key", item.key).with("revision", item.revision);
+            continue;
+        }
+        auto found = progressOf.find(job->spec.id);
+        if (found != progressOf.end() && !fleet::decodeProgress(found->second->value, *job)) {
+            Line("record_unreadable").with("key", found->second->key).with("revision", found->second->revision);
+            continue;
+        }
+        fleet::inherit(fleet_, std::move(*job), unixMs, at);
+    }
+}
+
+//! Workers that an earlier owner knew and that are not in the list may still run its tasks.
+void FleetOwner::takeKnownWorkers(const kv::ReadResult& known)
+{
+    auto at = bootNow();
+    for (const auto& item : known.items) {
+        std::vector<fleet::WorkerListing> listings;
+        if (!net::decode(item.value, listings)) {
+            Line("record_unreadable").with("key", item.key).with("revision", item.revision);
+            continue;
+        }
+        for (const auto& listing : listings) {
+            fleet::applyListing(fleet_, listing, at);
+            fleet::applyUnlisted(fleet_, listing.id, at);
+        }
+        knownWorkers_ = item.value;
+    }
+}
+
+void FleetOwner::takeListings(const kv::ReadResult& listed)
+{
+    std::vector<fleet::WorkerListing> listings;
+    Findings findings;
+    for (const auto& item : listed.items) {
+        if (auto listing = environment_.translation.decodeListing(item, findings))
+            listings.push_back(std::move(*listing));
+    }
+    for (const auto& finding : findings)
+        Line("entry_ignored").with("place", finding.place).with("text", finding.text);
+    fleet::applyFullList(fleet_, listings, bootNow());
+    workersAsOf_ = listed.asOf;
+    rememberWorkers();
+}
+
+void FleetOwner::listWorkers()
+{
+    environment_.store.list(environment_.translation.workerPrefix, now() + loadTimeout,
+        liveness_.guard([this](const kv::ReadResult& result) {
+            if (isStopped_)
+                return;
+            if (result.error) {
+                listTimer_.arm(storeRetry, [this] { listWorkers(); });
+                return;
+            }
+            takeListings(result);
+            wake();
+            watchWorkers();
+        }));
+}
+
+void FleetOwner::watchWorkers()
+{
+    auto deadline = now() + watchWait + watchMargin;
+    environment_.store.watch(environment_.translation.workerPrefix, workersAsOf_, watchWait, deadline,
+        liveness_.guard([this](const kv::WatchResult& result) {
+            if (isStopped_)
+                return;
+            if (result.error) {
+                if (result.historyIsGone)
+                    return listWorkers();
+                listTimer_.arm(storeRetry, [this] { watchWorkers(); });
+                return;
+            }
+            workersAsOf_ = std::max(workersAsOf_, result.asOf);
+            for (const auto& change : result.changes)
+                applyWorkerChange(change);
+            if (!result.changes.empty()) {
+                rememberWorkers();
+                wake();
+            }
+            listTimer_.arm(watchPause, [this] { watchWorkers(); });
+        }));
+}
+
+void FleetOwner::applyWorkerChange(const kv::Change& change)
+{
+    auto at = bootNow();
+    auto id = change.item.key.substr(environment_.translation.workerPrefix.size());
+    if (change.isRemoval)
+        return fleet::applyUnlisted(fleet_, id, at);
+    Findings findings;
+    if (auto listing = environment_.translation.decodeListing(change.item, findings))
+        return fleet::applyListing(fleet_, *listing, at);
+    for (const auto& finding : findings)
+        Line("entry_ignored").with("place", finding.place).with("text", finding.text);
+    fleet::applyUnlisted(fleet_, id, at);
+}
+
+void FleetOwner::rememberWorkers()
+{
+    areWorkersChanged_ = true;
+}
+
+void FleetOwner::applyDesiredState(const desired_state::DesiredState& desired)
+{
+    fleet::applyDesiredState(fleet_, desired);
+    wake();
+}
+
+void FleetOwner::tick()
+{
+    if (isStopped_)
+        return;
+    tickTimer_.arm(tickInterval, [this] { tick(); });
+    auto unixMs = unixMillis();
+    if (unixMs >= nextPruneUnixMs_) {
+        nextPruneUnixMs_ = unixMs + pruneInterval.count();
+        fleet::pruneEnded(fleet_, unixMs);
+    }
+    advance();
+}
+
+//! Several events in one turn of the loop lead to one round of decisions.
+void FleetOwner::wake()
+{
+    if (std::exchange(isAdvanceQueued_, true))
+        return;
+    asio::post(environment_.context, liveness_.guard([this] {
+        isAdvanceQueued_ = false;
+        advance();
+    }));
+}
+
+void FleetOwner::advance()
+{
+    if (isStopped_ || !isReady_)
+        return;
+    auto at = bootNow();
+    if (at - lastPlacementAt_ >= placementInterval)
+        fleet_.isPlacementDue = true;
+    if (fleet_.isPlacementDue)
+        lastPlacementAt_ = at;
+    send(fleet::advance(fleet_, unixMillis(), at));
+    commitNext();
+}
+
+void FleetOwner::send(const fleet::Orders& orders)
+{
+    for (const auto& order : orders.starts)
+        sendStart(order);
+    for (const auto& order : orders.stops)
+        sendStop(order);
+    for (const auto& order : orders.looks)
+        sendLook(order);
+}
+
+void FleetOwner::sendStart(const fleet::StartOrder& order)
+{
+    fleet::RunKey key { order.task, order.run };
+    environment_.workers.start(
+        order, now() + orderTimeout, liveness_.guard([this, worker = order.worker, key](const OrderAnswer& answer) {
+            if (isStopped_)
+                return;
+            if (answer.isFenced)
+                return refuseAsFenced();
+            fleet::applyStartOutcome(fleet_, worker, key, answer.outcome, bootNow());
+            if (answer.outcome != fleet::OrderOutcome::Done)
+                wake();
+        }));
+}
+
+void FleetOwner::sendStop(const fleet::StopOrder& order)
+{
+    fleet::RunKey key { order.task, order.run };
+    environment_.workers.stop(
+        order, now() + orderTimeout, liveness_.guard([this, worker = order.worker, key](const OrderAnswer& answer) {
+            if (isStopped_)
+                return;
+            if (answer.isFenced)
+                return refuseAsFenced();
+            fleet::applyStopOutcome(fleet_, worker, key, answer.outcome, bootNow());
+            wake();
+        }));
+}
+
+void FleetOwner::sendLook(const fleet::LookOrder& order)
+{
+    environment_.workers.look(order, now() + order.wait + lookMargin,
+        liveness_.guard([this, worker = order.worker](const LookResult& result) {
+            if (isStopped_)
+                return;
+            if (result.isFenced)
+                return refuseAsFenced();
+            if (result.error)
+                fleet::applyLookFailure(fleet_, worker, bootNow());
+            else
+                fleet::applyLookAnswer(fleet_, worker, result.answer, unixMillis(), bootNow());
+            wake();
+        }));
+}
+
+void FleetOwner::refuseAsFenced()
+{
+    environment_.deposed("worker_knows_later_owner");
+}
+
+void FleetOwner::commitNext()
+{
+    if (isCommitInFlight_ || isStopped_ || !isReady_)
+        return;
+    batch_ = fleet::takeBatch(fleet_, maxBatchEntries);
+    auto workers = areWorkersChanged_ ? encodeKnownWorkers(fleet_) : knownWorkers_;
+    areWorkersChanged_ = false;
+    if (batch_.writes.empty() && workers == knownWorkers_)
+        return;
+    txnToken_ = randomToken(random_);
+    txn_ = {};
+    txn_.conditions = { { commitKey, commitRevision_ } };
+    txn_.puts = { { commitKey, net::encode(CommitRecord { fleet_.tenure, txnToken_ }) } };
+    fleet::encodeBatch(fleet_, batch_, txn_);
+    // The list of workers changes seldom and may wait for a transaction with room.
+    if (workers != knownWorkers_ && txn_.puts.size() < maxBatchEntries) {
+        txn_.puts.push_back({ knownWorkersKey, workers });
+        knownWorkers_ = workers;
+    }
+    isCommitInFlight_ = true;
+    mayBeApplied_ = false;
+    sendCommit();
+}
+
+void FleetOwner::sendCommit()
+{
+    environment_.store.commit(txn_, now() + storeTimeout, liveness_.guard([this](const kv::TxnResult& result) {
+        if (!isStopped_)
+            resolveCommit(result);
+    }));
+}
+
+void FleetOwner::resolveCommit(const kv::TxnResult& result)
+{
+    if (!result.error)
+        return finishCommit(result.revision);
+    if (result.error == Errc::Conflict) {
+        for (const auto& item : result.current) {
+            auto record = item.key == commitKey ? decodeRecord<CommitRecord>(item.value) : std::nullopt;
+            // An earlier try of this transaction was applied without an answer.
+            if (record && record->token == txnToken_)
+                return finishCommit(item.revision);
+        }
+        return environment_.deposed("store_knows_later_owner");
+    }
+    Line("commit_unanswered").with("records", txn_.puts.size()).with("error", result.error.message());
+    mayBeApplied_ = mayBeApplied_ || result.error != Errc::Refused;
+    if (!mayBeApplied_)
+        return returnCommit();
+    // The same transaction is sent again: applied once at most, since its condition then fails.
+    commitTimer_.arm(storeRetry, [this] { sendCommit(); });
+}
+
+//! The store has done nothing: submissions in the batch may be withdrawn again.
+void FleetOwner::returnCommit()
+{
+    fleet::returnBatch(fleet_, batch_);
+    batch_ = {};
+    knownWorkers_.clear();
+    areWorkersChanged_ = true;
+    commitTimer_.arm(storeRetry, [this] {
+        isCommitInFlight_ = false;
+        commitNext();
+    });
+}
+
+void FleetOwner::finishCommit(kv::Revision revision)
+{
+    isCommitInFlight_ = false;
+    commitRevision_ = revision;
+    fleet::applyCommitted(fleet_, batch_.lastTicket());
+    answerCommitted();
+    fleet::hastenAcknowledgements(fleet_, bootNow());
+    wake();
+}
+
+void FleetOwner::answerCommitted()
+{
+    auto end = waiters_.upper_bound(fleet_.committedTicket);
+    std::vector<std::shared_ptr<Waiter>> ready;
+    for (auto each = waiters_.begin(); each != end; ++each)
+        ready.push_back(each->second);
+    waiters_.erase(waiters_.begin(), end);
+    for (auto& waiter : ready) {
+        if (!waiter->answer)
+            continue;
+        auto answer = std::exchange(waiter->answer, nullptr);
+        answer({ CallStatus::Ok, std::nullopt, std::nullopt, {} });
+    }
+}
+
+void FleetOwner::call(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
+    Instant deadline, Answer answer)
+{
+    if (!isReady_ || isStopped_)
+        return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the owner is loading" });
+    switch (request.kind) {
+    case CallKind::Waiting:
+        return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobs(fleet_, queue.name), {} });
+    case CallKind::State: {
+        auto state = fleet::visibleState(fleet_, request.job, queue.name);
+        return answer({ state ? CallStatus::Ok : CallStatus::NoSuchJob, state, std::nullopt, {} });
+    }
+    case CallKind::Cancel: {
+        auto ticket = fleet::cancel(fleet_, request.job, queue.name, unixMillis(), bootNow());
+        if (!ticket)
+            return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
+        await(*ticket, request, deadline, std::move(answer));
+        break;
+    }
+    case CallKind::Submit: {
+        auto spec = request.spec;
+        spec.queue = queue.name;
+        spec.tenant = tenant;
+        auto ticket = fleet::submit(fleet_, std::move(spec), queue, unixMillis(), bootNow());
+        await(ticket, request, deadline, std::move(answer));
+        break;
+    }
+    }
+    wake();
+}
+
+void FleetOwner::await(fleet::Ticket ticket, const CallerRequest& request, Instant deadline, Answer answer)
+{
+    if (ticket <= fleet_.committedTicket)
+        return answer({ CallStatus::Ok, std::nullopt, std::nullopt, {} });
+    auto waiter = std::make_shared<Waiter>(Waiter { request.job, request.kind, std::move(answer) });
+    waiters_.emplace(ticket, waiter);
+    auto timer = std::make_shared<Timer>(environment_.context);
+    auto delay = std::max(Millis(0), elapsed(now(), deadline));
+    timer->arm(delay, liveness_.guard([this, waiter, timer] { giveUp(waiter); }));
+}
+
+//! The store has not confirmed in time. A submission whose record was not sent is withdrawn and so has not been
+//! accepted; anything else may yet become durable.
+void FleetOwner::giveUp(const std::shared_ptr<Waiter>& waiter)
+{
+    if (!waiter->answer)
+        return;
+    auto answer = std::exchange(waiter->answer, nullptr);
+    bool isWithdrawn = waiter->kind == CallKind::Submit && fleet::withdraw(fleet_, waiter->job);
+    answer({ isWithdrawn ? CallStatus::NotAccepted : CallStatus::NotKnown, std::nullopt, std::nullopt,
+        "the store has not confirmed in time" });
+}
+
+} // namespace agatevane::node
--- /dev/null
+++ b/src/node/main.cpp
@@ -0,0 +1,88 @@
+#include "agatevane/event_http/client.h"
+#include "agatevane/event_log/event_log.h"
+#include "node/node.h"
+#include "platform/job_interface.h"
+#include "platform/settings_file.h"
+#include "platform/store_client.h"
+#include "platform/store_items.h"
+#include "platform/worker_client.h"
+#include <CLI/CLI.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace agatevane;
+
+namespace {
+
+constexpr int badSettingsExit = 2;
+
+node::Translation platformTranslation()
+{
+    return { platform::decodeCall, platform::hostOf, platform::keyOf, platform::patienceOf, platform::encodeAnswer,
+        platform::desiredStateKey, platform::decodeDesiredState, platform::workerPrefix, platform::decodeListing,
+        platform::isReadinessCheck };
+}
+
+std::optional<node::Settings> readSettingsFile(const std::string& path, Findings& findings)
+{
+    std::ifstream file(path);
+    if (!file) {
+        findings.push_back({ path, "can't be read" });
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return platform::readSettings(text.str(), findings);
+}
+
+int run(const node::Settings& settings)
+{
+    asio::io_context context(1);
+    event_http::Client client(context);
+    platform::StoreClient store(client, settings.store);
+    platform::WorkerClient workers(client);
+    auto translation = platformTranslation();
+    node::Node process(context, settings, store, workers, translation);
+    Findings findings;
+    if (!process.start(findings)) {
+        std::cerr << format(findings);
+        return 1;
+    }
+    event_log::Line("started").with("zone", settings.zone).with("region", settings.region);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](std::error_code error, int signal) {
+        if (error)
+            return;
+        event_log::Line("stopping").with("signal", signal);
+        process.stop([&context] { context.stop(); });
+    });
+    context.run();
+    event_log::Line("stopped");
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "One node of agatevane: serves callers and, when it owns the fleet, runs its jobs." };
+    std::string path = platform::settingsPath();
+    bool checkOnly = false;
+    app.add_option("--settings", path, "Settings file of the platform")->capture_default_str();
+    app.add_flag("--check", checkOnly, "Only check the settings");
+    CLI11_PARSE(app, argc, argv);
+    Findings findings;
+    auto settings = readSettingsFile(path, findings);
+    if (!settings) {
+        std::cerr << format(findings);
+        return badSettingsExit;
+    }
+    if (checkOnly)
+        return 0;
+    std::signal(SIGPIPE, SIG_IGN);
+    event_log::open(settings->name);
+    return run(*settings);
+}
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,444 @@
+#include "node/node.h"
+
+#include "agatevane/base/error.h"
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/metrics/process.h"
+#include <asio/post.hpp>
+
+namespace agatevane::node {
+
+namespace {
+
+    using event_log::Line;
+
+    constexpr Millis pullInterval { 500 };
+    constexpr Millis pullTimeout { 600 };
+    //! Without an answer of the owner or the store for this long a node is of no use to callers.
+    constexpr Millis longestSilence { 2500 };
+    //! While nobody owns the fleet a request waits this long; an election takes less than that after a handover.
+    constexpr Millis electionPatience { 1200 };
+    //! A request is tried again at the owner after this.
+    constexpr Millis routeRetry { 40 };
+    //! Kept of the caller's time for the way back.
+    constexpr Millis answerMargin { 150 };
+    constexpr Millis defaultPatience { 3000 };
+    //! The longest wait for the store's confirmation of a change; a caller then asks again with the same id.
+    constexpr Millis confirmPatience { 1500 };
+    //! The balancer takes a node out after two missed checks, one second apart.
+    constexpr Millis drainTime { 2500 };
+    constexpr Millis drainCheck { 50 };
+    //! Kept of the time before the machine kills the process.
+    constexpr Millis stopMargin { 700 };
+    constexpr std::size_t maxPeers = 64;
+    constexpr std::size_t maxPeersTold = 16;
+
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+
+    metrics::Counter& answersOf(CallKind kind, CallStatus status)
+    {
+        return metrics::registry().counter("agatevane_caller_answers_total", "Answers to callers",
+            { { "call", std::string(nameOf(kind)) }, { "status", std::string(nameOf(status)) } });
+    }
+
+    metrics::Histogram& latencyOf(CallKind kind)
+    {
+        return metrics::registry().histogram("agatevane_caller_seconds", "Time to answer a caller",
+            metrics::latencyBounds(), { { "call", std::string(nameOf(kind)) } });
+    }
+
+} // namespace
+
+//! A caller's request until its answer.
+struct Node::CallState {
+    std::uint64_t number = 0;
+    CallerRequest request;
+    desired_state::Queue queue;
+    std::string tenant;
+    Instant receivedAt;
+    Instant deadline; //!< the answer has to leave by then
+    Instant giveUpAt; //!< without an owner by then the request is refused
+    bool mayHaveEffect = false; //!< some node was sent the request and has not answered
+    int attempts = 0;
+    event_http::Respond respond;
+    const Translation* translation = nullptr;
+};
+
+Node::Node(asio::io_context& context, const Settings& settings, kv::Store& store, WorkerPort& workers,
+    const Translation& translation)
+    : context_(context)
+    , settings_(settings)
+    , store_(store)
+    , workers_(workers)
+    , translation_(translation)
+    , desired_(context, store, translation,
+          [this] {
+              if (owner_)
+                  owner_->applyDesiredState(*desired_.current());
+          })
+    , seat_(context, store, OwnerRecord { settings.name, settings.peers, 0, {} }, settings.leastLease,
+          { [this](std::uint32_t tenure, kv::Revision revision) { beginOwnership(tenure, revision); },
+              [this](std::string_view reason) { endOwnership(reason); }, [this] { ownerHeardAt_ = bootNow(); },
+              [this] { return owner_ ? owner_->commitRevision() : kv::Revision(0); } })
+    , pullTimer_(context)
+    , stopTimer_(context)
+{
+}
+
+Node::~Node() = default;
+
+bool Node::start(Findings& findings)
+{
+    auto listen = [&findings](auto& server, const net::PeerAddress& address, const char* place) {
+        if (auto error = server.listen(address.address, address.port))
+            findings.push_back(
+                { place, address.address + ":" + std::to_string(address.port) + ": " + error.message() });
+    };
+    callers_ = std::make_unique<event_http::Server>(
+        context_, [this](const event_http::Request& request, event_http::Respond respond) {
+            handleCaller(request, std::move(respond));
+        });
+    readiness_ = std::make_unique<event_http::Server>(
+        context_, [this](const event_http::Request& request, const event_http::Respond& respond) {
+            handleReadiness(request, respond);
+        });
+    metricsServer_ = std::make_unique<event_http::Server>(
+        context_, [this](const event_http::Request&, const event_http::Respond& respond) { handleMetrics(respond); });
+    peerServer_ = std::make_unique<net::RpcServer>(
+        context_, [this](std::uint16_t kind, std::string_view payload, const net::Reply& reply) {
+            handlePeer(kind, payload, reply);
+        });
+    listen(*callers_, settings_.callers, "callers");
+    listen(*readiness_, settings_.readiness, "readiness");
+    listen(*metricsServer_, settings_.metrics, "metrics");
+    if (auto error = peerServer_->listen(settings_.peers))
+        findings.push_back({ "peers", error.message() });
+    if (!findings.empty())
+        return false;
+    metrics::addProcessMetrics(metrics::registry());
+    desired_.start();
+    seat_.start();
+    pullNext();
+    return true;
+}
+
+void Node::beginOwnership(std::uint32_t tenure, kv::Revision commitRevision)
+{
+    desired_state::DesiredState none;
+    owner_ = std::make_unique<FleetOwner>(FleetOwner::Environment { context_, store_, workers_, translation_,
+                                              [this](std::string_view reason) { seat_.depose(reason); } },
+        settings_.fleet, tenure, commitRevision, desired_.current() ? *desired_.current() : none);
+    owner_->start();
+}
+
+void Node::endOwnership(std::string_view)
+{
+    if (!owner_)
+        return;
+    owner_->stop();
+    retired_ = std::move(owner_);
+    asio::post(context_, liveness_.guard([this] { retired_.reset(); }));
+}
+
+void Node::handleReadiness(const event_http::Request& request, const event_http::Respond& respond)
+{
+    bool ready = translation_.isReadinessCheck(request) && isReady();
+    noteReadiness();
+    respond({ ready ? statusOk : statusUnavailable, {}, {} });
+}
+
+bool Node::isReady() const
+{
+    if (isStopping_ || !desired_.current())
+        return false;
+    auto at = bootNow();
+    return owner_ || at - ownerHeardAt_ < longestSilence || at - seat_.lastStoreAnswer() < longestSilence;
+}
+
+void Node::noteReadiness()
+{
+    if (std::exchange(wasReady_, isReady()) == wasReady_)
+        return;
+    auto at = bootNow();
+    Line("readiness_changed")
+        .with("ready", wasReady_)
+        .with("stopping", isStopping_)
+        .with("desired_revision", desired_.revision())
+        .with("owner_heard_ms_ago", elapsed(ownerHeardAt_, at).count())
+        .with("store_heard_ms_ago", elapsed(seat_.lastStoreAnswer(), at).count());
+}
+
+void Node::handleMetrics(const event_http::Respond& respond)
+{
+    auto& registry = metrics::registry();
+    registry.gauge("agatevane_is_owner", "1 while this node owns the fleet").set(owner_ ? 1 : 0);
+    registry.gauge("agatevane_desired_revision", "Revision of the desired state in force")
+        .set(static_cast<double>(desired_.revision()));
+    registry.gauge("agatevane_log_lines_dropped", "Log lines dropped since the start")
+        .set(static_cast<double>(event_log::droppedLines()));
+    if (owner_) {
+        const auto& fleet = owner_->fleet();
+        registry.gauge("agatevane_open_jobs", "Accepted jobs that have not ended")
+            .set(static_cast<double>(fleet.openJobs.size()));
+        registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
+        registry.gauge("agatevane_starts_ordered", "Starts ordered in this tenure")
+            .set(static_cast<double>(fleet.startsOrdered));
+        registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
+            .set(static_cast<double>(fleet.runsStoppedForOthers));
+    }
+    respond({ statusOk, { { "content-type", metrics::contentType } }, registry.render() });
+}
+
+void Node::handleCaller(const event_http::Request& request, event_http::Respond respond)
+{
+    auto call = std::make_shared<CallState>();
+    call->number = nextRequest_++;
+    call->receivedAt = now();
+    call->respond = std::move(respond);
+    call->translation = &translation_;
+    auto patience = translation_.patienceOf(request).value_or(defaultPatience);
+    call->deadline = call->receivedAt + std::max(Millis(0), patience - answerMargin);
+    call->giveUpAt = std::min(call->deadline, call->receivedAt + electionPatience);
+    const auto& desired = desired_.current();
+    if (!desired)
+        return finish(call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "no desired state yet" });
+    std::string_view path = request.target;
+    path = path.substr(0, path.find('?'));
+    const auto* queue = desired_state::findQueue(*desired, translation_.hostOf(request), path);
+    if (!queue)
+        return finish(call, { CallStatus::NoSuchQueue, std::nullopt, std::nullopt, "no such queue" });
+    const auto* tenant = desired_state::findTenant(*desired, translation_.keyOf(request));
+    if (!tenant && !queue->allowsAnonymous)
+        return finish(call, { CallStatus::UnknownKey, std::nullopt, std::nullopt, "unknown key" });
+    Findings findings;
+    auto decoded = translation_.decodeCall(request, path.substr(queue->prefix.size()), findings);
+    if (!decoded)
+        return finish(call, { CallStatus::Malformed, std::nullopt, std::nullopt, format(findings) });
+    call->request = std::move(*decoded);
+    call->queue = *queue;
+    call->tenant = tenant ? tenant->name : std::string();
+    route(call);
+}
+
+void Node::route(const std::shared_ptr<CallState>& call)
+{
+    ++call->attempts;
+    auto at = now();
+    if (owner_ && owner_->isReady()) {
+        auto confirmBy = std::min(call->deadline, at + confirmPatience);
+        return owner_->call(
+            call->request, call->queue, call->tenant, confirmBy, liveness_.guard([this, call](CallerAnswer answer) {
+                if (answer.status == CallStatus::WrongNode)
+                    return routeLater(call);
+                finish(call, std::move(answer));
+            }));
+    }
+    const auto& owner = seat_.owner();
+    if (owner_ || owner.revision == 0 || owner.record.name == settings_.name)
+        return routeLater(call);
+    forward(call, owner.record.address);
+}
+
+void Node::routeLater(const std::shared_ptr<CallState>& call)
+{
+    auto at = now();
+    if (at >= call->giveUpAt) {
+        bool isUnknown = call->mayHaveEffect && call->request.kind == CallKind::Submit;
+        return finish(call,
+            { isUnknown ? CallStatus::NotKnown : CallStatus::NotAccepted, std::nullopt, std::nullopt,
+                "the owner of the fleet can't be reached" });
+    }
+    auto timer = std::make_shared<Timer>(context_);
+    timer->arm(routeRetry, liveness_.guard([this, call, timer] { route(call); }));
+}
+
+void Node::forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address)
+{
+    auto at = now();
+    ForwardedCall message;
+    message.kind = call->request.kind;
+    message.job = call->request.job;
+    message.spec = call->request.spec;
+    message.queue = call->queue;
+    message.tenant = call->tenant;
+    message.patienceMs = elapsed(at, std::min(call->deadline, at + confirmPatience)).count();
+    auto deadline = std::min(call->deadline, at + confirmPatience + pullTimeout);
+    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Call), net::encode(message), deadline,
+        liveness_.guard([this, call](std::error_code error, const std::string& payload) {
+            ForwardedAnswer answer;
+            if (!error && !net::decode(payload, answer))
+                error = Errc::Malformed;
+            if (error) {
+                call->mayHaveEffect = call->mayHaveEffect || error != Errc::Unreachable;
+                return routeLater(call);
+            }
+            ownerHeardAt_ = bootNow();
+            if (answer.status == CallStatus::WrongNode)
+                return routeLater(call);
+            finish(call, decodeForwarded(answer));
+        }));
+}
+
+void Node::finish(const std::shared_ptr<CallState>& call, CallerAnswer answer)
+{
+    // What an earlier node may have accepted is not refused.
+    if (answer.status == CallStatus::NotAccepted && call->mayHaveEffect && call->request.kind == CallKind::Submit)
+        answer.status = CallStatus::NotKnown;
+    auto took = now() - call->receivedAt;
+    answersOf(call->request.kind, answer.status).add();
+    latencyOf(call->request.kind).observe(std::chrono::duration<double>(took).count());
+    bool isDecision = call->request.kind == CallKind::Submit || call->request.kind == CallKind::Cancel
+        || answer.status != CallStatus::Ok;
+    if (isDecision) {
+        Line("call_answered")
+            .with("request", call->number)
+            .with("call", nameOf(call->request.kind))
+            .with("job", call->request.job)
+            .with("queue", call->queue.name)
+            .with("tenant", call->tenant)
+            .with("status", nameOf(answer.status))
+            .with("reason", answer.reason)
+            .with("owner", seat_.owner().record.name)
+            .with("owner_revision", seat_.owner().revision)
+            .with("desired_revision", desired_.revision())
+            .with("attempts", call->attempts)
+            .with("took_ms", std::chrono::duration_cast<Millis>(took).count());
+    }
+    call->respond(translation_.encodeAnswer(answer));
+}
+
+void Node::handlePeer(std::uint16_t kind, std::string_view payload, const net::Reply& reply)
+{
+    if (kind == static_cast<std::uint16_t>(PeerMessage::Pull)) {
+        PullRequest request;
+        if (net::decode(payload, request))
+            return handlePull(request, reply);
+    } else if (kind == static_cast<std::uint16_t>(PeerMessage::Call)) {
+        ForwardedCall call;
+        if (net::decode(payload, call))
+            return handleForwarded(call, reply);
+    }
+    Line("peer_message_unreadable").with("kind", kind).with("bytes", payload.size());
+    reply({});
+}
+
+void Node::handlePull(const PullRequest& request, const net::Reply& reply)
+{
+    meetPeer(request.name, request.address);
+    seat_.learn(request.owner);
+    PullReply answer;
+    answer.owner = seat_.owner();
+    answer.isServingOwner = owner_ && owner_->isReady();
+    answer.desiredRevision = desired_.revision();
+    if (request.desiredRevision < answer.desiredRevision)
+        answer.desiredState = desired_.bytes();
+    for (const auto& [name, address] : peers_) {
+        if (answer.peers.size() < maxPeersTold)
+            answer.peers.push_back({ name, address });
+    }
+    reply(net::encode(answer));
+}
+
+void Node::handleForwarded(const ForwardedCall& call, const net::Reply& reply)
+{
+    if (!owner_ || !owner_->isReady()) {
+        ForwardedAnswer answer;
+        answer.status = CallStatus::WrongNode;
+        return reply(net::encode(answer));
+    }
+    CallerRequest request { call.kind, call.job, call.spec };
+    auto deadline = now() + Millis(std::max<std::int64_t>(0, call.patienceMs));
+    owner_->call(request, call.queue, call.tenant, deadline,
+        [reply](const CallerAnswer& answer) { reply(net::encode(encodeForwarded(answer))); });
+}
+
+net::RpcClient& Node::clientOf(const net::PeerAddress& address)
+{
+    auto& client = peerClients_[address];
+    if (!client)
+        client = std::make_unique<net::RpcClient>(context_, address);
+    return *client;
+}
+
+void Node::meetPeer(const std::string& name, const net::PeerAddress& address)
+{
+    if (name == settings_.name || name.empty())
+        return;
+    if (peers_.size() < maxPeers || peers_.contains(name))
+        peers_[name] = address;
+}
+
+//! The owner is asked all the time, so that its loss shows; another node as well while the store is silent, since a
+//! store that turns this machine away may serve others.
+void Node::pullNext()
+{
+    if (isStopping_)
+        return;
+    pullTimer_.arm(pullInterval, [this] { pullNext(); });
+    noteReadiness();
+    auto at = bootNow();
+    const auto& owner = seat_.owner();
+    bool isStoreSilent = at - seat_.lastStoreAnswer() > pullInterval * 2;
+    bool isOwnerElsewhere = owner.revision != 0 && owner.record.name != settings_.name;
+    if (isOwnerElsewhere && !owner_)
+        pull(owner.record.address);
+    if (!isStoreSilent && (owner_ || isOwnerElsewhere) && desired_.current())
+        return;
+    std::vector<net::PeerAddress> candidates(settings_.seeds);
+    for (const auto& [name, address] : peers_)
+        candidates.push_back(address);
+    std::erase(candidates, settings_.peers);
+    if (candidates.empty())
+        return;
+    auto index = uniform(random_, 0, static_cast<std::int64_t>(candidates.size()) - 1);
+    pull(candidates[static_cast<std::size_t>(index)]);
+}
+
+void Node::pull(const net::PeerAddress& address)
+{
+    PullRequest request { settings_.name, settings_.peers, seat_.owner(), desired_.revision() };
+    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Pull), net::encode(request), now() + pullTimeout,
+        liveness_.guard([this, address](std::error_code error, const std::string& payload) {
+            PullReply reply;
+            if (!error && net::decode(payload, reply))
+                applyPull(address, reply);
+        }));
+}
+
+void Node::applyPull(const net::PeerAddress& from, const PullReply& reply)
+{
+    seat_.learn(reply.owner);
+    if (!reply.desiredState.empty())
+        desired_.learn(reply.desiredRevision, reply.desiredState);
+    for (const auto& peer : reply.peers)
+        meetPeer(peer.name, peer.address);
+    if (reply.isServingOwner && from == seat_.owner().record.address)
+        ownerHeardAt_ = bootNow();
+}
+
+void Node::stop(std::function<void()> stopped)
+{
+    if (std::exchange(isStopping_, true))
+        return;
+    noteReadiness();
+    seat_.resign();
+    callers_->startDraining();
+    auto grace = std::min(drainTime, settings_.stopGrace - stopMargin);
+    drainStep(now() + grace, stopped);
+}
+
+//! Callers may send on open connections until the balancer has noticed; afterwards what is in progress is finished.
+void Node::drainStep(Instant end, const std::function<void()>& stopped)
+{
+    auto at = now();
+    auto latest = end + (settings_.stopGrace - stopMargin - std::min(drainTime, settings_.stopGrace - stopMargin));
+    if (at >= end)
+        callers_->closeIdle();
+    if (at >= end && (callers_->requestsInProgress() == 0 || at >= latest)) {
+        Line("drained").with("requests_left", callers_->requestsInProgress());
+        return stopped();
+    }
+    stopTimer_.arm(drainCheck, [this, end, stopped] { drainStep(end, stopped); });
+}
+
+} // namespace agatevane::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "agatevane/event_http/server.h"
+#include "agatevane/metrics/registry.h"
+#include "agatevane/net/rpc.h"
+#include "node/desired_feed.h"
+#include "node/fleet_owner.h"
+#include "node/peer_messages.h"
+#include "node/seat.h"
+#include "node/settings.h"
+#include "node/timer.h"
+#include <asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace agatevane::node {
+
+//! One process: answers callers, competes for the ownership of the fleet, and runs the fleet when it has it.
+class Node {
+public:
+    Node(asio::io_context& context, const Settings& settings, kv::Store& store, WorkerPort& workers,
+        const Translation& translation);
+    ~Node();
+
+    //! Opens the listening sockets; every failure is a finding.
+    bool start(Findings& findings);
+    //! Hands over, finishes the requests in progress and calls `stopped`.
+    void stop(std::function<void()> stopped);
+
+    bool isOwner() const { return owner_ != nullptr; }
+
+private:
+    struct CallState;
+
+    void handleCaller(const event_http::Request& request, event_http::Respond respond);
+    void handleReadiness(const event_http::Request& request, const event_http::Respond& respond);
+    void handleMetrics(const event_http::Respond& respond);
+    void handlePeer(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
+    void handlePull(const PullRequest& request, const net::Reply& reply);
+    void handleForwarded(const ForwardedCall& call, const net::Reply& reply);
+
+    void route(const std::shared_ptr<CallState>& call);
+    void forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address);
+    void routeLater(const std::shared_ptr<CallState>& call);
+    void finish(const std::shared_ptr<CallState>& call, CallerAnswer answer);
+
+    void beginOwnership(std::uint32_t tenure, kv::Revision commitRevision);
+    void endOwnership(std::string_view reason);
+
+    void pullNext();
+    void pull(const net::PeerAddress& address);
+    void applyPull(const net::PeerAddress& from, const PullReply& reply);
+    net::RpcClient& clientOf(const net::PeerAddress& address);
+    void meetPeer(const std::string& name, const net::PeerAddress& address);
+    bool isReady() const;
+    void noteReadiness();
+    void drainStep(Instant end, const std::function<void()>& stopped);
+
+    asio::io_context& context_;
+    Settings settings_;
+    kv::Store& store_;
+    WorkerPort& workers_;
+    const Translation& translation_;
+
+    std::unique_ptr<event_http::Server> callers_;
+    std::unique_ptr<event_http::Server> readiness_;
+    std::unique_ptr<event_http::Server> metricsServer_;
+    std::unique_ptr<net::RpcServer> peerServer_;
+    std::map<net::PeerAddress, std::unique_ptr<net::RpcClient>> peerClients_;
+    std::map<std::string, net::PeerAddress> peers_;
+
+    DesiredFeed desired_;
+    Seat seat_;
+    std::unique_ptr<FleetOwner> owner_;
+    std::unique_ptr<FleetOwner> retired_; //!< kept until the loop has left its functions
+    Instant ownerHeardAt_;
+    bool isStopping_ = false;
+    bool wasReady_ = false;
+    std::uint64_t nextRequest_ = 1;
+
+    Timer pullTimer_;
+    Timer stopTimer_;
+    Random random_ = makeRandom();
+    Liveness liveness_;
+};
+
+} // namespace agatevane::node
--- /dev/null
+++ b/src/node/peer_messages.cpp
@@ -0,0 +1,29 @@
+#include "node/peer_messages.h"
+
+namespace agatevane::node {
+
+ForwardedAnswer encodeForwarded(const CallerAnswer& answer)
+{
+    ForwardedAnswer encoded;
+    encoded.status = answer.status;
+    encoded.reason = answer.reason;
+    if (answer.state)
+        encoded.state = static_cast<std::int32_t>(*answer.state);
+    if (answer.waiting)
+        encoded.waiting = *answer.waiting;
+    return encoded;
+}
+
+CallerAnswer decodeForwarded(const ForwardedAnswer& answer)
+{
+    CallerAnswer decoded;
+    decoded.status = answer.status;
+    decoded.reason = answer.reason;
+    if (answer.state >= 0 && answer.state <= static_cast<std::int32_t>(fleet::VisibleState::Cancelled))
+        decoded.state = static_cast<fleet::VisibleState>(answer.state);
+    if (answer.waiting >= 0)
+        decoded.waiting = static_cast<std::uint32_t>(answer.waiting);
+    return decoded;
+}
+
+} // namespace agatevane::node
--- /dev/null
+++ b/src/node/ports.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "agatevane/base/finding.h"
+#include "agatevane/desired_state/desired_state.h"
+#include "agatevane/event_http/message.h"
+#include "agatevane/fleet/jobs.h"
+#include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/workers.h"
+#include "agatevane/kv/kv.h"
+#include <functional>
+#include <optional>
+#include <string>
+#include <system_error>
+
+//! What the node needs from the platform's translation. The node decides; an implementation only encodes and decodes.
+namespace agatevane::node {
+
+struct OrderAnswer {
+    fleet::OrderOutcome outcome = fleet::OrderOutcome::Unknown;
+    bool isFenced = false; //!< the worker has seen a higher fencing token
+};
+
+struct LookResult {
+    std::error_code error;
+    bool isFenced = false;
+    fleet::LookAnswer answer;
+};
+
+//! Sends orders to workers.
+class WorkerPort {
+public:
+    virtual ~WorkerPort() = default;
+
+    virtual void start(const fleet::StartOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
+    virtual void stop(const fleet::StopOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
+    virtual void look(const fleet::LookOrder& order, Instant deadline, std::function<void(LookResult)> done) = 0;
+};
+
+//! What a caller asks for.
+enum class CallKind { Submit, State, Cancel, Waiting };
+
+} // namespace agatevane::node
+
+template <> struct agatevane::EnumNames<agatevane::node::CallKind> {
+    static constexpr std::array<std::pair<agatevane::node::CallKind, std::string_view>, 4> table { {
+        { agatevane::node::CallKind::Submit, "submit" },
+        { agatevane::node::CallKind::State, "state" },
+        { agatevane::node::CallKind::Cancel, "cancel" },
+        { agatevane::node::CallKind::Waiting, "waiting" },
+    } };
+};
+
+namespace agatevane::node {
+
+struct CallerRequest {
+    CallKind kind = CallKind::State;
+    fleet::JobId job; //!< empty for Waiting
+    fleet::JobSpec spec; //!< for Submit; queue and tenant are set by the node
+};
+
+enum class CallStatus {
+    Ok,
+    NoSuchJob,
+    NoSuchQueue,
+    UnknownKey,
+    Malformed,
+    NotAccepted, //!< nothing was done: come back later
+    NotKnown, //!< it may have been done: ask again with the same id
+    WrongNode //!< between nodes only: the asked node does not own the fleet
+};
+
+} // namespace agatevane::node
+
+template <> struct agatevane::EnumNames<agatevane::node::CallStatus> {
+    static constexpr std::array<std::pair<agatevane::node::CallStatus, std::string_view>, 8> table { {
+        { agatevane::node::CallStatus::Ok, "ok" },
+        { agatevane::node::CallStatus::NoSuchJob, "no_such_job" },
+        { agatevane::node::CallStatus::NoSuchQueue, "no_such_queue" },
+        { agatevane::node::CallStatus::UnknownKey, "unknown_key" },
+        { agatevane::node::CallStatus::Malformed, "malformed" },
+        { agatevane::node::CallStatus::NotAccepted, "not_accepted" },
+        { agatevane::node::CallStatus::NotKnown, "not_known" },
+        { agatevane::node::CallStatus::WrongNode, "wrong_node" },
+    } };
+};
+
+namespace agatevane::node {
+
+struct CallerAnswer {
+    CallStatus status = CallStatus::NotKnown;
+    std::optional<fleet::VisibleState> state;
+    std::optional<std::uint32_t> waiting;
+    std::string reason;
+};
+
+//! The caller's interface and the platform's items, as functions.
+struct Translation {
+    //! Nothing if the request asks for none of the known calls; `path` is what follows the queue's prefix.
+    std::function<std::optional<CallerRequest>(
+        const event_http::Request& request, std::string_view path, Findings& findings)>
+        decodeCall;
+    std::function<std::string_view(const event_http::Request& request)> hostOf;
+    std::function<std::string(const event_http::Request& request)> keyOf;
+    //! How long the caller waits for the answer; nothing if it doesn't say.
+    std::function<std::optional<Millis>(const event_http::Request& request)> patienceOf;
+    std::function<event_http::Response(const CallerAnswer& answer)> encodeAnswer;
+
+    std::string desiredStateKey;
+    std::function<std::optional<desired_state::DesiredState>(const kv::Item& item, Findings& findings)>
+        decodeDesiredState;
+    std::string workerPrefix;
+    std::function<std::optional<fleet::WorkerListing>(const kv::Item& item, Findings& findings)> decodeListing;
+    std::function<bool(const event_http::Request& request)> isReadinessCheck;
+};
+
+} // namespace agatevane::node
--- /dev/null
+++ b/src/node/timer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "agatevane/base/instant.h"
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <utility>
+
+namespace agatevane::node {
+
+//! Calls a function once after a delay. Arming it again replaces the earlier call; destroying it cancels the call.
+class Timer {
+public:
+    explicit Timer(asio::io_context& context)
+        : timer_(context)
+    {
+    }
+
+    void arm(Millis delay, std::function<void()> action)
+    {
+        timer_.expires_after(delay);
+        timer_.async_wait([action = std::move(action)](std::error_code error) {
+            if (!error)
+                action();
+        });
+    }
+
+    void cancel() { timer_.cancel(); }
+
+private:
+    asio::steady_timer timer_;
+};
+
+//! A token that callbacks hold weakly, so that those of a destroyed object do nothing.
+class Liveness {
+public:
+    template <typename Function> auto guard(Function function) const
+    {
+        return [alive = std::weak_ptr<char>(token_), function = std::move(function)](auto&&... arguments) mutable {
+            if (!alive.expired())
+                function(std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
+
+private:
+    std::shared_ptr<char> token_ = std::make_shared<char>();
+};
+
+//! Milliseconds since 1970 on the machine's time of day, which may differ between machines.
+inline std::int64_t unixMillis()
+{
+    using std::chrono::system_clock;
+    return std::chrono::duration_cast<Millis>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace agatevane::node
--- a/standins/store/memory_store.cpp
+++ b/standins/store/memory_store.cpp
@@ -1,6 +1,6 @@
 #include "standins/store/memory_store.h"
 
-#include "agatevane/store/base64.h"
+#include "agatevane/base/base64.h"
 #include <algorithm>
 #include <charconv>
 
--- a/tests/store/codec_tests.cpp
+++ b/tests/store/codec_tests.cpp
@@ -1,4 +1,4 @@
-#include "agatevane/store/base64.h"
+#include "agatevane/base/base64.h"
 #include "agatevane/store/codec.h"
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
