Do not withdraw a submission that another call awaits; let silent workers expire

Two calls with the same job id waited for one record while the store was down; the first gave up and withdrew it, the second was told 'accepted' by the next commit. Each unanswered look moved the bound of the silent worker's lease on, so its runs were never given up. (3) SIGHUP ended the process. Change: only the last waiting call withdraws; looks renew the lease only while the worker answers, and a worker that announced to leave and is gone is given up at once; SIGHUP reads the settings again. Ruled out: the order of tickets in group commit.

--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -135,6 +135,12 @@
         }
     }
 
+    //! It had announced that it leaves, its entry is gone, and it does not answer.
+    bool hasLeft(const Worker& worker)
+    {
+        return worker.isDraining && !worker.isListed && worker.missedLooks >= missesToAvoid;
+    }
+
     bool needsLook(const Fleet& fleet, const Worker& worker)
     {
         if (!worker.isLookedAt)
@@ -252,8 +258,8 @@
 {
     for (auto each = fleet.workers.begin(); each != fleet.workers.end();) {
         auto& worker = each->second;
-        if (worker.missedLooks > 0 && at >= worker.leaseBound && !worker.runs.empty()) {
-            loseRuns(fleet, worker, at, "lease_passed");
+        if (!worker.runs.empty() && worker.missedLooks > 0 && (at >= worker.leaseBound || hasLeft(worker))) {
+            loseRuns(fleet, worker, at, hasLeft(worker) ? "worker_left" : "lease_passed");
             worker.isLookedAt = false;
         }
         for (auto& [key, run] : worker.runs) {
@@ -279,7 +285,8 @@
             continue;
         acknowledgeCommitted(fleet, worker);
         LookOrder look { id, worker.address, worker.acknowledgedEnd, std::nullopt, Millis(0), fleet.fencingToken };
-        if (worker.clockMs > 0)
+        // A look that may go unanswered must not move the instant at which a silent worker's runs are given up.
+        if (worker.clockMs > 0 && worker.missedLooks == 0)
             look.leaseUntilMs = extendLease(fleet, worker, at);
         if (worker.isLookedAt && worker.listedEnds.empty() && !worker.runs.empty())
             look.wait = lookWait;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -64,9 +64,10 @@
 void FleetOwner::stop()
 {
     isStopped_ = true;
-    auto waiters = std::exchange(waiters_, {});
+    auto waiters = waiters_;
     for (auto& [ticket, waiter] : waiters)
         giveUp(waiter);
+    waiters_.clear();
 }
 
 void FleetOwner::load()
@@ -465,7 +466,10 @@
     if (!waiter->answer)
         return;
     auto answer = std::exchange(waiter->answer, nullptr);
-    bool isWithdrawn = waiter->kind == CallKind::Submit && fleet::withdraw(fleet_, waiter->job);
+    // Another call with the same id may still be told that the job is accepted.
+    bool isAwaited = std::any_of(waiters_.begin(), waiters_.end(),
+        [&waiter](const auto& each) { return each.second->answer && each.second->job == waiter->job; });
+    bool isWithdrawn = waiter->kind == CallKind::Submit && !isAwaited && fleet::withdraw(fleet_, waiter->job);
     answer({ isWithdrawn ? CallStatus::NotAccepted : CallStatus::NotKnown, std::nullopt, std::nullopt,
         "the store has not confirmed in time" });
 }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -38,7 +38,29 @@
     return platform::readSettings(text.str(), findings);
 }
 
-int run(const node::Settings& settings)
+//! A changed settings file takes effect at the next signal; a wrong one is reported and leaves the old one in force.
+void reload(const std::string& path, node::Node& process)
+{
+    Findings findings;
+    auto settings = readSettingsFile(path, findings);
+    for (const auto& finding : findings)
+        event_log::Line("settings_wrong").with("place", finding.place).with("text", finding.text);
+    if (settings)
+        process.reload(*settings);
+    event_log::Line("reloaded").with("applied", settings.has_value());
+}
+
+void awaitReload(asio::signal_set& signals, const std::string& path, node::Node& process)
+{
+    signals.async_wait([&](std::error_code error, int) {
+        if (error)
+            return;
+        reload(path, process);
+        awaitReload(signals, path, process);
+    });
+}
+
+int run(const std::string& path, const node::Settings& settings)
 {
     asio::io_context context(1);
     event_http::Client client(context);
@@ -59,6 +81,8 @@
         event_log::Line("stopping").with("signal", signal);
         process.stop([&context] { context.stop(); });
     });
+    asio::signal_set reloads(context, SIGHUP);
+    awaitReload(reloads, path, process);
     context.run();
     event_log::Line("stopped");
     return 0;
@@ -84,5 +108,5 @@
         return 0;
     std::signal(SIGPIPE, SIG_IGN);
     event_log::open(settings->name);
-    return run(*settings);
+    return run(path, *settings);
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -416,6 +416,13 @@
         ownerHeardAt_ = bootNow();
 }
 
+void Node::reload(const Settings& settings)
+{
+    settings_.seeds = settings.seeds;
+    settings_.fleet = settings.fleet;
+    settings_.stopGrace = settings.stopGrace;
+}
+
 void Node::stop(std::function<void()> stopped)
 {
     if (std::exchange(isStopping_, true))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -25,6 +25,8 @@
 
     //! Opens the listening sockets; every failure is a finding.
     bool start(Findings& findings);
+    //! Takes over what may change while the process runs: the seeds, and the limits of the next ownership.
+    void reload(const Settings& settings);
     //! Hands over, finishes the requests in progress and calls `stopped`.
     void stop(std::function<void()> stopped);
 
