Bound the processor time of placement

Cause: on the grown sites the owner spent its processor on placement: each end of a run led to a round that searched all workers, and planned preemption, for every waiting unit. Change: a round remembers shapes that found no room and makes at most six preemption plans; rounds are at least 10 ms apart and a long one comes less often; events within 3 ms lead to one round. Test: a round over 300 waiting jobs makes at most 20 searches.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -5,6 +5,8 @@
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 namespace agatevane::fleet {
 
@@ -21,6 +23,25 @@
     //! A fleet with more of its accelerators or cores in use than this is too full to run work at a far rack's cost.
     constexpr double fullShare = 0.5;
 
+    //! Plans of what to stop cost the most time of a round; urgent units come first.
+    constexpr int maxPlansPerRound = 6;
+
+    //! What decides whether a unit finds room. While a round only takes room away, a shape that found none finds none.
+    struct Shape {
+        std::string service;
+        std::string label;
+        std::string rack;
+        bool oneRack = false;
+        Capacity need;
+        std::size_t count = 0;
+
+        auto key() const
+        {
+            return std::tie(service, label, rack, oneRack, need.milliCores, need.memoryMiB, need.accelerators, count);
+        }
+        bool operator<(const Shape& other) const { return key() < other.key(); }
+    };
+
     struct Objective {
         std::int64_t dueMs = 0; //!< since acceptance or due time
         std::int64_t lateMs = 0;
@@ -223,18 +244,34 @@
         {
             bool oneRack = unit.spec().isTightlyCoupled && waitsForRack(unit);
             auto rack = wantedRack(unit);
-            auto count = unit.indexes.size();
-            if (auto places = findPlaces(unit, rooms_, count, RoomKind::Free, oneRack, rack))
+            if (auto places = findRoom(unit, unit.indexes.size(), RoomKind::Free, oneRack, rack))
                 return start(unit, unit.indexes, *places);
             makeRoom(unit, oneRack, rack);
         }
 
+        //! As findPlaces, without the search for a shape that has found no room in this round.
+        std::optional<Places> findRoom(
+            const Unit& unit, std::size_t count, RoomKind kind, bool oneRack, const std::string& rack)
+        {
+            const auto& spec = unit.spec();
+            Shape shape { unit.job->policy.service, spec.requiredLabel, rack, oneRack, roomOf(spec), count };
+            auto& failed = kind == RoomKind::Free ? withoutFreeRoom_ : withoutRoomSoon_;
+            if (failed.contains(shape))
+                return std::nullopt;
+            ++fleet_.placementSearches;
+            auto places = findPlaces(unit, rooms_, count, kind, oneRack, rack);
+            // A bound on the spread makes the outcome the unit's own.
+            if (!places && spec.maxPerWorker == 0)
+                failed.insert(shape);
+            return places;
+        }
+
         void placeSingles(Unit& unit)
         {
             auto rack = wantedRack(unit);
             std::vector<std::uint32_t> left;
             for (auto index : unit.indexes) {
-                if (auto places = findPlaces(unit, rooms_, 1, RoomKind::Free, false, rack))
+                if (auto places = findRoom(unit, 1, RoomKind::Free, false, rack))
                     start(unit, { index }, *places);
                 else
                     left.push_back(index);
@@ -250,14 +287,17 @@
             // Hopeless and late work takes nothing from others.
             if (!isUrgent(unit) && unit.tier >= 50)
                 return;
-            auto count = unit.indexes.size();
-            if (auto places = findPlaces(unit, rooms_, count, RoomKind::Soon, oneRack, rack))
+            if (auto places = findRoom(unit, unit.indexes.size(), RoomKind::Soon, oneRack, rack))
                 return reserve(unit, *places);
+            if (++plans_ > maxPlansPerRound)
+                return;
+            ++fleet_.preemptionPlans;
             auto plan = planPreemption(fleet_, unit, rooms_, oneRack, rack, at_);
             if (!plan)
                 return;
             for (const auto& victim : plan->victims)
                 stopVictim(victim, unit);
+            withoutRoomSoon_.clear();
             reserve(unit, plan->places);
         }
 
@@ -320,6 +360,9 @@
         std::vector<Room> rooms_;
         std::vector<Unit> units_;
         double fullness_ = 0;
+        std::set<Shape> withoutFreeRoom_;
+        std::set<Shape> withoutRoomSoon_;
+        int plans_ = 0;
     };
 
 } // namespace
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -175,6 +175,8 @@
     std::set<std::string> claimingTenants; //!< their open urgent jobs need no more than they are guaranteed
     std::uint64_t startsOrdered = 0;
     std::uint64_t runsStoppedForOthers = 0;
+    std::uint64_t placementSearches = 0; //!< over all workers; the measure of a round's processor time
+    std::uint64_t preemptionPlans = 0;
     bool isPlacementDue = true; //!< something changed that may let work start
 };
 
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -4,7 +4,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/dispatch.h"
 #include "agatevane/fleet/record.h"
-#include <asio/post.hpp>
+#include <algorithm>
 
 namespace agatevane::node {
 
@@ -16,6 +16,8 @@
     constexpr Millis tickInterval { 50 };
     //! Placement depends on time too: patience ends, jobs become due.
     constexpr Millis placementInterval { 200 };
+    constexpr Millis leastPlacementPause { 10 };
+    constexpr Millis wakeDelay { 3 };
     constexpr Millis storeTimeout { 1000 };
     constexpr Millis loadTimeout { 3000 };
     constexpr Millis storeRetry { 100 };
@@ -48,6 +50,7 @@
     : environment_(environment)
     , commitRevision_(commitRevision)
     , tickTimer_(environment.context)
+    , wakeTimer_(environment.context)
     , commitTimer_(environment.context)
     , listTimer_(environment.context)
 {
@@ -244,15 +247,15 @@
     advance();
 }
 
-//! Several events in one turn of the loop lead to one round of decisions.
+//! Events that come close together lead to one round of decisions.
 void FleetOwner::wake()
 {
     if (std::exchange(isAdvanceQueued_, true))
         return;
-    asio::post(environment_.context, liveness_.guard([this] {
+    wakeTimer_.arm(wakeDelay, [this] {
         isAdvanceQueued_ = false;
         advance();
-    }));
+    });
 }
 
 void FleetOwner::advance()
@@ -260,11 +263,20 @@
     if (isStopped_ || !isReady_)
         return;
     auto at = bootNow();
+    bool mayPlace = at - lastPlacementAt_ >= placementPause_;
     if (at - lastPlacementAt_ >= placementInterval)
         fleet_.isPlacementDue = true;
-    if (fleet_.isPlacementDue)
-        lastPlacementAt_ = at;
+    bool isDue = fleet_.isPlacementDue;
+    fleet_.isPlacementDue = isDue && mayPlace;
+    bool places = fleet_.isPlacementDue;
     send(fleet::advance(fleet_, unixMillis(), at));
+    if (places) {
+        // A round that takes long comes less often, so that it leaves time for calls.
+        lastPlacementAt_ = bootNow();
+        placementPause_ = std::clamp(elapsed(at, lastPlacementAt_) * 4, leastPlacementPause, placementInterval);
+    } else if (isDue) {
+        fleet_.isPlacementDue = true;
+    }
     commitNext();
 }
 
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -87,6 +87,7 @@
     bool isStopped_ = false;
     bool isAdvanceQueued_ = false;
     Instant lastPlacementAt_;
+    Millis placementPause_ { 0 };
     std::int64_t nextPruneUnixMs_ = 0;
 
     fleet::Batch batch_;
@@ -106,6 +107,7 @@
     kv::Revision workersAsOf_ = 0;
 
     Timer tickTimer_;
+    Timer wakeTimer_;
     Timer commitTimer_;
     Timer listTimer_;
     Liveness liveness_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -224,8 +224,8 @@
 {
     ++call->attempts;
     if (owner_ && owner_->isReady()) {
-        return owner_->call(
-            call->request, call->queue, call->tenant, call->deadline, liveness_.guard([this, call](CallerAnswer answer) {
+        return owner_->call(call->request, call->queue, call->tenant, call->deadline,
+            liveness_.guard([this, call](CallerAnswer answer) {
                 if (answer.status == CallStatus::WrongNode)
                     return routeLater(call);
                 finish(call, std::move(answer));
@@ -241,8 +241,8 @@
 {
     // A call that may have had an effect is asked again as long as the caller waits: the same id remains one job.
     if (now() >= (call->mayHaveEffect ? call->deadline : call->giveUpAt))
-        return finish(call,
-            { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the owner of the fleet can't be reached" });
+        return finish(
+            call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the owner of the fleet can't be reached" });
     auto timer = std::make_shared<Timer>(context_);
     timer->arm(routeRetry, liveness_.guard([this, call, timer] { route(call); }));
 }
--- a/src/node/timer.h
+++ b/src/node/timer.h
@@ -9,8 +9,8 @@
 
 namespace agatevane::node {
 
-//! Calls a function once after a delay. Arming it again or destroying it drops the earlier call, also one whose time has
-//! come and that waits for its turn in the event loop.
+//! Calls a function once after a delay. Arming it again or destroying it drops the earlier call, also one whose time
+//! has come and that waits for its turn in the event loop.
 class Timer {
 public:
     explicit Timer(asio::io_context& context)
--- a/standins/store/memory_store.cpp
+++ b/standins/store/memory_store.cpp
@@ -38,7 +38,7 @@
     auto found = object.find(name);
     if (found == object.end())
         return {};
-    auto bytes = found->is_string() ? store::fromBase64(found->get_ref<const std::string&>()) : std::nullopt;
+    auto bytes = found->is_string() ? fromBase64(found->get_ref<const std::string&>()) : std::nullopt;
     if (!bytes)
         throw StoreError { 3, std::string(name) + " is not base64" };
     return std::move(*bytes);
@@ -94,13 +94,13 @@
 
 Json MemoryStore::keyValue(const std::string& key, const Version& version, bool keysOnly) const
 {
-    Json kv { { "key", store::toBase64(key) } };
+    Json kv { { "key", toBase64(key) } };
     addNumber(kv, "create_revision", version.createRevision);
     addNumber(kv, "mod_revision", version.modRevision);
     addNumber(kv, "version", version.version);
     addNumber(kv, "lease", version.lease);
     if (!keysOnly && !version.value.empty())
-        kv["value"] = store::toBase64(version.value);
+        kv["value"] = toBase64(version.value);
     return kv;
 }
 
--- a/standins/store/memory_store_leases.cpp
+++ b/standins/store/memory_store_leases.cpp
@@ -116,7 +116,7 @@
         else
             events.push_back({ { "type", "DELETE" },
                 { "kv",
-                    { { "key", store::toBase64(change->key) },
+                    { { "key", toBase64(change->key) },
                         { "mod_revision", std::to_string(change->revision) } } } });
     }
     cursor.nextRevision = last + 1;
--- a/tests/fleet/job_tests.cpp
+++ b/tests/fleet/job_tests.cpp
@@ -106,6 +106,23 @@
     BOOST_CHECK(simulation.stateOf(jobId) == fleet::VisibleState::Running);
 }
 
+// Guards against rounds of placement whose time grows with the backlog: an owner of 384 workers spent its whole
+// processor on them and answered callers too late (scale-1 of ipfrr-agatevane-grown).
+BOOST_AUTO_TEST_CASE(A_round_over_a_long_backlog_makes_few_searches, *boost::unit_test::label("jobs"))
+{
+    FleetSimulation simulation({ .seed = 25, .workers = 8 });
+    simulation.runUntil(500);
+    for (int n = 0; n < 300; ++n)
+        simulation.submit(
+            test::sampleJob(toHex(static_cast<std::uint64_t>(n) + 1), 1, 8, 60000), test::sampleQueue(n % 3));
+    simulation.runUntil(1500);
+    auto searches = simulation.fleet().placementSearches;
+    auto plans = simulation.fleet().preemptionPlans;
+    fleet::place(simulation.fleet(), simulation.nowMs(), instantAt(simulation.nowMs()));
+    BOOST_CHECK_LE(simulation.fleet().placementSearches - searches, 20U);
+    BOOST_CHECK_LE(simulation.fleet().preemptionPlans - plans, 6U);
+}
+
 RC_BOOST_PROP(Progress_records_read_back, (const std::vector<std::uint8_t>& counts))
 {
     auto spec = test::sampleJob(jobId, 1, 1, 100);
--- a/tests/store/codec_tests.cpp
+++ b/tests/store/codec_tests.cpp
@@ -18,15 +18,15 @@
 
 RC_BOOST_PROP(base64_reads_back_any_bytes, (const std::string& bytes))
 {
-    RC_ASSERT(fromBase64(toBase64(bytes)) == bytes);
+    RC_ASSERT(agatevane::fromBase64(agatevane::toBase64(bytes)) == bytes);
 }
 
 BOOST_AUTO_TEST_CASE(Base64_refuses_what_is_not_base64, *boost::unit_test::label("codec"))
 {
-    BOOST_TEST(toBase64("foo") == "Zm9v");
-    BOOST_TEST(toBase64("fo") == "Zm8=");
+    BOOST_TEST(agatevane::toBase64("foo") == "Zm9v");
+    BOOST_TEST(agatevane::toBase64("fo") == "Zm8=");
     for (const auto* text : { "Zg", "Zg=", "Z===", "Z g=", "=m9v", "Zm9v=" })
-        BOOST_TEST(!fromBase64(text).has_value());
+        BOOST_TEST(!agatevane::fromBase64(text).has_value());
 }
 
 // The expected texts are examples of the published gateway documentation, not output of this codec.
