Spend fewer calls on the store, change the owner sooner

After all processes were killed, the lease of the dead owner ran for up to 2 s more; on grown sites a machine of 0.12 cores could win the election. Change: only candidates and the owner hold a lease; nodes that hear the owner watch for 5 s at a time; progress is committed at most every 40 ms; a restarted owner ends the lease of its earlier life; smaller machines compete later; the lease lasts 1.5 s. Ruled out: the election itself (70 ms after the key's removal).

--- a/src/node/desired_feed.cpp
+++ b/src/node/desired_feed.cpp
@@ -11,16 +11,20 @@
     constexpr Millis readTimeout { 1000 };
     constexpr Millis retryPause { 200 };
     //! A watch that has gone silent must show well before a change has to be in force, 2.5 s after its acknowledgement.
-    constexpr Millis watchWait { 1000 };
+    constexpr Millis closeWatchWait { 1000 };
+    //! For nodes that are told of changes by the owner as well; each watch that ends is a paid call.
+    constexpr Millis relaxedWatchWait { 5000 };
     constexpr Millis watchMargin { 600 };
 
 } // namespace
 
 DesiredFeed::DesiredFeed(
-    asio::io_context& context, kv::Store& store, const Translation& translation, std::function<void()> changed)
+    asio::io_context& context, kv::Store& store, const Translation& translation, std::function<void()> changed,
+    std::function<bool()> mustWatchClosely)
     : store_(store)
     , translation_(translation)
     , changed_(std::move(changed))
+    , mustWatchClosely_(std::move(mustWatchClosely))
     , timer_(context)
 {
 }
@@ -50,7 +54,8 @@
 
 void DesiredFeed::watch()
 {
-    store_.watch(translation_.desiredStateKey, watchedTo_, watchWait, now() + watchWait + watchMargin,
+    auto wait = mustWatchClosely_() ? closeWatchWait : relaxedWatchWait;
+    store_.watch(translation_.desiredStateKey, watchedTo_, wait, now() + wait + watchMargin,
         liveness_.guard([this](const kv::WatchResult& result) {
             if (result.error) {
                 timer_.arm(result.historyIsGone ? Millis(0) : retryPause, [this] { read(); });
--- a/src/node/desired_feed.h
+++ b/src/node/desired_feed.h
@@ -12,8 +12,9 @@
 //! Keeps the newest desired state that the store or another node has shown. It never goes back to an older one.
 class DesiredFeed {
 public:
-    DesiredFeed(
-        asio::io_context& context, kv::Store& store, const Translation& translation, std::function<void()> changed);
+    //! `mustWatchClosely` tells that no other node would bring a change that this node's watch has missed.
+    DesiredFeed(asio::io_context& context, kv::Store& store, const Translation& translation,
+        std::function<void()> changed, std::function<bool()> mustWatchClosely);
 
     void start();
     //! Takes an item that another node has read.
@@ -31,6 +32,7 @@
     kv::Store& store_;
     const Translation& translation_;
     std::function<void()> changed_;
+    std::function<bool()> mustWatchClosely_;
     kv::Item item_;
     kv::Revision watchedTo_ = 0;
     std::optional<desired_state::DesiredState> current_;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -27,10 +27,12 @@
     constexpr Millis watchWait { 1000 };
     constexpr Millis watchMargin { 800 };
     //! Workers report every second or so each; collecting their changes saves calls.
-    constexpr Millis watchPause { 250 };
+    constexpr Millis watchPause { 400 };
     constexpr Millis pruneInterval { 10000 };
     //! A submission that the store has not been sent by then is taken back, so that the caller can come again.
     constexpr Millis withdrawAfter { 800 };
+    //! Progress that nobody waits for is collected for this long.
+    constexpr Millis commitPause { 40 };
     //! The store takes at most 32 entries in one transaction; one condition and one put are the commit key's.
     constexpr std::size_t maxBatchEntries = 30;
 
@@ -344,6 +346,10 @@
 {
     if (isCommitInFlight_ || isStopped_ || !isReady_)
         return;
+    bool isAwaited = std::any_of(
+        waiters_.begin(), waiters_.end(), [](const auto& each) { return each.second->answer != nullptr; });
+    if (!isAwaited && bootNow() - lastCommitAt_ < commitPause)
+        return;
     batch_ = fleet::takeBatch(fleet_, maxBatchEntries);
     auto workers = areWorkersChanged_ ? encodeKnownWorkers(fleet_) : knownWorkers_;
     areWorkersChanged_ = false;
@@ -409,6 +415,7 @@
 void FleetOwner::finishCommit(kv::Revision revision)
 {
     isCommitInFlight_ = false;
+    lastCommitAt_ = bootNow();
     commitRevision_ = revision;
     fleet::applyCommitted(fleet_, batch_.lastTicket());
     answerCommitted();
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -94,6 +94,7 @@
     kv::Txn txn_;
     std::string txnToken_;
     bool isCommitInFlight_ = false;
+    Instant lastCommitAt_;
     bool mayBeApplied_ = false; //!< a try of `txn_` was not answered
     bool areWorkersChanged_ = false;
     std::string knownWorkers_; //!< as last stored
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,6 +32,18 @@
     constexpr std::size_t maxPeers = 64;
     constexpr std::size_t maxPeersTold = 16;
 
+    //! Without an answer for this long the owner is no source of news.
+    constexpr Millis ownerSilence { 1200 };
+    //! A machine with this share of a core competes for the ownership at once, a smaller one later.
+    constexpr double ampleProcessorShare = 0.25;
+    constexpr double handicapMsPerShare = 1500;
+
+    Millis handicapOf(double processorShare)
+    {
+        auto lacking = std::max(0.0, ampleProcessorShare - processorShare);
+        return Millis(static_cast<std::int64_t>(lacking * handicapMsPerShare));
+    }
+
     constexpr int statusOk = 200;
     constexpr int statusUnavailable = 503;
 
@@ -75,8 +87,10 @@
           [this] {
               if (owner_)
                   owner_->applyDesiredState(*desired_.current());
-          })
+          },
+          [this] { return owner_ != nullptr || bootNow() - ownerHeardAt_ > ownerSilence; })
     , seat_(context, store, OwnerRecord { settings.name, settings.peers, 0, {} }, settings.leastLease,
+          handicapOf(settings.processorShare),
           { [this](std::uint32_t tenure, kv::Revision revision) { beginOwnership(tenure, revision); },
               [this](std::string_view reason) { endOwnership(reason); }, [this] { ownerHeardAt_ = bootNow(); },
               [this] { return owner_ ? owner_->commitRevision() : kv::Revision(0); } })
@@ -152,7 +166,7 @@
     if (isStopping_ || !desired_.current())
         return false;
     auto at = bootNow();
-    return owner_ || at - ownerHeardAt_ < longestSilence || at - seat_.lastStoreAnswer() < longestSilence;
+    return owner_ || at - ownerHeardAt_ < longestSilence || !seat_.isStoreSilent();
 }
 
 void Node::noteReadiness()
@@ -165,7 +179,7 @@
         .with("stopping", isStopping_)
         .with("desired_revision", desired_.revision())
         .with("owner_heard_ms_ago", elapsed(ownerHeardAt_, at).count())
-        .with("store_heard_ms_ago", elapsed(seat_.lastStoreAnswer(), at).count());
+        .with("store_silent", seat_.isStoreSilent());
 }
 
 void Node::handleMetrics(const event_http::Respond& respond)
@@ -370,13 +384,13 @@
         return;
     pullTimer_.arm(pullInterval, [this] { pullNext(); });
     noteReadiness();
-    auto at = bootNow();
     const auto& owner = seat_.owner();
-    bool isStoreSilent = at - seat_.lastStoreAnswer() > pullInterval * 2;
+    bool isStoreSilent = seat_.isStoreSilent() || bootNow() - ownerHeardAt_ > ownerSilence;
     bool isOwnerElsewhere = owner.revision != 0 && owner.record.name != settings_.name;
     if (isOwnerElsewhere && !owner_)
         pull(owner.record.address);
-    if (!isStoreSilent && (owner_ || isOwnerElsewhere) && desired_.current())
+    bool hasSource = owner_ ? !seat_.isUnconfirmed() : isOwnerElsewhere && !isStoreSilent;
+    if (hasSource && desired_.current())
         return;
     std::vector<net::PeerAddress> candidates(settings_.seeds);
     for (const auto& [name, address] : peers_)
--- a/src/node/seat.cpp
+++ b/src/node/seat.cpp
@@ -11,10 +11,12 @@
 
     constexpr Millis tickInterval { 100 };
     //! Long enough that a slow store does not end the lease, short enough that a dead owner is replaced in seconds.
-    constexpr Millis wantedTtl { 2000 };
+    constexpr Millis wantedTtl { 1500 };
     constexpr Millis callTimeout { 1000 };
+    //! Shorter than the rest of the lease, so that a lost answer leaves time for another renewal.
+    constexpr Millis renewTimeout { 500 };
     constexpr Millis retryPause { 200 };
-    constexpr Millis watchWait { 2000 };
+    constexpr Millis watchWait { 3000 };
     //! Beyond the wait, for a slow store; then the watch counts as silent and is sent again.
     constexpr Millis watchMargin { 800 };
     //! Candidates spread their tries over this time; the owner whose lease has lapsed tries at once.
@@ -25,11 +27,12 @@
 
 } // namespace
 
-Seat::Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Callbacks callbacks)
+Seat::Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Millis handicap, Callbacks callbacks)
     : context_(context)
     , store_(store)
     , self_(self)
     , ttl_(std::max(wantedTtl, leastLease))
+    , handicap_(handicap)
     , callbacks_(std::move(callbacks))
     , tickTimer_(context)
     , watchTimer_(context)
@@ -67,13 +70,20 @@
     auto at = bootNow();
     if (isSeated_ && at - confirmedAt_ > longestUnconfirmed)
         loseSeat("not_confirmed_by_store");
-    if (!isLeaseCallInFlight_ && at >= nextRenewal_) {
+    // Only the owner and those who want to become it need a lease; each renewal is a paid call.
+    bool needsLease = isSeated_ || (isOwnerKnownAbsent_ && at >= campaignAt_);
+    if (needsLease && !isLeaseCallInFlight_ && at >= nextRenewal_) {
         if (lease_ == 0)
             grant();
         else
             renew();
     }
-    if (!isOwnerKnownAbsent_ || lease_ == 0 || isCampaigning_ || at < campaignAt_)
+    tryForSeat();
+}
+
+void Seat::tryForSeat()
+{
+    if (!isOwnerKnownAbsent_ || lease_ == 0 || isCampaigning_ || bootNow() < campaignAt_)
         return;
     if (isSeated_)
         putBack();
@@ -88,8 +98,10 @@
         isLeaseCallInFlight_ = false;
         noteAnswer(result.error);
         nextRenewal_ = bootNow() + (result.error ? retryPause : ttl_ / 4);
-        if (!result.error)
-            lease_ = result.lease;
+        if (result.error)
+            return;
+        lease_ = result.lease;
+        tryForSeat();
     }));
 }
 
@@ -97,8 +109,12 @@
 {
     isLeaseCallInFlight_ = true;
     auto sentAt = bootNow();
-    store_.renewLease(lease_, now() + callTimeout, liveness_.guard([this, sentAt](const kv::LeaseResult& result) {
+    store_.renewLease(lease_, now() + renewTimeout, liveness_.guard([this, sentAt](const kv::LeaseResult& result) {
         isLeaseCallInFlight_ = false;
+        if (result.isGone && !isSeated_) {
+            lease_ = 0;
+            return;
+        }
         if (result.isGone) {
             Line("lease_lost").with("lease", lease_).with("seated", isSeated_);
             lease_ = 0;
@@ -174,8 +190,9 @@
         if (asOf < owner_.revision || isOwnerKnownAbsent_)
             return;
         isOwnerKnownAbsent_ = true;
-        auto delay = isSeated_ ? 0 : uniform(random_, 0, campaignSpreadMs);
-        campaignAt_ = bootNow() + Millis(delay);
+        auto delay = isSeated_ ? Millis(0) : handicap_ + Millis(uniform(random_, 0, campaignSpreadMs));
+        campaignAt_ = bootNow() + delay;
+        nextRenewal_ = campaignAt_;
         Line("owner_absent").with("revision", asOf).with("last_owner", owner_.record.name);
         return;
     }
@@ -186,9 +203,29 @@
     }
     if (item->revision > owner_.revision)
         isOwnerKnownAbsent_ = false;
+    endEarlierLife(*item, *record);
     learn({ item->revision, *record });
 }
 
+//! This machine's process was the owner and has started anew: nobody has to wait until its lease has passed.
+void Seat::endEarlierLife(const kv::Item& item, const OwnerRecord& record)
+{
+    if (record.name != self_.name || record.token == self_.token || isSeated_ || item.lease == 0)
+        return;
+    Line("earlier_life_ended").with("tenure", record.tenure).with("lease", item.lease);
+    store_.endLease(item.lease, now() + callTimeout, [](const kv::LeaseResult&) { });
+}
+
+bool Seat::isUnconfirmed() const
+{
+    return bootNow() - confirmedAt_ > ttl_;
+}
+
+bool Seat::isStoreSilent() const
+{
+    return bootNow() - lastStoreAnswer_ > watchWait + watchMargin;
+}
+
 void Seat::learn(const OwnerView& view)
 {
     if (view.revision <= owner_.revision)
--- a/src/node/seat.h
+++ b/src/node/seat.h
@@ -20,7 +20,9 @@
         std::function<kv::Revision()> commitRevision;
     };
 
-    Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Callbacks callbacks);
+    //! `handicap` is waited before each try, so that better suited nodes win.
+    Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Millis handicap,
+        Callbacks callbacks);
 
     void start();
     //! Gives the ownership up so that another node takes it at once, and does not compete again.
@@ -34,16 +36,20 @@
     bool isSeated() const { return isSeated_; }
     //! When the store last confirmed the lease, measured from before the renewal was sent.
     Instant confirmedAt() const { return confirmedAt_; }
-    //! When the store last answered anything to this node.
-    Instant lastStoreAnswer() const { return lastStoreAnswer_; }
+    //! True for an owner that the store has not confirmed lately: it may have been replaced without knowing.
+    bool isUnconfirmed() const;
+    //! True if the store has left the watch, which it answers regularly, unanswered.
+    bool isStoreSilent() const;
 
 private:
     void tick();
+    void tryForSeat();
     void grant();
     void renew();
     void watch();
     void readOwner();
     void applyOwnerItem(const kv::Item* item, kv::Revision asOf);
+    void endEarlierLife(const kv::Item& item, const OwnerRecord& record);
     void campaign();
     void sendCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token);
     void resolveCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token, kv::TxnResult result);
@@ -55,6 +61,7 @@
     kv::Store& store_;
     OwnerRecord self_;
     Millis ttl_;
+    Millis handicap_;
     Callbacks callbacks_;
     Random random_ = makeRandom();
     Timer tickTimer_;
