Add the platform's stand-in and process tests against it

Change: standin-platform serves the modelled store and workers over the published interface; seven process tests with three nodes: a job's path, cancel, a killed owner, all processes killed, the store away, nodes stopped in turn, a new desired state.

--- /dev/null
+++ b/standins/platform/platform_server.cpp
@@ -0,0 +1,377 @@
+#include "standins/platform/platform_server.h"
+
+#include "agatevane/base/base64.h"
+#include "agatevane/base/error.h"
+#include "agatevane/json/reader.h"
+#include "platform/wire.h"
+
+namespace agatevane::standin {
+
+namespace {
+
+    using event_http::Request;
+    using event_http::Response;
+    using nlohmann::json;
+
+    constexpr int statusNotFound = 404;
+    constexpr int statusConditionFailed = 412;
+    constexpr auto beatInterval = Millis(200);
+    constexpr auto pollInterval = Millis(10);
+
+    std::int64_t modelMillis()
+    {
+        return elapsed(Instant {}, now()).count();
+    }
+
+    Response reply(int status, const json& body = json::object())
+    {
+        return { status, { { "content-type", "application/json" } }, body.dump() };
+    }
+
+    std::string unescape(std::string_view text)
+    {
+        std::string plain;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] == '%' && i + 2 < text.size()) {
+                plain += static_cast<char>(std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+                i += 2;
+            } else {
+                plain += text[i];
+            }
+        }
+        return plain;
+    }
+
+    std::map<std::string, std::string> queryOf(const std::string& target)
+    {
+        std::map<std::string, std::string> query;
+        auto mark = target.find('?');
+        auto rest = mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+        while (!rest.empty()) {
+            auto part = rest.substr(0, rest.find('&'));
+            rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+            auto equals = part.find('=');
+            if (equals != std::string_view::npos)
+                query[std::string(part.substr(0, equals))] = unescape(part.substr(equals + 1));
+        }
+        return query;
+    }
+
+    std::string pathOf(const std::string& target)
+    {
+        return target.substr(0, target.find('?'));
+    }
+
+    json encodeItem(const kv::Item& item)
+    {
+        return { { "key", item.key }, { "value", toBase64(item.value) }, { "revision", item.revision },
+            { "created", item.revision }, { "lease", item.lease } };
+    }
+
+    json encodeChange(const kv::Change& change)
+    {
+        if (!change.isRemoval)
+            return encodeItem(change.item);
+        return { { "key", change.item.key }, { "revision", change.item.revision }, { "removed", true } };
+    }
+
+    kv::Txn decodeTxn(const json& body)
+    {
+        kv::Txn txn;
+        for (const auto& row : body.value("expectedRevision", json::array()))
+            txn.conditions.push_back({ row.at("key"), row.at("revision") });
+        for (const auto& row : body.value("puts", json::array()))
+            txn.puts.push_back({ row.at("key"), fromBase64(row.at("value").get<std::string>()).value_or(""),
+                row.value("lease", std::int64_t { 0 }) });
+        for (const auto& key : body.value("deletes", json::array()))
+            txn.deletes.push_back(key);
+        return txn;
+    }
+
+    const char* reasonOf(const StartOutcome& outcome)
+    {
+        if (outcome.isFenced)
+            return "fence";
+        return outcome.outcome == fleet::OrderOutcome::Late ? "late" : "old";
+    }
+
+} // namespace
+
+PlatformServer::PlatformServer(asio::io_context& context, const PlatformOptions& options)
+    : context_(context)
+    , options_(options)
+    , workers_(options.times)
+    , beatTimer_(context)
+{
+}
+
+bool PlatformServer::start()
+{
+    store_ = std::make_unique<event_http::Server>(
+        context_, [this](const Request& request, const Respond& respond) { handleStore(request, respond); });
+    control_ = std::make_unique<event_http::Server>(
+        context_, [this](const Request& request, const Respond& respond) { handleControl(request, respond); });
+    if (store_->listen(options_.address, 0) || control_->listen(options_.address, 0))
+        return false;
+    for (int n = 0; n < options_.workers; ++n) {
+        fleet::WorkerListing listing;
+        listing.id = "i-" + std::to_string(100 + n);
+        auto& endpoint = endpoints_[listing.id];
+        endpoint.worker = listing.id;
+        endpoint.server = std::make_unique<event_http::Server>(
+            context_, [this, id = listing.id](const Request& request, const Respond& respond) {
+                handleWorker(id, request, respond);
+            });
+        if (endpoint.server->listen(options_.address, 0))
+            return false;
+        listing.address = { options_.address, endpoint.server->port() };
+        listing.service = options_.service;
+        listing.zone = "zone-a";
+        listing.rack = "r" + std::to_string(n / options_.workersPerRack);
+        listing.labels = { "a", listing.rack };
+        listing.capacity = { 64000, 131072, 8 };
+        workers_.addWorker(listing, modelMillis());
+    }
+    beat();
+    return true;
+}
+
+//! Publishes what has changed of the workers, and removes those that are down.
+void PlatformServer::beat()
+{
+    beatTimer_.arm(beatInterval, [this] { beat(); });
+    if (faults_.isDown)
+        return;
+    std::map<fleet::WorkerId, std::string> current;
+    for (const auto& listing : workers_.listings()) {
+        json entry { { "service", listing.service },
+            { "address", listing.address.address + ":" + std::to_string(listing.address.port) },
+            { "zone", listing.zone }, { "version", "v1" }, { "slots", 8 },
+            { "state", listing.isDraining ? "draining" : "ready" }, { "born", listing.lifetime },
+            { "capacity",
+                { { "cpu", listing.capacity.milliCores }, { "taskMemoryMb", listing.capacity.memoryMiB },
+                    { "gpu", listing.capacity.accelerators } } },
+            { "labels", listing.labels } };
+        current[listing.id] = entry.dump();
+    }
+    kv::Txn txn;
+    for (const auto& [id, text] : current) {
+        if (published_[id] != text)
+            txn.puts.push_back({ "servers/" + id, text, 0 });
+    }
+    for (const auto& [id, text] : published_) {
+        if (!current.contains(id))
+            txn.deletes.push_back("servers/" + id);
+    }
+    if (!txn.puts.empty() || !txn.deletes.empty())
+        kv_.commit(txn, modelMillis());
+    published_ = std::move(current);
+}
+
+void PlatformServer::handleStore(const Request& request, const Respond& respond)
+{
+    if (faults_.isDown)
+        return respond(reply(platform::statusUnavailable));
+    auto carryOut = [this, request, respond] {
+        if (request.method == "GET")
+            handleRead(request, respond);
+        else
+            handleWrite(request, respond);
+    };
+    if (faults_.delayMs == 0)
+        return carryOut();
+    auto timer = std::make_shared<node::Timer>(context_);
+    timer->arm(Millis(faults_.delayMs), [timer, carryOut] { carryOut(); });
+}
+
+void PlatformServer::handleRead(const Request& request, const Respond& respond)
+{
+    auto path = pathOf(request.target);
+    auto query = queryOf(request.target);
+    if (path == "/api/kv-key") {
+        auto result = kv_.get(query["key"], modelMillis());
+        if (result.items.empty())
+            return respond(reply(statusNotFound));
+        auto body = encodeItem(result.items.front());
+        body["asOf"] = result.asOf;
+        return respond(reply(platform::statusOk, body));
+    }
+    if (path == "/api/kv-range") {
+        auto result = kv_.list(query["prefix"], modelMillis());
+        auto items = json::array();
+        for (const auto& item : result.items) {
+            if (item.key > query["after"])
+                items.push_back(encodeItem(item));
+        }
+        return respond(
+            reply(platform::statusOk, { { "items", items }, { "hasMore", false }, { "asOf", result.asOf } }));
+    }
+    if (path == "/api/kv-watch")
+        return waitForChanges(query["prefix"], std::stoll("0" + query["after"]),
+            modelMillis() + std::stoll("0" + query["waitMs"]), respond);
+    respond(reply(statusNotFound));
+}
+
+void PlatformServer::waitForChanges(
+    const std::string& prefix, kv::Revision after, std::int64_t untilMs, const Respond& respond)
+{
+    auto result = kv_.changes(prefix, after, modelMillis());
+    if (result.historyIsGone)
+        return respond(reply(platform::statusGone));
+    if (result.changes.empty() && modelMillis() < untilMs) {
+        auto timer = std::make_shared<node::Timer>(context_);
+        timer->arm(pollInterval,
+            [this, timer, prefix, after, untilMs, respond] { waitForChanges(prefix, after, untilMs, respond); });
+        return;
+    }
+    auto events = json::array();
+    for (const auto& change : result.changes)
+        events.push_back(encodeChange(change));
+    respond(reply(platform::statusOk, { { "events", events }, { "asOf", result.asOf } }));
+}
+
+void PlatformServer::handleWrite(const Request& request, const Respond& respond)
+{
+    auto path = pathOf(request.target);
+    auto body = json::parse(request.body.empty() ? "{}" : request.body, nullptr, false);
+    auto answer = reply(statusNotFound);
+    auto idIn = [&path](std::string_view prefix) { return std::stoll("0" + path.substr(prefix.size())); };
+    constexpr std::string_view keepPath = "/api/kv-keep/";
+    constexpr std::string_view endPath = "/api/kv-lease-end/";
+    if (path == "/api/kv-txn" && !body.is_discarded()) {
+        auto result = kv_.commit(decodeTxn(body), modelMillis());
+        auto items = json::array();
+        for (const auto& item : result.current)
+            items.push_back(encodeItem(item));
+        if (!result.error)
+            answer = reply(platform::statusOk, { { "revision", result.revision } });
+        else if (result.error == Errc::Conflict)
+            answer = reply(statusConditionFailed, { { "items", items } });
+    } else if (path == "/api/kv-lease" && !body.is_discarded()) {
+        auto ttlMs = body.value("ttlMs", std::int64_t { 1000 });
+        answer = reply(platform::statusOk, { { "lease", kv_.grant(ttlMs, modelMillis()) }, { "ttlMs", ttlMs } });
+    } else if (path.starts_with(keepPath) && kv_.renew(idIn(keepPath), modelMillis())) {
+        answer = reply(platform::statusOk);
+    } else if (path.starts_with(endPath) && kv_.endLease(idIn(endPath), modelMillis())) {
+        answer = reply(platform::statusOk);
+    }
+    if (!faults_.losesAnswers)
+        respond(answer);
+}
+
+void PlatformServer::handleWorker(const fleet::WorkerId& worker, const Request& request, const Respond& respond)
+{
+    if (!workers_.isUp(worker))
+        return;
+    auto body = json::parse(request.body, nullptr, false);
+    if (body.is_discarded() || !body.is_object())
+        return respond(reply(platform::statusBadRequest));
+    if (event_http::headerOf(request.headers, "x-agatevane-expected-instance") != worker)
+        return respond(reply(platform::statusMisdirected));
+    if (request.target == "/api/hold")
+        return handleLook(worker, body, respond);
+    auto task = platform::decodeTaskName(platform::textOr(body, "task"));
+    if (!task)
+        return respond(reply(platform::statusBadRequest));
+    auto run = static_cast<fleet::RunNumber>(platform::integerOr(body, "run", 0));
+    auto token = static_cast<std::uint64_t>(platform::integerOr(body, "fencingToken", 0));
+    StartOutcome outcome;
+    if (request.target == "/api/run-start")
+        outcome
+            = workers_.start({ worker, {}, *task, run, platform::textOr(body, "specification"),
+                                 platform::textOr(body, "checkpoint"), platform::integerOr(body, "untilMs", 0), token },
+                modelMillis());
+    else
+        outcome = workers_.stop({ worker, {}, *task, run, token }, modelMillis());
+    bool isRefused = outcome.isFenced || outcome.outcome != fleet::OrderOutcome::Done;
+    respond(
+        isRefused ? reply(platform::statusConflict, { { "reason", reasonOf(outcome) } }) : reply(platform::statusOk));
+}
+
+void PlatformServer::handleLook(const fleet::WorkerId& worker, const json& body, const Respond& respond)
+{
+    fleet::LookOrder order;
+    order.worker = worker;
+    order.acknowledgedEnd = platform::integerOr(body, "lastSeen", 0);
+    order.fencingToken = static_cast<std::uint64_t>(platform::integerOr(body, "fencingToken", 0));
+    if (body.contains("untilMs"))
+        order.leaseUntilMs = platform::integerOr(body, "untilMs", 0);
+    answerLook(worker, order, modelMillis() + platform::integerOr(body, "waitMs", 0), respond);
+}
+
+void PlatformServer::answerLook(
+    const fleet::WorkerId& worker, const fleet::LookOrder& order, std::int64_t untilMs, const Respond& respond)
+{
+    if (!workers_.isUp(worker))
+        return;
+    auto look = workers_.look(order, modelMillis());
+    if (look.isFenced)
+        return respond(reply(platform::statusConflict, { { "reason", "fence" } }));
+    if (look.answer.ended.empty() && modelMillis() < untilMs) {
+        auto timer = std::make_shared<node::Timer>(context_);
+        timer->arm(pollInterval,
+            [this, timer, worker, order, untilMs, respond] { answerLook(worker, order, untilMs, respond); });
+        return;
+    }
+    auto running = json::array();
+    for (const auto& each : look.answer.running)
+        running.push_back({ platform::encodeTaskName(each.key.first), each.key.second, each.checkpoint, each.percent });
+    auto ended = json::array();
+    for (const auto& each : look.answer.ended)
+        ended.push_back({ each.number, platform::encodeTaskName(each.key.first), each.key.second,
+            std::string(nameOf(each.kind)), each.checkpoint });
+    respond(reply(platform::statusOk,
+        { { "clockMs", look.answer.clockMs }, { "born", look.answer.lifetime }, { "running", running },
+            { "ended", ended } }));
+}
+
+//! POST /faults {down, losesAnswers, delayMs}; POST /desired; POST /workers/ID/(restart|crash|drain|fail); GET /runs.
+void PlatformServer::handleControl(const Request& request, const Respond& respond)
+{
+    if (request.target == "/runs") {
+        auto runs = json::array();
+        for (const auto& record : workers_.history())
+            runs.push_back({ { "task", fleet::toString(record.key.first) }, { "run", record.key.second },
+                { "worker", record.worker }, { "beganMs", record.beganMs }, { "endedMs", record.endedMs },
+                { "how", record.end ? std::string(nameOf(*record.end)) : std::string() } });
+        return respond(reply(platform::statusOk, runs));
+    }
+    if (request.target == "/desired") {
+        putDesired(request.body);
+        return respond(reply(platform::statusOk));
+    }
+    if (request.target == "/faults") {
+        auto body = json::parse(request.body, nullptr, false);
+        if (!body.is_object())
+            return respond(reply(platform::statusBadRequest));
+        faults_ = { platform::flagOr(body, "down"), platform::flagOr(body, "losesAnswers"),
+            static_cast<int>(platform::integerOr(body, "delayMs", 0)) };
+        return respond(reply(platform::statusOk));
+    }
+    constexpr std::string_view workersPath = "/workers/";
+    auto slash = request.target.rfind('/');
+    if (!request.target.starts_with(workersPath) || slash < workersPath.size())
+        return respond(reply(statusNotFound));
+    auto worker = request.target.substr(workersPath.size(), slash - workersPath.size());
+    auto action = request.target.substr(slash + 1);
+    if (!endpoints_.contains(worker))
+        return respond(reply(statusNotFound));
+    if (action == "restart")
+        workers_.restart(worker, modelMillis());
+    else if (action == "crash")
+        workers_.crash(worker, modelMillis());
+    else if (action == "drain")
+        workers_.setDraining(worker, true);
+    else if (action == "fail")
+        workers_.setFailing(worker, true);
+    else
+        return respond(reply(statusNotFound));
+    respond(reply(platform::statusOk));
+}
+
+void PlatformServer::putDesired(const std::string& text)
+{
+    kv_.commit({ {}, { { "op/config", text, 0 } }, {} }, modelMillis());
+}
+
+} // namespace agatevane::standin
--- /dev/null
+++ b/standins/platform/platform_server.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "agatevane/event_http/server.h"
+#include "agatevane/kv/kv.h"
+#include "node/timer.h"
+#include "standins/platform/kv_model.h"
+#include "standins/platform/worker_model.h"
+#include <asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+//! Serves the modelled store and workers over the platform's published interface, with faults.
+namespace agatevane::standin {
+
+struct PlatformOptions {
+    std::string address = "127.0.0.1";
+    int workers = 8;
+    int workersPerRack = 4;
+    std::string service = "training";
+    ModelTimes times;
+};
+
+//! How the store treats calls.
+struct StoreFaults {
+    bool isDown = false; //!< answers 503 and does nothing
+    bool losesAnswers = false; //!< carries writes out and answers nothing
+    int delayMs = 0;
+};
+
+class PlatformServer {
+public:
+    PlatformServer(asio::io_context& context, const PlatformOptions& options);
+
+    //! False if a port can't be bound.
+    bool start();
+    int storePort() const { return store_->port(); }
+    int controlPort() const { return control_->port(); }
+
+private:
+    using Json = nlohmann::json;
+    using Respond = event_http::Respond;
+
+    struct Endpoint {
+        fleet::WorkerId worker;
+        std::unique_ptr<event_http::Server> server;
+    };
+
+    void handleStore(const event_http::Request& request, const Respond& respond);
+    void handleRead(const event_http::Request& request, const Respond& respond);
+    void handleWrite(const event_http::Request& request, const Respond& respond);
+    void waitForChanges(const std::string& prefix, kv::Revision after, std::int64_t untilMs, const Respond& respond);
+    void handleWorker(const fleet::WorkerId& worker, const event_http::Request& request, const Respond& respond);
+    void handleLook(const fleet::WorkerId& worker, const Json& body, const Respond& respond);
+    void answerLook(
+        const fleet::WorkerId& worker, const fleet::LookOrder& order, std::int64_t untilMs, const Respond& respond);
+    void handleControl(const event_http::Request& request, const Respond& respond);
+    void putDesired(const std::string& text);
+    void beat();
+
+    asio::io_context& context_;
+    PlatformOptions options_;
+    KvModel kv_;
+    WorkerModel workers_;
+    StoreFaults faults_;
+    std::unique_ptr<event_http::Server> store_;
+    std::unique_ptr<event_http::Server> control_;
+    std::map<fleet::WorkerId, Endpoint> endpoints_;
+    std::map<fleet::WorkerId, std::string> published_;
+    node::Timer beatTimer_;
+};
+
+} // namespace agatevane::standin
--- /dev/null
+++ b/tests/platform_system/deployment.cpp
@@ -0,0 +1,158 @@
+#include "deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace agatevane::test {
+
+namespace {
+
+    constexpr Millis startLimit { 15000 };
+    constexpr Millis pollPause { 50 };
+    constexpr int nodeCount = 3;
+
+} // namespace
+
+PlatformDeployment::PlatformDeployment()
+    : client_(context_)
+    , platform_(std::make_unique<Process>("standin-platform", std::vector<std::string> { "--workers", "4" }))
+{
+    BOOST_REQUIRE(await(startLimit, [this] { return platform_->output().find("}") != std::string::npos; }));
+    auto ports = nlohmann::json::parse(platform_->output());
+    storePort_ = ports.at("store");
+    controlPort_ = ports.at("control");
+    putDesired(1, { "key-1" });
+    for (int index = 0; index < nodeCount; ++index) {
+        auto& member = nodes_.emplace_back();
+        member.callersPort = freePort();
+        member.readinessPort = freePort();
+        member.peersPort = freePort();
+        member.metricsPort = freePort();
+    }
+    for (int index = 0; index < nodeCount; ++index) {
+        writeSettings(nodes_[static_cast<std::size_t>(index)], index);
+        startNode(index);
+    }
+    BOOST_REQUIRE(await(startLimit, [this] { return owner() >= 0 && stateOf(0, "ffffffffffffffff") == "410"; }));
+}
+
+void PlatformDeployment::writeSettings(Member& member, int index)
+{
+    member.settingsFile = "/tmp/agatevane_node_" + std::to_string(::getpid()) + "_" + std::to_string(member.peersPort);
+    std::string seeds;
+    for (const auto& other : nodes_)
+        seeds += (seeds.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(other.peersPort);
+    std::ofstream file(member.settingsFile);
+    file << "nodeName=node-" << index << "\nipAddress=127.0.0.1\nzone=zone-a\nregion=region-a\n"
+         << "listenAddresses.frontendAddress=127.0.0.1:" << member.callersPort << "\n"
+         << "listenAddresses.ready=127.0.0.1:" << member.readinessPort << "\n"
+         << "listenAddresses.control=127.0.0.1:" << member.peersPort << "\n"
+         << "internalPortRange=" << member.metricsPort - 1 << "," << member.metricsPort + 1 << "\n"
+         << "seedNodes=" << seeds << "\nplatform.address=127.0.0.1:" << storePort_ << "\n"
+         << "platform.ttlMinMs=1000\nbounds.graceS=6\nbounds.holdMaxMs=6000\nbounds.status_s=120\n";
+}
+
+void PlatformDeployment::startNode(int index)
+{
+    auto& member = nodes_.at(static_cast<std::size_t>(index));
+    member.process
+        = std::make_unique<Process>("agatevane-node", std::vector<std::string> { "--settings", member.settingsFile });
+}
+
+bool PlatformDeployment::await(Millis limit, const std::function<bool()>& condition)
+{
+    auto end = now() + limit;
+    while (!condition()) {
+        if (now() >= end)
+            return false;
+        std::this_thread::sleep_for(pollPause);
+    }
+    return true;
+}
+
+int PlatformDeployment::send(int port, event_http::Request request, std::string* answer)
+{
+    constexpr Millis patience { 4000 };
+    int status = -1;
+    client_.send({ "127.0.0.1", port }, std::move(request), now() + patience,
+        [&](std::error_code error, const event_http::Response& response) {
+            status = error ? 0 : response.status;
+            if (answer)
+                *answer = response.body;
+        });
+    while (status < 0) {
+        context_.restart();
+        context_.run_one_for(Millis(10));
+    }
+    return status;
+}
+
+int PlatformDeployment::ask(int node, const std::string& method, const std::string& id, const nlohmann::json& body,
+    std::string* answer, const std::string& key)
+{
+    event_http::Request request { method, "/jobs/" + id,
+        { { "X-Agatevane-Credential", key }, { "X-Agatevane-Deadline-Milliseconds", "3000" } },
+        body.is_null() ? std::string() : body.dump() };
+    return send(nodes_.at(static_cast<std::size_t>(node)).callersPort, std::move(request), answer);
+}
+
+int PlatformDeployment::submit(int node, const std::string& id, std::int64_t durationMs)
+{
+    nlohmann::json step { { "count", 2 }, { "cpu", 1000 }, { "gpu", 2 }, { "estimatedMs", durationMs } };
+    return ask(node, "POST", id,
+        { { "specification", "ms=" + std::to_string(durationMs) }, { "steps", nlohmann::json::array({ step }) } });
+}
+
+std::string PlatformDeployment::stateOf(int node, const std::string& id)
+{
+    std::string answer;
+    auto status = ask(node, "GET", id, nullptr, &answer);
+    if (status != 200)
+        return std::to_string(status);
+    return nlohmann::json::parse(answer).value("state", "");
+}
+
+bool PlatformDeployment::awaitState(int node, const std::string& id, const std::string& state, Millis limit)
+{
+    return await(limit, [&] { return stateOf(node, id) == state; });
+}
+
+void PlatformDeployment::control(const std::string& path, const std::string& body)
+{
+    BOOST_REQUIRE_EQUAL(send(controlPort_, { "POST", path, {}, body }, nullptr), 200);
+}
+
+nlohmann::json PlatformDeployment::runs()
+{
+    std::string answer;
+    BOOST_REQUIRE_EQUAL(send(controlPort_, { "GET", "/runs", {}, {} }, &answer), 200);
+    return nlohmann::json::parse(answer);
+}
+
+void PlatformDeployment::putDesired(int version, const std::vector<std::string>& keys)
+{
+    nlohmann::json state { { "version", version },
+        { "routes",
+            { { { "name", "queue-1" }, { "host", "127.0.0.1" }, { "prefix", "/jobs/" }, { "service", "training" },
+                { "priority", 1 }, { "maxAttempts", 3 }, { "stretch", 3.0 }, { "targetLatencyMs", 1000 } } } },
+        { "services", { { { "name", "training" } } } },
+        { "tenants", { { { "name", "tenant-1" }, { "apiKeys", keys }, { "guaranteed", { { "gpu", 8 } } } } } } };
+    control("/desired", state.dump());
+}
+
+int PlatformDeployment::owner()
+{
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        std::string text;
+        if (nodes_[index].process && nodes_[index].process->isRunning()
+            && send(nodes_[index].metricsPort, { "GET", "/metrics", {}, {} }, &text) == 200
+            && text.find("agatevane_is_owner 1") != std::string::npos)
+            return static_cast<int>(index);
+    }
+    return -1;
+}
+
+} // namespace agatevane::test
--- /dev/null
+++ b/tests/platform_system/deployment.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "agatevane/event_http/client.h"
+#include "tests/system/process.h"
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+//! Three nodes and the platform's stand-in as processes on loopback.
+namespace agatevane::test {
+
+class PlatformDeployment {
+public:
+    PlatformDeployment();
+
+    //! Status of the answer, 0 if there was none.
+    int ask(int node, const std::string& method, const std::string& id, const nlohmann::json& body = nullptr,
+        std::string* answer = nullptr, const std::string& key = "key-1");
+    int submit(int node, const std::string& id, std::int64_t durationMs);
+    std::string stateOf(int node, const std::string& id);
+    bool awaitState(int node, const std::string& id, const std::string& state, Millis limit);
+    void control(const std::string& path, const std::string& body);
+    nlohmann::json runs();
+    void putDesired(int version, const std::vector<std::string>& keys);
+    //! The node that owns the fleet, as the metrics say; -1: none.
+    int owner();
+
+    Process& node(int index) { return *nodes_.at(static_cast<std::size_t>(index)).process; }
+    void startNode(int index);
+    bool await(Millis limit, const std::function<bool()>& condition);
+
+private:
+    struct Member {
+        std::string settingsFile;
+        int callersPort = 0;
+        int readinessPort = 0;
+        int peersPort = 0;
+        int metricsPort = 0;
+        std::unique_ptr<Process> process;
+    };
+
+    int send(int port, event_http::Request request, std::string* answer);
+    void writeSettings(Member& member, int index);
+
+    asio::io_context context_;
+    event_http::Client client_;
+    std::unique_ptr<Process> platform_;
+    int storePort_ = 0;
+    int controlPort_ = 0;
+    std::vector<Member> nodes_;
+};
+
+} // namespace agatevane::test
--- /dev/null
+++ b/tests/platform_system/path_tests.cpp
@@ -0,0 +1,124 @@
+#include "deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace agatevane;
+using test::PlatformDeployment;
+
+namespace {
+
+constexpr const char* jobId = "5c0e7a21d94b36f8";
+
+//! Runs of each task that ended well.
+std::map<std::string, int> goodEnds(const nlohmann::json& runs)
+{
+    std::map<std::string, int> ends;
+    for (const auto& run : runs)
+        ends[run.at("task")] += run.at("how") == "done" ? 1 : 0;
+    return ends;
+}
+
+void checkEachTaskEndedOnce(const nlohmann::json& runs, std::size_t tasks)
+{
+    auto ends = goodEnds(runs);
+    BOOST_CHECK_EQUAL(ends.size(), tasks);
+    for (const auto& [task, count] : ends)
+        BOOST_CHECK_MESSAGE(count == 1, task << " ended well " << count << " times");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(
+    A_job_is_accepted_run_and_shown_completed_at_every_node, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    BOOST_CHECK_EQUAL(deployment.submit(0, jobId, 300), 200);
+    BOOST_CHECK_EQUAL(deployment.submit(1, jobId, 300), 200);
+    BOOST_CHECK(deployment.awaitState(2, jobId, "completed", Millis(5000)));
+    BOOST_CHECK_EQUAL(deployment.ask(0, "GET", "", nullptr, nullptr, "key-2"), 401);
+    checkEachTaskEndedOnce(deployment.runs(), 2);
+}
+
+BOOST_AUTO_TEST_CASE(A_cancelled_job_is_shown_cancelled_and_stops, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    BOOST_CHECK_EQUAL(deployment.submit(0, jobId, 20000), 200);
+    BOOST_REQUIRE(deployment.awaitState(0, jobId, "running", Millis(3000)));
+    BOOST_CHECK_EQUAL(deployment.ask(1, "DELETE", jobId), 200);
+    BOOST_CHECK_EQUAL(deployment.stateOf(2, jobId), "cancelled");
+    BOOST_CHECK(deployment.await(Millis(3000), [&] {
+        auto runs = deployment.runs();
+        return std::all_of(runs.begin(), runs.end(), [](const auto& run) { return run.at("endedMs") >= 0; });
+    }));
+}
+
+// Guards against jobs that are lost or run twice when their owner is killed.
+BOOST_AUTO_TEST_CASE(A_killed_owner_loses_no_job, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    BOOST_CHECK_EQUAL(deployment.submit(0, jobId, 3500), 200);
+    BOOST_REQUIRE(deployment.awaitState(0, jobId, "running", Millis(3000)));
+    auto owner = deployment.owner();
+    BOOST_REQUIRE_GE(owner, 0);
+    deployment.node(owner).kill();
+    BOOST_CHECK(deployment.awaitState((owner + 1) % 3, jobId, "completed", Millis(10000)));
+    checkEachTaskEndedOnce(deployment.runs(), 2);
+}
+
+// Guards against accepted jobs that exist only in the memory of processes.
+BOOST_AUTO_TEST_CASE(Jobs_survive_the_loss_of_all_processes, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    BOOST_CHECK_EQUAL(deployment.submit(0, jobId, 4000), 200);
+    BOOST_REQUIRE(deployment.awaitState(0, jobId, "running", Millis(3000)));
+    for (int index = 0; index < 3; ++index)
+        deployment.node(index).kill();
+    for (int index = 0; index < 3; ++index)
+        deployment.startNode(index);
+    BOOST_CHECK(deployment.awaitState(1, jobId, "completed", Millis(12000)));
+    checkEachTaskEndedOnce(deployment.runs(), 2);
+}
+
+// Guards against an acceptance that is told without the store, and against a refusal of a job that then runs.
+BOOST_AUTO_TEST_CASE(Without_the_store_no_job_is_accepted_and_none_is_lost, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    BOOST_CHECK_EQUAL(deployment.submit(0, jobId, 1500), 200);
+    BOOST_REQUIRE(deployment.awaitState(0, jobId, "running", Millis(3000)));
+    deployment.control("/faults", R"({"down":true})");
+    BOOST_CHECK_EQUAL(deployment.submit(1, "00000000000000aa", 100), 503);
+    deployment.control("/faults", "{}");
+    BOOST_CHECK(deployment.awaitState(2, jobId, "completed", Millis(8000)));
+    BOOST_CHECK_EQUAL(deployment.stateOf(0, "00000000000000aa"), "410");
+    checkEachTaskEndedOnce(deployment.runs(), 2);
+}
+
+// Guards against a request that is cut off, or refused, because its node stops.
+BOOST_AUTO_TEST_CASE(Nodes_stopped_in_turn_serve_all_the_time, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    for (int index = 0; index < 3; ++index) {
+        auto id = "00000000000000b" + std::to_string(index);
+        BOOST_CHECK_EQUAL(deployment.submit((index + 1) % 3, id, 200), 200);
+        BOOST_CHECK_EQUAL(deployment.node(index).terminate(), 0);
+        BOOST_CHECK(deployment.awaitState((index + 1) % 3, id, "completed", Millis(8000)));
+        deployment.startNode(index);
+        BOOST_REQUIRE(deployment.await(Millis(8000), [&] { return deployment.stateOf(index, id) == "completed"; }));
+    }
+}
+
+// Guards against a removed key that some node still takes.
+BOOST_AUTO_TEST_CASE(A_new_desired_state_is_in_force_at_every_node, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    deployment.putDesired(2, { "key-2" });
+    BOOST_CHECK(deployment.await(Millis(2500), [&] {
+        for (int index = 0; index < 3; ++index) {
+            if (deployment.ask(index, "GET", "", nullptr, nullptr, "key-1") != 401
+                || deployment.ask(index, "GET", "", nullptr, nullptr, "key-2") != 200)
+                return false;
+        }
+        return true;
+    }));
+}
