Ask the advice service for tickets before a step starts

Cause: queues with a policy let only some workers run a step; without a ticket their workers refuse every start, so that such jobs never run. Ruled out: asking at each start; one answer holds for a whole step.

--- a/src/agatevane/desired_state/desired_state.h
+++ b/src/agatevane/desired_state/desired_state.h
@@ -21,6 +21,7 @@
     double stretch = 1; //!< the objective is this many times the job's longest chain of work ...
     Millis objectiveBase { 0 }; //!< ... and this much more
     bool allowsAnonymous = false;
+    bool needsTickets = false; //!< an advice service says which workers may run a step
 
     bool operator==(const Queue&) const = default;
 };
--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/dispatch.h"
 
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
@@ -295,6 +296,20 @@
 
         //! The near area first, also by stopping other work; a far one only after some patience.
         void placeUnit(Unit& unit)
+        {
+            std::set<WorkerId> ticketed;
+            if (unit.job->policy.needsTickets) {
+                ticketed = ticketedWorkers(fleet_, unit.id(), at_);
+                unit.ticketed = &ticketed;
+            }
+            placeAnywhere(unit);
+            if (unit.ticketed && !unit.indexes.empty()
+                && unit.state().done + unit.state().active < unit.state().tasks.size())
+                askForTickets(fleet_, unit, rooms_, at_);
+            unit.ticketed = nullptr;
+        }
+
+        void placeAnywhere(Unit& unit)
         {
             auto near = nearArea(unit);
             if (placeIn(unit, near))
@@ -336,7 +351,7 @@
             ++fleet_.placementSearches;
             auto places = findPlaces(unit, rooms_, count, kind, area.oneRack, area.rack);
             // A bound on the spread makes the outcome the unit's own.
-            if (!places && spec.maxPerWorker == 0)
+            if (!places && spec.maxPerWorker == 0 && !unit.ticketed)
                 failed.insert(shape);
             return places;
         }
@@ -459,6 +474,7 @@
     expireRuns(fleet, at);
     if (fleet.isPlacementDue)
         place(fleet, unixMs, at);
+    orders.advice = std::exchange(fleet.adviceDue, {});
     emitRunOrders(fleet, at, orders);
     emitLooks(fleet, at, orders);
     return orders;
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/jobs.h"
 
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/record.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
@@ -33,6 +34,7 @@
             --fleet.waiting[job.spec.queue];
         job.phase = phase;
         job.endedUnixMs = unixMs;
+        forgetAdvice(fleet, job.spec.id);
         fleet.openJobs.erase(job.spec.id);
         job.phaseTicket = queueWrite(fleet, job.spec.id, Mutation::Progress);
         fleet.phaseChanges.insert({ job.phaseTicket, { job.spec.id, phase } });
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -114,7 +114,7 @@
 bool isAllowed(const Unit& unit, const Worker& worker)
 {
     const auto& spec = unit.spec();
-    if (worker.service != unit.job->policy.service)
+    if (worker.service != unit.job->policy.service || (unit.ticketed && !unit.ticketed->contains(worker.id)))
         return false;
     if (spec.requiredLabel.empty())
         return true;
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -24,10 +24,12 @@
     bool isGang = false;
     int tier = 0; //!< lower goes first
     bool claimsGuarantee = false; //!< its tenant's urgent jobs need no more than is guaranteed
+    const std::set<WorkerId>* ticketed = nullptr; //!< workers with a valid ticket; null: no ticket is needed
     std::int64_t slackMs = 0; //!< until it must start to meet its objective
 
     const StepSpec& spec() const { return job->spec.steps[step]; }
     Step& state() const { return job->occurrences[occurrence].steps[step]; }
+    StepId id() const { return { job->spec.id, occurrence, step }; }
     TaskId task(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
 };
 
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/runs.h"
 
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/leases.h"
 
 namespace agatevane::fleet {
@@ -272,8 +273,9 @@
             run.isOrderInFlight = true;
             ++run.ordersSent;
             auto until = extendLease(fleet, worker, at);
+            StepId step { key.first.job, key.first.occurrence, key.first.step };
             orders.starts.push_back({ workerId, worker.address, key.first, key.second, job->spec.payload,
-                sharedTask(*job, key.first).checkpoint, until, fleet.fencingToken });
+                sharedTask(*job, key.first).checkpoint, ticketOf(fleet, step, worker, at), until, fleet.fencingToken });
         }
     }
 }
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -157,6 +157,37 @@
     JobPhase phase = JobPhase::Open;
 };
 
+//! A step of one occurrence of a job.
+struct StepId {
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const StepId&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+//! Leave to run the tasks of one step on one life of a worker.
+struct WorkerTicket {
+    std::string value;
+    std::int64_t lifetime = 0;
+    Instant validUntil;
+};
+
+//! What the advice service has said about a step.
+struct StepAdvice {
+    std::map<WorkerId, WorkerTicket> tickets; //!< workers that may run it
+    std::map<WorkerId, std::int64_t> asked; //!< lives of workers that were asked about
+    bool isAsking = false;
+    Instant nextAskAt;
+};
+
+//! Asks which of some workers may run a step.
+struct AdviceOrder {
+    StepId step;
+    std::vector<std::pair<WorkerId, std::int64_t>> workers; //!< with their lives
+};
+
 struct Fleet {
     Limits limits;
     std::uint64_t fencingToken = 0;
@@ -176,6 +207,9 @@
     std::set<std::string> claimingTenants; //!< their open urgent jobs need no more than they are guaranteed
     double urgentDemand = 0; //!< cores and accelerators in cores, of urgent work; falls slowly after a peak
     Instant urgentDemandAt;
+    std::map<StepId, StepAdvice> advice; //!< of open jobs in queues that need tickets
+    std::vector<AdviceOrder> adviceDue;
+    int adviceInFlight = 0;
     std::uint64_t startsOrdered = 0;
     std::uint64_t runsStoppedForOthers = 0;
     std::uint64_t placementSearches = 0; //!< over all workers; the measure of a round's processor time
@@ -183,7 +217,6 @@
     bool isPlacementDue = true; //!< something changed that may let work start
 };
 
-//! Orders for the edge to carry out.
 struct StartOrder {
     WorkerId worker;
     net::PeerAddress address;
@@ -191,6 +224,7 @@
     RunNumber run = 0;
     std::string payload;
     std::string checkpoint;
+    std::string ticket; //!< empty: none is needed
     std::int64_t leaseUntilMs = 0; //!< on the worker's clock
     std::uint64_t fencingToken = 0;
 };
@@ -213,7 +247,9 @@
     std::uint64_t fencingToken = 0;
 };
 
+//! Orders for the edge to carry out.
 struct Orders {
+    std::vector<AdviceOrder> advice;
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
     std::vector<LookOrder> looks;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -22,6 +22,8 @@
     constexpr Millis loadTimeout { 3000 };
     constexpr Millis storeRetry { 100 };
     constexpr Millis orderTimeout { 500 };
+    //! The advice service answers one call of a machine after the other.
+    constexpr Millis adviceTimeout { 5000 };
     //! Beyond the time that a worker may hold a look back.
     constexpr Millis lookMargin { 600 };
     constexpr Millis watchWait { 1000 };
@@ -284,6 +286,8 @@
 
 void FleetOwner::send(const fleet::Orders& orders)
 {
+    for (const auto& order : orders.advice)
+        sendQuestion(order);
     for (const auto& order : orders.starts)
         sendStart(order);
     for (const auto& order : orders.stops)
@@ -307,6 +311,17 @@
         }));
 }
 
+void FleetOwner::sendQuestion(const fleet::AdviceOrder& order)
+{
+    environment_.workers.ask(order, now() + adviceTimeout,
+        liveness_.guard([this, order, sentAt = bootNow()](const fleet::AdviceAnswer& answer) {
+            if (isStopped_)
+                return;
+            fleet::applyAdvice(fleet_, order, answer, sentAt, bootNow());
+            wake();
+        }));
+}
+
 void FleetOwner::sendStop(const fleet::StopOrder& order)
 {
     fleet::RunKey key { order.task, order.run };
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -65,7 +65,7 @@
     asio::io_context context(1);
     event_http::Client client(context);
     platform::StoreClient store(client, settings.store);
-    platform::WorkerClient workers(client);
+    platform::WorkerClient workers(client, settings.advice);
     auto translation = platformTranslation();
     node::Node process(context, settings, store, workers, translation);
     Findings findings;
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -59,7 +59,7 @@
         auto baseMs = static_cast<std::int64_t>(queue.objectiveBase.count());
         archive(kind, job, spec, tenant, patienceMs);
         archive(queue.name, queue.host, queue.prefix, queue.service, queue.priority, queue.maxAttempts, queue.stretch,
-            queue.allowsAnonymous, baseMs);
+            queue.allowsAnonymous, queue.needsTickets, baseMs);
         queue.objectiveBase = Millis(baseMs);
     }
 };
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -3,6 +3,7 @@
 #include "agatevane/base/finding.h"
 #include "agatevane/desired_state/desired_state.h"
 #include "agatevane/event_http/message.h"
+#include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/jobs.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
@@ -26,13 +27,15 @@
     fleet::LookAnswer answer;
 };
 
-//! Sends orders to workers.
+//! Sends orders to workers and questions to the advice service.
 class WorkerPort {
 public:
     virtual ~WorkerPort() = default;
 
     virtual void start(const fleet::StartOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
     virtual void stop(const fleet::StopOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
+    virtual void ask(const fleet::AdviceOrder& order, Instant deadline, std::function<void(fleet::AdviceAnswer)> done)
+        = 0;
     virtual void look(const fleet::LookOrder& order, Instant deadline, std::function<void(LookResult)> done) = 0;
 };
 
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -277,10 +277,10 @@
     auto token = static_cast<std::uint64_t>(platform::integerOr(body, "fencingToken", 0));
     StartOutcome outcome;
     if (request.target == "/api/run-start")
-        outcome
-            = workers_.start({ worker, {}, *task, run, platform::textOr(body, "specification"),
-                                 platform::textOr(body, "checkpoint"), platform::integerOr(body, "untilMs", 0), token },
-                modelMillis());
+        outcome = workers_.start(
+            { worker, {}, *task, run, platform::textOr(body, "specification"), platform::textOr(body, "checkpoint"), {},
+                platform::integerOr(body, "untilMs", 0), token },
+            modelMillis());
     else
         outcome = workers_.stop({ worker, {}, *task, run, token }, modelMillis());
     bool isRefused = outcome.isFenced || outcome.outcome != fleet::OrderOutcome::Done;
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -156,6 +156,10 @@
             done({ outcome.outcome, outcome.isFenced });
         });
     }
+    void ask(const fleet::AdviceOrder&, Instant, std::function<void(fleet::AdviceAnswer)> done) override
+    {
+        later([done = std::move(done)] { done({}); });
+    }
     void look(const fleet::LookOrder& order, Instant, std::function<void(node::LookResult)> done) override
     {
         constexpr Millis longestWait { 50 };
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -166,6 +166,16 @@
     BOOST_CHECK(look.answer.ended.front().kind == fleet::EndKind::Done);
 }
 
+BOOST_AUTO_TEST_CASE(Advice_reads_tickets_and_their_validity, *boost::unit_test::label("platform"))
+{
+    auto answer = decodeAdvice({}, { 200, {}, R"({"good":[["i-7f3a91c2","c81e-7a21d94b"]],"validMs":3000})" });
+    BOOST_REQUIRE(answer.isAnswered);
+    BOOST_REQUIRE_EQUAL(answer.tickets.size(), 1U);
+    BOOST_CHECK_EQUAL(answer.tickets.front().second, "c81e-7a21d94b");
+    BOOST_CHECK(answer.validity == Millis(3000));
+    BOOST_CHECK(!decodeAdvice({}, { 429, {}, {} }).isAnswered);
+}
+
 BOOST_AUTO_TEST_CASE(A_failed_condition_shows_the_present_items, *boost::unit_test::label("platform"))
 {
     auto result = decodeTxn(
@@ -186,6 +196,7 @@
     decodeTxn({ 200, {}, bytes });
     decodeLook({}, { 200, {}, bytes });
     decodeOrderAnswer({}, { 409, {}, bytes });
+    decodeAdvice({}, { 200, {}, bytes });
     decodeListing(itemOf("servers/x", bytes), findings);
     decodeDesiredState(itemOf("op/config", bytes), findings);
     decodeCall({ "POST", "/", {}, bytes }, "5c0e7a21d94b36f8", findings);
@@ -209,6 +220,7 @@
             decodeTxn({ 412, {}, body });
             decodeLook({}, { 200, {}, body });
             decodeOrderAnswer({}, { 409, {}, body });
+            decodeAdvice({}, { 200, {}, body });
             decodeListing(itemOf("servers/x", body), findings);
             decodeDesiredState(itemOf("op/config", body), findings);
             decodeCall({ "POST", "/", {}, body }, "5c0e7a21d94b36f8", findings);
