--- a/src/agatevane/event_http/client.cpp
+++ b/src/agatevane/event_http/client.cpp
@@ -18,8 +18,8 @@
 
     using asio::ip::tcp;
 
-    constexpr std::size_t readChunkBytes = 16 * 1024;
-    constexpr MessageLimits responseLimits { 64 * 1024, 64UL * 1024 * 1024 };
+    constexpr std::size_t readChunkBytes = 16384;
+    constexpr MessageLimits responseLimits { 65536, 67108864 };
     //! Idle connections older than this are not used again: servers close theirs after 15 s.
     constexpr Millis maxIdle { 10000 };
     constexpr std::size_t maxIdlePerPeer = 4;
--- a/src/agatevane/event_http/parser.h
+++ b/src/agatevane/event_http/parser.h
@@ -10,8 +10,8 @@
 
 //! Bounds of one message; a larger one ends the connection.
 struct MessageLimits {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 4 * 1024 * 1024;
+    std::size_t headerBytes = 16384;
+    std::size_t bodyBytes = 4194304;
 };
 
 //! Incremental parser of requests or responses on one connection.
--- a/src/agatevane/event_http/server.cpp
+++ b/src/agatevane/event_http/server.cpp
@@ -12,7 +12,7 @@
 
     using asio::ip::tcp;
 
-    constexpr std::size_t readChunkBytes = 8 * 1024;
+    constexpr std::size_t readChunkBytes = 8192;
     //! Requests that a client may send ahead on one connection before the server stops reading.
     constexpr std::size_t maxPipelined = 16;
 
--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -6,7 +6,6 @@
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -33,12 +32,6 @@
     constexpr int lateTier = 1000; //!< still earns something
     constexpr int hopelessTier = 2000;
 
-    //! After a peak of urgent work its room is kept for about this long.
-    constexpr std::chrono::duration<double> urgentMemory { 8 };
-    //! Part of the urgent peak for which room is kept; keeping all would leave too much idle between peaks.
-    constexpr double urgentShare = 0.7;
-    constexpr double mostForUrgent = 0.6; //!< of the workers
-
     //! Plans of what to stop cost the most time of a round; urgent units come first.
     constexpr int maxPlansPerRound = 6;
 
@@ -103,7 +96,6 @@
             collectRooms();
             findClaimingTenants();
             collectUnits();
-            keepRoomForUrgent();
             std::stable_sort(units_.begin(), units_.end(), [](const Unit& a, const Unit& b) {
                 return std::pair(a.tier, a.slackMs) < std::pair(b.tier, b.slackMs);
             });
@@ -137,41 +129,14 @@
                 = std::max(share(used.accelerators, total.accelerators), share(used.milliCores, total.milliCores));
         }
 
-        //! Marks workers, some on each rack, that together hold the urgent work of the last seconds. What would be lost
-        //! when urgent work comes back is not placed there.
-        void keepRoomForUrgent()
-        {
-            double demand = 0;
-            double total = 0;
-            for (const auto& room : rooms_) {
-                total += coresOf(room.worker->capacity);
-                for (const auto& [key, run] : room.worker->runs)
-                    demand += run.priority == 0 && run.isOurs ? coresOf(run.need) : 0;
-            }
-            for (const auto& unit : units_) {
-                if (isUrgent(unit))
-                    demand += coresOf(roomOf(unit.spec())) * static_cast<double>(unit.indexes.size());
-            }
-            auto passed = std::chrono::duration<double>(at_ - fleet_.urgentDemandAt) / urgentMemory;
-            fleet_.urgentDemand = std::max(demand, fleet_.urgentDemand * std::exp(-passed));
-            fleet_.urgentDemandAt = at_;
-            if (fullness_ < fullShare || total <= 0)
-                return;
-            markEvenly(std::min(mostForUrgent, urgentShare * fleet_.urgentDemand / total));
-        }
-
-        //! Marks this share of the workers of each rack.
-        void markEvenly(double share)
+        //! The share of the resource of which `part` takes the most.
+        static double dominantShare(const Capacity& part, const Capacity& whole)
         {
-            std::map<std::string, std::pair<double, double>> racks; //!< workers seen, workers marked
-            for (auto& room : rooms_) {
-                auto& [seen, marked] = racks[room.worker->rack];
-                ++seen;
-                if (marked + 1 <= share * seen + 0.5) {
-                    room.isForUrgent = true;
-                    ++marked;
-                }
-            }
+            auto share = [](std::int64_t some, std::int64_t all) {
+                return all > 0 ? static_cast<double>(some) / static_cast<double>(all) : 0.0;
+            };
+            return std::max({ share(part.accelerators, whole.accelerators), share(part.milliCores, whole.milliCores),
+                share(part.memoryMiB, whole.memoryMiB) });
         }
 
         //! Tenants whose open urgent jobs need no more accelerators than they are guaranteed.
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -12,15 +12,8 @@
         std::size_t room = 0;
         std::size_t fits = 0;
         Capacity left;
-        bool isForUrgent = false;
     };
 
-    //! Work that is not urgent and would have to begin anew if it were stopped.
-    bool isLostWhenStopped(const Unit& unit)
-    {
-        return unit.job->policy.priority != 0 && !unit.spec().savesCheckpoints && !unit.spec().isContinuous;
-    }
-
     std::size_t fitCount(const Capacity& room, const Capacity& need, std::size_t most)
     {
         auto fits = static_cast<std::int64_t>(most);
@@ -39,8 +32,6 @@
     //! Fullest workers first, so that whole workers stay free for wide tasks.
     bool isTighter(const Candidate& a, const Candidate& b)
     {
-        if (a.isForUrgent != b.isForUrgent)
-            return a.isForUrgent;
         if (a.left.accelerators != b.left.accelerators)
             return a.left.accelerators < b.left.accelerators;
         if (a.left.milliCores != b.left.milliCores)
@@ -57,12 +48,10 @@
             const auto& room = rooms[index];
             if ((!rack.empty() && room.worker->rack != rack) || !isAllowed(unit, *room.worker))
                 continue;
-            if (room.isForUrgent && isLostWhenStopped(unit))
-                continue;
             const auto& left = kind == RoomKind::Free ? room.free : room.soon;
             auto fits = fitCount(left, need, std::min(count, spreadLeft(unit, *room.worker)));
             if (fits > 0)
-                candidates.push_back({ index, fits, left, room.isForUrgent });
+                candidates.push_back({ index, fits, left });
         }
         std::sort(candidates.begin(), candidates.end(), isTighter);
         return candidates;
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -12,7 +12,6 @@
     Worker* worker = nullptr;
     Capacity free; //!< now
     Capacity soon; //!< with what is being stopped there
-    bool isForUrgent = false; //!< kept free of work that would be lost when urgent work takes its place
 };
 
 //! Tasks of one step of one occurrence that wait for a place.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -205,8 +205,6 @@
     Ticket lastTicket = 0;
     Ticket committedTicket = 0;
     std::set<std::string> claimingTenants; //!< their open urgent jobs need no more than they are guaranteed
-    double urgentDemand = 0; //!< cores and accelerators in cores, of urgent work; falls slowly after a peak
-    Instant urgentDemandAt;
     std::map<StepId, StepAdvice> advice; //!< of open jobs in queues that need tickets
     std::vector<AdviceOrder> adviceDue;
     int adviceInFlight = 0;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -84,7 +84,7 @@
     asio::signal_set reloads(context, SIGHUP);
     awaitReload(reloads, path, process);
     context.run();
-    event_log::Line("stopped");
+    event_log::Line("stopped").with("dropped_lines", event_log::droppedLines());
     return 0;
 }
 
--- a/src/node/seat.cpp
+++ b/src/node/seat.cpp
@@ -28,8 +28,7 @@
 } // namespace
 
 Seat::Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Millis handicap, Callbacks callbacks)
-    : context_(context)
-    , store_(store)
+    : store_(store)
     , self_(self)
     , ttl_(std::max(wantedTtl, leastLease))
     , handicap_(handicap)
--- a/src/node/seat.h
+++ b/src/node/seat.h
@@ -57,7 +57,6 @@
     void noteAnswer(std::error_code error);
     void loseSeat(std::string_view reason);
 
-    asio::io_context& context_;
     kv::Store& store_;
     OwnerRecord self_;
     Millis ttl_;
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -250,10 +250,11 @@
     } else if (path == "/api/kv-lease" && !body.is_discarded()) {
         auto ttlMs = body.value("ttlMs", std::int64_t { 1000 });
         answer = reply(platform::statusOk, { { "lease", kv_.grant(ttlMs, modelMillis()) }, { "ttlMs", ttlMs } });
-    } else if (path.starts_with(keepPath) && kv_.renew(idIn(keepPath), modelMillis())) {
-        answer = reply(platform::statusOk);
-    } else if (path.starts_with(endPath) && kv_.endLease(idIn(endPath), modelMillis())) {
-        answer = reply(platform::statusOk);
+    } else {
+        bool isDone = (path.starts_with(keepPath) && kv_.renew(idIn(keepPath), modelMillis()))
+            || (path.starts_with(endPath) && kv_.endLease(idIn(endPath), modelMillis()));
+        if (isDone)
+            answer = reply(platform::statusOk);
     }
     if (!faults_.losesAnswers)
         respond(answer);
