Split the owner's group commit, the ranking and the peers' exchange from grown files

Change: node/committer, fleet/ranking, node/node_peers; no behaviour changes. Measured: test_fleet, test_node, test_platform, test_event_http pass.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/preemption.h"
+#include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
@@ -15,8 +16,6 @@
 
     using event_log::Line;
 
-    //! Beyond this many times its objective a job earns nothing any more.
-    constexpr double lateFactor = 3;
     //! Urgent work waits this long for its own rack, since beginning in time goes before the longer run elsewhere.
     constexpr Millis urgentRackPatience { 800 };
     //! Other work waits this long while the fleet has room elsewhere.
@@ -24,14 +23,6 @@
     //! A fleet with more of its accelerators or cores in use than this is too full to run work at a far rack's cost.
     constexpr double fullShare = 0.5;
 
-    //! Order of units. Within a tier the least slack goes first; below `timelyTier` the queue's priority is added.
-    constexpr int claimTier = 0; //!< urgent work within its tenant's guarantee
-    constexpr int urgentTier = 1;
-    constexpr int continuousTier = 5; //!< has no end by which to be late, and is restarted whenever there is room
-    constexpr int timelyTier = 10; //!< can still meet its objective
-    constexpr int lateTier = 1000; //!< still earns something
-    constexpr int hopelessTier = 2000;
-
     //! Plans of what to stop cost the most time of a round; urgent units come first.
     constexpr int maxPlansPerRound = 6;
 
@@ -51,28 +42,6 @@
         bool operator<(const Shape& other) const { return key() < other.key(); }
     };
 
-    struct Objective {
-        std::int64_t dueMs = 0; //!< since acceptance or due time
-        std::int64_t lateMs = 0;
-    };
-
-    Objective objectiveOf(const Job& job)
-    {
-        auto chain = static_cast<double>(longestChainMs(job.spec.steps));
-        auto due = job.policy.stretch * chain + static_cast<double>(job.policy.objectiveBase.count());
-        return { static_cast<std::int64_t>(due), static_cast<std::int64_t>(lateFactor * due) };
-    }
-
-    std::int64_t remainingChainMs(const Job& job, const Occurrence& occurrence)
-    {
-        auto steps = job.spec.steps;
-        for (std::size_t s = 0; s < steps.size(); ++s) {
-            if (occurrence.steps[s].done == occurrence.steps[s].tasks.size())
-                steps[s].estimatedMs = 0;
-        }
-        return longestChainMs(steps);
-    }
-
     bool arePredecessorsDone(const Occurrence& occurrence, const StepSpec& spec)
     {
         return std::all_of(spec.after.begin(), spec.after.end(), [&occurrence](std::uint32_t earlier) {
@@ -208,7 +177,7 @@
                 if (!step.tasks[i].isDone && !step.tasks[i].worker)
                     unit.indexes.push_back(i);
             }
-            rank(unit, ageMs);
+            rank(fleet_, unit, ageMs);
             units_.push_back(std::move(unit));
         }
 
@@ -222,25 +191,6 @@
             }
         }
 
-        void rank(Unit& unit, std::int64_t ageMs)
-        {
-            const auto& job = *unit.job;
-            auto objective = objectiveOf(job);
-            auto remaining = remainingChainMs(job, job.occurrences[unit.occurrence]);
-            auto dueSlack = objective.dueMs - ageMs - remaining;
-            auto lateSlack = objective.lateMs - ageMs - remaining;
-            unit.claimsGuarantee = job.policy.priority == 0 && fleet_.claimingTenants.contains(job.spec.tenant);
-            unit.slackMs = dueSlack >= 0 ? dueSlack : lateSlack;
-            if (unit.claimsGuarantee)
-                unit.tier = claimTier;
-            else if (job.policy.priority == 0)
-                unit.tier = urgentTier;
-            else if (unit.spec().isContinuous)
-                unit.tier = continuousTier;
-            else
-                unit.tier = lateSlack < 0 ? hopelessTier : (dueSlack < 0 ? lateTier : timelyTier) + job.policy.priority;
-        }
-
         bool isUrgent(const Unit& unit) const { return unit.job->policy.priority == 0; }
 
         bool waitsForRack(const Unit& unit) const
--- a/src/node/desired_feed.cpp
+++ b/src/node/desired_feed.cpp
@@ -18,9 +18,8 @@
 
 } // namespace
 
-DesiredFeed::DesiredFeed(
-    asio::io_context& context, kv::Store& store, const Translation& translation, std::function<void()> changed,
-    std::function<bool()> mustWatchClosely)
+DesiredFeed::DesiredFeed(asio::io_context& context, kv::Store& store, const Translation& translation,
+    std::function<void()> changed, std::function<bool()> mustWatchClosely)
     : store_(store)
     , translation_(translation)
     , changed_(std::move(changed))
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -12,13 +12,11 @@
 
     using event_log::Line;
 
-    constexpr const char* knownWorkersKey = "agatevane/workers";
     constexpr Millis tickInterval { 50 };
     //! Placement depends on time too: patience ends, jobs become due.
     constexpr Millis placementInterval { 200 };
     constexpr Millis leastPlacementPause { 10 };
     constexpr Millis wakeDelay { 3 };
-    constexpr Millis storeTimeout { 1000 };
     constexpr Millis loadTimeout { 3000 };
     constexpr Millis storeRetry { 100 };
     constexpr Millis orderTimeout { 500 };
@@ -33,29 +31,16 @@
     constexpr Millis pruneInterval { 10000 };
     //! A submission that the store has not been sent by then is taken back, so that the caller can come again.
     constexpr Millis withdrawAfter { 800 };
-    //! Progress that nobody waits for is collected for this long.
-    constexpr Millis commitPause { 40 };
-    //! The store takes at most 32 entries in one transaction; one condition and one put are the commit key's.
-    constexpr std::size_t maxBatchEntries = 30;
-
-    std::string encodeKnownWorkers(const fleet::Fleet& fleet)
-    {
-        std::vector<fleet::WorkerListing> listings;
-        for (const auto& [id, worker] : fleet.workers)
-            listings.push_back({ id, worker.address, worker.service, worker.zone, worker.rack, worker.labels,
-                worker.capacity, worker.isDraining, worker.lifetime });
-        return net::encode(listings);
-    }
 
 } // namespace
 
 FleetOwner::FleetOwner(const Environment& environment, const fleet::Limits& limits, std::uint32_t tenure,
     kv::Revision commitRevision, const desired_state::DesiredState& desired)
     : environment_(environment)
-    , commitRevision_(commitRevision)
+    , committer_(environment.context, environment.store, fleet_, commitRevision,
+          { [this] { afterCommit(); }, environment.deposed, [this] { return isAwaited(); } })
     , tickTimer_(environment.context)
     , wakeTimer_(environment.context)
-    , commitTimer_(environment.context)
     , listTimer_(environment.context)
 {
     fleet_.limits = limits;
@@ -73,6 +58,7 @@
 void FleetOwner::stop()
 {
     isStopped_ = true;
+    committer_.stop();
     auto waiters = waiters_;
     for (auto& [ticket, waiter] : waiters)
         giveUp(waiter);
@@ -154,7 +140,7 @@
             fleet::applyListing(fleet_, listing, at);
             fleet::applyUnlisted(fleet_, listing.id, at);
         }
-        knownWorkers_ = item.value;
+        committer_.setKnownWorkers(item.value);
     }
 }
 
@@ -276,7 +262,7 @@
     } else if (isDue) {
         fleet_.isPlacementDue = true;
     }
-    commitNext();
+    committer_.next();
 }
 
 void FleetOwner::send(const fleet::Orders& orders)
@@ -352,82 +338,14 @@
     environment_.deposed("worker_knows_later_owner");
 }
 
-void FleetOwner::commitNext()
+bool FleetOwner::isAwaited() const
 {
-    if (isCommitInFlight_ || isStopped_ || !isReady_)
-        return;
-    bool isAwaited = std::any_of(
+    return std::any_of(
         waiters_.begin(), waiters_.end(), [](const auto& each) { return each.second->answer != nullptr; });
-    if (!isAwaited && bootNow() - lastCommitAt_ < commitPause)
-        return;
-    batch_ = fleet::takeBatch(fleet_, maxBatchEntries);
-    auto workers = fleet_.areWorkersChanged ? encodeKnownWorkers(fleet_) : knownWorkers_;
-    fleet_.areWorkersChanged = false;
-    if (batch_.writes.empty() && workers == knownWorkers_)
-        return;
-    txnToken_ = randomToken(random_);
-    txn_ = {};
-    txn_.conditions = { { commitKey, commitRevision_ } };
-    txn_.puts = { { commitKey, net::encode(CommitRecord { fleet_.tenure, txnToken_ }) } };
-    fleet::encodeBatch(fleet_, batch_, txn_);
-    // The list of workers changes seldom and may wait for a transaction with room.
-    if (workers != knownWorkers_ && txn_.puts.size() < maxBatchEntries) {
-        txn_.puts.push_back({ knownWorkersKey, workers });
-        knownWorkers_ = workers;
-    }
-    isCommitInFlight_ = true;
-    mayBeApplied_ = false;
-    sendCommit();
-}
-
-void FleetOwner::sendCommit()
-{
-    environment_.store.commit(txn_, now() + storeTimeout, liveness_.guard([this](const kv::TxnResult& result) {
-        if (!isStopped_)
-            resolveCommit(result);
-    }));
-}
-
-void FleetOwner::resolveCommit(const kv::TxnResult& result)
-{
-    if (!result.error)
-        return finishCommit(result.revision);
-    if (result.error == Errc::Conflict) {
-        for (const auto& item : result.current) {
-            auto record = item.key == commitKey ? decodeRecord<CommitRecord>(item.value) : std::nullopt;
-            // An earlier try of this transaction was applied without an answer.
-            if (record && record->token == txnToken_)
-                return finishCommit(item.revision);
-        }
-        return environment_.deposed("store_knows_later_owner");
-    }
-    Line("commit_unanswered").with("records", txn_.puts.size()).with("error", result.error.message());
-    mayBeApplied_ = mayBeApplied_ || result.error != Errc::Refused;
-    if (!mayBeApplied_)
-        return returnCommit();
-    // The same transaction is sent again: applied once at most, since its condition then fails.
-    commitTimer_.arm(storeRetry, [this] { sendCommit(); });
-}
-
-//! The store has done nothing: submissions in the batch may be withdrawn again.
-void FleetOwner::returnCommit()
-{
-    fleet::returnBatch(fleet_, batch_);
-    batch_ = {};
-    knownWorkers_.clear();
-    fleet_.areWorkersChanged = true;
-    commitTimer_.arm(storeRetry, [this] {
-        isCommitInFlight_ = false;
-        commitNext();
-    });
 }
 
-void FleetOwner::finishCommit(kv::Revision revision)
+void FleetOwner::afterCommit()
 {
-    isCommitInFlight_ = false;
-    lastCommitAt_ = bootNow();
-    commitRevision_ = revision;
-    fleet::applyCommitted(fleet_, batch_.lastTicket());
     answerCommitted();
     fleet::hastenAcknowledgements(fleet_, bootNow());
     wake();
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "agatevane/base/random.h"
-#include "agatevane/fleet/journal.h"
 #include "agatevane/fleet/state.h"
 #include "agatevane/kv/kv.h"
+#include "node/committer.h"
 #include "node/ports.h"
 #include "node/records.h"
 #include "node/timer.h"
@@ -41,7 +40,7 @@
         Instant deadline, Answer answer);
 
     bool isReady() const { return isReady_; }
-    kv::Revision commitRevision() const { return commitRevision_; }
+    kv::Revision commitRevision() const { return committer_.revision(); }
     const fleet::Fleet& fleet() const { return fleet_; }
 
 private:
@@ -70,11 +69,8 @@
     void sendLook(const fleet::LookOrder& order);
     void refuseAsFenced();
 
-    void commitNext();
-    void sendCommit();
-    void resolveCommit(const kv::TxnResult& result);
-    void returnCommit();
-    void finishCommit(kv::Revision revision);
+    bool isAwaited() const;
+    void afterCommit();
     void answerCommitted();
     void await(fleet::Ticket ticket, const CallerRequest& request, Instant deadline, Answer answer);
     void refuseIfWithdrawn(const std::shared_ptr<Waiter>& waiter);
@@ -82,7 +78,7 @@
 
     Environment environment_;
     fleet::Fleet fleet_;
-    kv::Revision commitRevision_ = 0;
+    Committer committer_;
     bool isReady_ = false;
     bool isStopped_ = false;
     bool isAdvanceQueued_ = false;
@@ -90,14 +86,6 @@
     Millis placementPause_ { 0 };
     std::int64_t nextPruneUnixMs_ = 0;
 
-    fleet::Batch batch_;
-    kv::Txn txn_;
-    std::string txnToken_;
-    bool isCommitInFlight_ = false;
-    Instant lastCommitAt_;
-    bool mayBeApplied_ = false; //!< a try of `txn_` was not answered
-    std::string knownWorkers_; //!< as last stored
-    Random random_ = makeRandom();
     Waiters waiters_;
 
     std::optional<kv::ReadResult> acceptances_;
@@ -108,7 +96,6 @@
 
     Timer tickTimer_;
     Timer wakeTimer_;
-    Timer commitTimer_;
     Timer listTimer_;
     Liveness liveness_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,8 +11,6 @@
 
     using event_log::Line;
 
-    constexpr Millis pullInterval { 500 };
-    constexpr Millis pullTimeout { 600 };
     //! Without an answer of the owner or the store for this long a node is of no use to callers.
     constexpr Millis longestSilence { 2500 };
     //! While nobody owns the fleet a request waits this long; an election takes less than that after a handover.
@@ -29,11 +27,7 @@
     constexpr Millis drainCheck { 50 };
     //! Kept of the time before the machine kills the process.
     constexpr Millis stopMargin { 700 };
-    constexpr std::size_t maxPeers = 64;
-    constexpr std::size_t maxPeersTold = 16;
 
-    //! Without an answer for this long the owner is no source of news.
-    constexpr Millis ownerSilence { 1200 };
     //! A machine with this share of a core competes for the ownership at once, a smaller one later.
     constexpr double ampleProcessorShare = 0.25;
     constexpr double handicapMsPerShare = 1500;
@@ -83,7 +77,8 @@
     , store_(store)
     , workers_(workers)
     , translation_(translation)
-    , desired_(context, store, translation,
+    , desired_(
+          context, store, translation,
           [this] {
               if (owner_)
                   owner_->applyDesiredState(*desired_.current());
@@ -315,115 +310,6 @@
     call->respond(translation_.encodeAnswer(answer));
 }
 
-void Node::handlePeer(std::uint16_t kind, std::string_view payload, const net::Reply& reply)
-{
-    if (kind == static_cast<std::uint16_t>(PeerMessage::Pull)) {
-        PullRequest request;
-        if (net::decode(payload, request))
-            return handlePull(request, reply);
-    } else if (kind == static_cast<std::uint16_t>(PeerMessage::Call)) {
-        ForwardedCall call;
-        if (net::decode(payload, call))
-            return handleForwarded(call, reply);
-    }
-    Line("peer_message_unreadable").with("kind", kind).with("bytes", payload.size());
-    reply({});
-}
-
-void Node::handlePull(const PullRequest& request, const net::Reply& reply)
-{
-    meetPeer(request.name, request.address);
-    seat_.learn(request.owner);
-    PullReply answer;
-    answer.owner = seat_.owner();
-    answer.isServingOwner = owner_ && owner_->isReady();
-    answer.desiredRevision = desired_.revision();
-    if (request.desiredRevision < answer.desiredRevision)
-        answer.desiredState = desired_.bytes();
-    for (const auto& [name, address] : peers_) {
-        if (answer.peers.size() < maxPeersTold)
-            answer.peers.push_back({ name, address });
-    }
-    reply(net::encode(answer));
-}
-
-void Node::handleForwarded(const ForwardedCall& call, const net::Reply& reply)
-{
-    if (!owner_ || !owner_->isReady()) {
-        ForwardedAnswer answer;
-        answer.status = CallStatus::WrongNode;
-        return reply(net::encode(answer));
-    }
-    CallerRequest request { call.kind, call.job, call.spec };
-    auto deadline = now() + Millis(std::max<std::int64_t>(0, call.patienceMs));
-    owner_->call(request, call.queue, call.tenant, deadline,
-        [reply](const CallerAnswer& answer) { reply(net::encode(encodeForwarded(answer))); });
-}
-
-net::RpcClient& Node::clientOf(const net::PeerAddress& address)
-{
-    auto& client = peerClients_[address];
-    if (!client)
-        client = std::make_unique<net::RpcClient>(context_, address);
-    return *client;
-}
-
-void Node::meetPeer(const std::string& name, const net::PeerAddress& address)
-{
-    if (name == settings_.name || name.empty())
-        return;
-    if (peers_.size() < maxPeers || peers_.contains(name))
-        peers_[name] = address;
-}
-
-//! The owner is asked all the time, so that its loss shows; another node as well while the store is silent, since a
-//! store that turns this machine away may serve others.
-void Node::pullNext()
-{
-    if (isStopping_)
-        return;
-    pullTimer_.arm(pullInterval, [this] { pullNext(); });
-    noteReadiness();
-    const auto& owner = seat_.owner();
-    bool isStoreSilent = seat_.isStoreSilent() || bootNow() - ownerHeardAt_ > ownerSilence;
-    bool isOwnerElsewhere = owner.revision != 0 && owner.record.name != settings_.name;
-    if (isOwnerElsewhere && !owner_)
-        pull(owner.record.address);
-    bool hasSource = owner_ ? !seat_.isUnconfirmed() : isOwnerElsewhere && !isStoreSilent;
-    if (hasSource && desired_.current())
-        return;
-    std::vector<net::PeerAddress> candidates(settings_.seeds);
-    for (const auto& [name, address] : peers_)
-        candidates.push_back(address);
-    std::erase(candidates, settings_.peers);
-    if (candidates.empty())
-        return;
-    auto index = uniform(random_, 0, static_cast<std::int64_t>(candidates.size()) - 1);
-    pull(candidates[static_cast<std::size_t>(index)]);
-}
-
-void Node::pull(const net::PeerAddress& address)
-{
-    PullRequest request { settings_.name, settings_.peers, seat_.owner(), desired_.revision() };
-    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Pull), net::encode(request), now() + pullTimeout,
-        liveness_.guard([this, address](std::error_code error, const std::string& payload) {
-            PullReply reply;
-            if (!error && net::decode(payload, reply))
-                applyPull(address, reply);
-        }));
-}
-
-void Node::applyPull(const net::PeerAddress& from, const PullReply& reply)
-{
-    seat_.learn(reply.owner);
-    if (!reply.desiredState.empty())
-        desired_.learn(reply.desiredRevision, reply.desiredState);
-    for (const auto& peer : reply.peers)
-        meetPeer(peer.name, peer.address);
-    if (reply.isServingOwner && from == seat_.owner().record.address)
-        ownerHeardAt_ = bootNow();
-}
-
 void Node::reload(const Settings& settings)
 {
     settings_.seeds = settings.seeds;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,6 +16,9 @@
 
 namespace agatevane::node {
 
+//! Without an answer for this long the owner is no source of news.
+constexpr Millis ownerSilence { 1200 };
+
 //! One process: answers callers, competes for the ownership of the fleet, and runs the fleet when it has it.
 class Node {
 public:
--- a/src/node/seat.cpp
+++ b/src/node/seat.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-Seat::Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Millis handicap, Callbacks callbacks)
+Seat::Seat(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis leastLease, Millis handicap,
+    Callbacks callbacks)
     : store_(store)
     , self_(self)
     , ttl_(std::max(wantedTtl, leastLease))
@@ -212,7 +213,7 @@
     if (record.name != self_.name || record.token == self_.token || isSeated_ || item.lease == 0)
         return;
     Line("earlier_life_ended").with("tenure", record.tenure).with("lease", item.lease);
-    store_.endLease(item.lease, now() + callTimeout, [](const kv::LeaseResult&) { });
+    store_.endLease(item.lease, now() + callTimeout, [](const kv::LeaseResult&) {});
 }
 
 bool Seat::isUnconfirmed() const
--- a/tests/fleet/job_tests.cpp
+++ b/tests/fleet/job_tests.cpp
@@ -114,8 +114,8 @@
     }
 }
 
-// Guards against a task that lasts and is put behind all other work because its job is older than any objective, or
-// kept from workers that are reserved for urgent work (LOST on a varied site with jobs that last).
+// Guards against a task that lasts and is put behind all other work because its job is older than any objective (LOST
+// on a varied site with jobs that last).
 BOOST_AUTO_TEST_CASE(A_task_that_lasts_is_restarted_on_a_busy_fleet, *boost::unit_test::label("jobs"))
 {
     FleetSimulation simulation({ .seed = 28, .workers = 8 });
