--- a/src/agatevane/store/codec.cpp
+++ b/src/agatevane/store/codec.cpp
@@ -1,7 +1,7 @@
 #include "agatevane/store/codec.h"
 
-#include "agatevane/json/reader.h"
 #include "agatevane/base/base64.h"
+#include "agatevane/json/reader.h"
 #include <charconv>
 
 namespace agatevane::store {
--- a/standins/store/memory_store_leases.cpp
+++ b/standins/store/memory_store_leases.cpp
@@ -115,9 +115,7 @@
             events.push_back({ { "kv", keyValue(change->key, *version, false) } });
         else
             events.push_back({ { "type", "DELETE" },
-                { "kv",
-                    { { "key", toBase64(change->key) },
-                        { "mod_revision", std::to_string(change->revision) } } } });
+                { "kv", { { "key", toBase64(change->key) }, { "mod_revision", std::to_string(change->revision) } } } });
     }
     cursor.nextRevision = last + 1;
     if (events.empty())
