Take test ports from below the range of outgoing connections

The test took a port that was free for UDP in the kernel's ephemeral range; an outgoing TCP connection of a test beside it held the same number. Shown with 30,000 sockets on the machine: 139 of 400 ports picked so could not be bound for TCP. The same range explains test stand-ins and entries that find their port taken when several copies run at once. Change: tests/support/free_port, one copy for all tests: ports below 32768 that are free for TCP and UDP, spread by process id. Ruled out: SO_REUSEADDR between bind and listen (24,000 tries of 16 threads without a failure); load by itself.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -22,7 +22,7 @@
 # agatevane_test(<topic> [dependency...]): the one test program of a library; registered with ctest as <topic>.
 function(agatevane_test TOPIC)
     file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
-    add_executable(test_${TOPIC} ${SOURCES})
+    add_executable(test_${TOPIC} ${SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/free_port.cpp)
     target_compile_definitions(test_${TOPIC} PRIVATE BOOST_TEST_DYN_LINK)
     agatevane_link(test_${TOPIC} PRIVATE ${ARGN} boost_unit_test_framework rapidcheck)
     set_target_properties(test_${TOPIC} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -1,7 +1,7 @@
 #include "fakes.h"
 
 #include "agatevane/event_http/client.h"
-#include <asio/ip/tcp.hpp>
+#include "tests/support/free_port.h"
 #include <boost/test/unit_test.hpp>
 
 using namespace agatevane;
@@ -33,11 +33,6 @@
         BOOST_REQUIRE(await(Millis(5000), [this] { return owner() != nullptr; }));
     }
 
-    static int freePort(asio::io_context& context)
-    {
-        return asio::ip::tcp::acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 }).local_endpoint().port();
-    }
-
     void putDesired(const std::string& version)
     {
         kvModel.commit({ {}, { { "desired", version, 0 } }, {} }, test::modelMillis());
@@ -48,10 +43,10 @@
         Member member;
         auto& settings = member.settings;
         settings.name = name;
-        settings.callers = { "127.0.0.1", freePort(context) };
-        settings.readiness = { "127.0.0.1", freePort(context) };
-        settings.peers = { "127.0.0.1", freePort(context) };
-        settings.metrics = { "127.0.0.1", freePort(context) };
+        settings.callers = { "127.0.0.1", test::freePort() };
+        settings.readiness = { "127.0.0.1", test::freePort() };
+        settings.peers = { "127.0.0.1", test::freePort() };
+        settings.metrics = { "127.0.0.1", test::freePort() };
         for (const auto& [other, known] : members)
             settings.seeds.push_back(known.settings.peers);
         member.store = std::make_unique<test::FakeStore>(context, kvModel);
--- a/tests/scheduler/deployment.h
+++ b/tests/scheduler/deployment.h
@@ -4,9 +4,9 @@
 #include "scheduler/scheduler.h"
 #include "standins/store/store_server.h"
 #include "standins/worker/worker_fleet.h"
+#include "tests/support/free_port.h"
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <asio/ip/udp.hpp>
 #include <thread>
 
 namespace agatevane::scheduler {
@@ -29,7 +29,7 @@
         client = std::make_unique<store::Client>(std::vector { endpoint });
         putCatalogue();
         for (int i = 0; i < schedulers; ++i)
-            ports.push_back(freePort());
+            ports.push_back(test::freePort());
         for (int i = 0; i < schedulers; ++i) {
             SchedulerSettings settings { .name = "s" + std::to_string(i), .region = i == 0 ? "near" : "far" };
             settings.listen = { "127.0.0.1", ports[static_cast<std::size_t>(i)] };
@@ -108,13 +108,6 @@
     std::vector<int> ports;
 
 private:
-    int freePort()
-    {
-        asio::ip::udp::socket socket(context_, { asio::ip::make_address_v4("127.0.0.1"), 0 });
-        auto port = socket.local_endpoint().port();
-        return port;
-    }
-
     void put(const Entry& entry)
     {
         auto result
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -1,15 +1,11 @@
 #include "process.h"
 
-#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
-#include <netinet/in.h>
-#include <set>
 #include <sstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -23,24 +19,6 @@
     return folder ? folder : "bin";
 }
 
-int freePort()
-{
-    static std::set<int> handedOut;
-    while (true) {
-        int listener = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        socklen_t length = sizeof address;
-        getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
-        close(listener);
-        int port = ntohs(address.sin_port);
-        if (handedOut.insert(port).second)
-            return port;
-    }
-}
-
 Process::Process(const std::string& program, std::vector<std::string> arguments)
     : name_(program)
 {
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/base/instant.h"
+#include "tests/support/free_port.h"
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -36,9 +37,6 @@
     pid_t pid_ = -1;
 };
 
-//! A TCP port of the loopback address that was free just now, never handed out twice by this process.
-int freePort();
-
 //! Folder of the built programs.
 std::string binFolder();
 
