Keep the operation of a stored transaction alive while it is read

The address sanitizer shows a use after scope in the store's stand-in: applyTxn bound references to an element of a temporary list of a JSON object's members, which ends with the statement. Whether the stack slot is overwritten decides between a right answer and a crash. Change: read key and value from the object's own iterator.

--- a/standins/store/memory_store.cpp
+++ b/standins/store/memory_store.cpp
@@ -311,7 +311,9 @@
     bool succeeded = path.at(step++);
     Json responses = Json::array();
     for (const auto& operation : arrayOf(txn, succeeded ? "success" : "failure")) {
-        const auto& [name, body] = *operation.items().begin();
+        const auto entry = operation.begin();
+        const auto& name = entry.key();
+        const auto& body = entry.value();
         Json response { { "header", header() } };
         std::string responseName;
         if (name == "request_put") {
--- /dev/null
+++ b/tests/standins/store_tests.cpp
@@ -0,0 +1,23 @@
+#include "standins/store/memory_store.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace agatevane;
+using namespace agatevane::standin;
+
+// Guards against reading the operations of a transaction through an iterator that has ended: the store's process ended
+// with a memory access violation. Shows under the address sanitizer (scripts/sanitize).
+BOOST_AUTO_TEST_CASE(A_transaction_answers_each_of_its_operations)
+{
+    MemoryStore store;
+    auto txn = Json::parse(R"({"success":[
+        {"request_put":{"key":"YQ==","value":"MQ=="}},
+        {"request_range":{"key":"YQ=="}},
+        {"request_txn":{"success":[{"request_delete_range":{"key":"YQ=="}}]}}]})");
+    auto answer = store.txn(txn);
+    BOOST_TEST(answer.value("succeeded", false));
+    BOOST_REQUIRE(answer["responses"].size() == 3U);
+    BOOST_TEST(answer["responses"][0].contains("response_put"));
+    BOOST_TEST(answer["responses"][1]["response_range"]["kvs"].size() == 1U);
+    BOOST_TEST(answer["responses"][2]["response_txn"]["responses"].size() == 1U);
+    BOOST_TEST(store.keyCount() == 0U);
+}
