Slow fillers down while a task beside them is over its target

Change: steps carry their image and the target of their tail; reports carry the figure of the last half second. fleet/pacing lowers the pace of a worker's fillers while a task there is over its target, learns the harm of a percent from each change and raises the pace to where the target is just met. Fillers go where nothing serves and most cores are free. A filler that rests is not taken for one that hangs. The edge sends the orders; the stand-in's workers model tails and paces.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
@@ -86,6 +87,8 @@
                 for (const auto& [key, run] : worker.runs) {
                     if (run.state == RunState::Stopping)
                         room.soon += run.need;
+                    if (const auto* job = findJob(fleet_, key.first.job); job && findTask(fleet_, key.first))
+                        addNeighbour(room, stepOf(*job, key.first));
                 }
                 total += worker.capacity;
                 used += worker.used;
@@ -334,6 +337,7 @@
             for (auto place : places) {
                 rooms_[place].free -= need;
                 rooms_[place].soon -= need;
+                addNeighbour(rooms_[place], unit.spec());
             }
         }
 
@@ -394,6 +398,7 @@
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.adviceDue, {});
     emitRunOrders(fleet, at, orders);
+    emitPaceOrders(fleet, at, orders);
     emitLooks(fleet, at, orders);
     return orders;
 }
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -12,6 +12,7 @@
         std::size_t room = 0;
         std::size_t fits = 0;
         Capacity left;
+        std::int64_t disturbance = 0; //!< between a task that fills or serves and the ones there
     };
 
     std::size_t fitCount(const Capacity& room, const Capacity& need, std::size_t most)
@@ -29,9 +30,19 @@
         return static_cast<std::size_t>(fits);
     }
 
+    //! Tasks that fill or serve go where they disturb each other least; other tasks don't take part in it.
+    std::int64_t disturbanceOf(const StepSpec& step, const Room& room)
+    {
+        if (step.isFiller)
+            return room.serving * room.worker->capacity.milliCores + room.fillerMilliCores - room.free.milliCores;
+        return isServing(step) ? room.serving + (room.fillerMilliCores > 0 ? 1 : 0) : 0;
+    }
+
     //! Fullest workers first, so that whole workers stay free for wide tasks.
     bool isTighter(const Candidate& a, const Candidate& b)
     {
+        if (a.disturbance != b.disturbance)
+            return a.disturbance < b.disturbance;
         if (a.left.accelerators != b.left.accelerators)
             return a.left.accelerators < b.left.accelerators;
         if (a.left.milliCores != b.left.milliCores)
@@ -51,7 +62,7 @@
             const auto& left = kind == RoomKind::Free ? room.free : room.soon;
             auto fits = fitCount(left, need, std::min(count, spreadLeft(unit, *room.worker)));
             if (fits > 0)
-                candidates.push_back({ index, fits, left });
+                candidates.push_back({ index, fits, left, disturbanceOf(unit.spec(), room) });
         }
         std::sort(candidates.begin(), candidates.end(), isTighter);
         return candidates;
@@ -100,6 +111,12 @@
         + coresPerAccelerator * static_cast<double>(capacity.accelerators);
 }
 
+void addNeighbour(Room& room, const StepSpec& step)
+{
+    room.serving += isServing(step) ? 1 : 0;
+    room.fillerMilliCores += step.isFiller ? step.need.milliCores : 0;
+}
+
 bool isAllowed(const Unit& unit, const Worker& worker)
 {
     const auto& spec = unit.spec();
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -12,6 +12,8 @@
     Worker* worker = nullptr;
     Capacity free; //!< now
     Capacity soon; //!< with what is being stopped there
+    int serving = 0; //!< tasks there that serve users
+    std::int64_t fillerMilliCores = 0; //!< that the fillers there could use
 };
 
 //! Tasks of one step of one occurrence that wait for a place.
@@ -41,6 +43,9 @@
 constexpr double coresPerAccelerator = 8;
 double coresOf(const Capacity& capacity);
 
+//! Counts a task of `step` among those that disturb each other in the room.
+void addNeighbour(Room& room, const StepSpec& step);
+
 //! True if the step's demands on the kind of worker and on other tasks of the step allow one more task there.
 bool isAllowed(const Unit& unit, const Worker& worker);
 //! How many more tasks of the step may run there besides `placed` ones of this round; bounded by its spread.
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -37,6 +37,11 @@
     return room;
 }
 
+bool isServing(const StepSpec& step)
+{
+    return step.tailTargetMs > 0;
+}
+
 const StepSpec& stepOf(const Job& job, const TaskId& id)
 {
     return job.spec.steps[id.step];
@@ -69,6 +74,7 @@
     run.need = roomOf(stepOf(job, id));
     run.priority = job.policy.priority;
     run.orderedAt = run.nextSendAt = run.progressAt = at;
+    run.pace = fullPace;
     worker.used += run.need;
     worker.runs.emplace(RunKey { id, number }, run);
     task.worker = worker.id;
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -5,6 +5,9 @@
 //! The life of a run: ordered, running, being stopped, gone.
 namespace agatevane::fleet {
 
+//! Percent of its speed at which a task works unless it is told otherwise.
+constexpr int fullPace = 100;
+
 //! What is known after a start or stop order.
 enum class OrderOutcome {
     Done, //!< the worker has carried it out, or had before
@@ -38,6 +41,8 @@
 
 //! The room that a task of `step` takes on a worker.
 Capacity roomOf(const StepSpec& step);
+//! True if the step's tasks serve users within a target.
+bool isServing(const StepSpec& step);
 const StepSpec& stepOf(const Job& job, const TaskId& id);
 
 //! The task of a step that keeps what all members of a gang share: failed runs and the checkpoint.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -90,6 +90,10 @@
     bool isConfirmed = false;
     int percent = 0; //!< of its work, as the worker last said
     Instant progressAt; //!< when `percent` last changed
+    std::int64_t tailMs = 0; //!< of a task that serves users: tail of its response times as the worker last said
+    std::optional<int> pace; //!< of a filler: percent that the worker has confirmed; nothing: not known
+    bool isPaceInFlight = false;
+    Instant nextPaceAt;
 };
 
 using RunKey = std::pair<TaskId, RunNumber>;
@@ -100,6 +104,15 @@
     Ticket ticket = 0; //!< 0: nothing to store
 };
 
+//! How fast the fillers of a worker are to work, and what is known of the harm they do.
+struct FillerPace {
+    int percent = 100;
+    int percentBefore = 100; //!< the one that was in force when `shareBefore` was seen
+    double shareBefore = 0; //!< tail over target of the task that was worst off
+    double harmPerPercent = 0; //!< by which that share grows; 0: not known
+    Instant decidedAt;
+};
+
 struct Worker {
     WorkerId id;
     net::PeerAddress address;
@@ -130,6 +143,7 @@
     int failuresInRow = 0; //!< runs that failed since one ended well
     Instant avoidUntil; //!< fails or hangs what it starts
     Instant unlistedAt;
+    FillerPace fillers;
 };
 
 //! Limits and times; the platform's settings give them.
@@ -210,6 +224,7 @@
     int adviceInFlight = 0;
     std::uint64_t startsOrdered = 0;
     std::uint64_t runsStoppedForOthers = 0;
+    std::uint64_t pacesLowered = 0; //!< times that the fillers of a worker were slowed down
     std::uint64_t placementSearches = 0; //!< over all workers; the measure of a round's processor time
     std::uint64_t preemptionPlans = 0;
     bool areWorkersChanged = false; //!< the list of known workers has to be stored anew
@@ -236,6 +251,16 @@
     std::uint64_t fencingToken = 0;
 };
 
+//! Lets a filler work at a share of its speed.
+struct PaceOrder {
+    WorkerId worker;
+    net::PeerAddress address;
+    TaskId task;
+    RunNumber run = 0;
+    int percent = 100;
+    std::uint64_t fencingToken = 0;
+};
+
 //! Asks for the lists of runs and ends, acknowledges ends and renews the lease of all that runs there.
 struct LookOrder {
     WorkerId worker;
@@ -251,6 +276,7 @@
     std::vector<AdviceOrder> advice;
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
+    std::vector<PaceOrder> paces;
     std::vector<LookOrder> looks;
 };
 
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/leases.h"
+#include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
 
@@ -13,6 +14,8 @@
 
     //! A look returns at an end or after this, and so renews the lease several times within its span.
     constexpr Millis lookWait { 1000 };
+    //! Where fillers work beside tasks that serve users; reports cover half a second.
+    constexpr Millis pacingLookWait { 500 };
     //! Between looks at a worker whose ends are not durable yet; the answer would come at once.
     constexpr Millis lookPauseForCommit { 500 };
     constexpr Millis lookRetry { 250 };
@@ -20,6 +23,8 @@
     constexpr int missesToAvoid = 2;
     //! A run whose percentage stands still for this long hangs: work of minutes moves a percent in less.
     constexpr Millis standstill { 3500 };
+    //! A filler has only the cores that other tasks leave.
+    constexpr Millis fillerStandstill { 12000 };
     constexpr Millis avoidAfterStandstill { 8000 };
 
     void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
@@ -80,6 +85,8 @@
             run.progressAt = at;
         }
         auto* job = findJob(fleet, run.task.job);
+        if (job && run.isOurs && isServing(stepOf(*job, run.task)))
+            run.tailMs = report.recentFigure;
         if (run.isOurs && job && !report.checkpoint.empty())
             sharedTask(*job, run.task).checkpoint = report.checkpoint;
     }
@@ -229,6 +236,7 @@
             meetUnknownRun(fleet, *worker, report, at);
     }
     dropMissing(fleet, *worker, seen, at);
+    decidePace(fleet, *worker, at);
     if (!std::exchange(worker->isLookedAt, true))
         fleet.isPlacementDue = true;
     worker->nextLookAt = worker->listedEnds.empty() || hasReadyEnd(fleet, *worker) ? at : at + lookPauseForCommit;
@@ -270,12 +278,16 @@
             worker.isLookedAt = false;
         }
         for (auto& [key, run] : worker.runs) {
-            if (run.state != RunState::Running || !run.isOurs || at - run.progressAt < standstill
-                || worker.missedLooks > 0)
+            if (run.state != RunState::Running || !run.isOurs || worker.missedLooks > 0)
                 continue;
             auto* job = findJob(fleet, key.first.job);
             if (!job || stepOf(*job, key.first).isContinuous || run.percent >= 100)
                 continue;
+            bool isFiller = stepOf(*job, key.first).isFiller;
+            if (isFiller && worker.fillers.percent < fullPace)
+                run.progressAt = at;
+            if (at - run.progressAt < (isFiller ? fillerStandstill : standstill))
+                continue;
             worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStandstill);
             stopTaskRuns(fleet, *job, key.first, at, "no_progress");
         }
@@ -297,7 +309,7 @@
         if (worker.clockMs > 0 && worker.missedLooks == 0)
             look.leaseUntilMs = extendLease(fleet, worker, at);
         if (worker.isLookedAt && worker.listedEnds.empty() && !worker.runs.empty())
-            look.wait = lookWait;
+            look.wait = needsPacing(fleet, worker) ? pacingLookWait : lookWait;
         worker.isLookInFlight = true;
         worker.lookSentAt = at;
         orders.looks.push_back(std::move(look));
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -32,6 +32,9 @@
     RunKey key;
     std::string checkpoint;
     int percent = 0;
+    //! Of the last half second: the tail in milliseconds of a task that serves users, the thousandths of a core in use
+    //! of any other task.
+    std::int64_t recentFigure = 0;
 };
 
 struct EndReport {
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/dispatch.h"
+#include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/record.h"
 #include <algorithm>
 
@@ -273,6 +274,8 @@
         sendStart(order);
     for (const auto& order : orders.stops)
         sendStop(order);
+    for (const auto& order : orders.paces)
+        sendPace(order);
     for (const auto& order : orders.looks)
         sendLook(order);
 }
@@ -317,6 +320,19 @@
         }));
 }
 
+void FleetOwner::sendPace(const fleet::PaceOrder& order)
+{
+    fleet::RunKey key { order.task, order.run };
+    environment_.workers.pace(order, now() + orderTimeout,
+        liveness_.guard([this, worker = order.worker, key, percent = order.percent](const OrderAnswer& answer) {
+            if (isStopped_)
+                return;
+            if (answer.isFenced)
+                return refuseAsFenced();
+            fleet::applyPaceOutcome(fleet_, worker, key, percent, answer.outcome, bootNow());
+        }));
+}
+
 void FleetOwner::sendLook(const fleet::LookOrder& order)
 {
     environment_.workers.look(order, now() + order.wait + lookMargin,
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -65,6 +65,7 @@
     void send(const fleet::Orders& orders);
     void sendStart(const fleet::StartOrder& order);
     void sendStop(const fleet::StopOrder& order);
+    void sendPace(const fleet::PaceOrder& order);
     void sendQuestion(const fleet::AdviceOrder& order);
     void sendLook(const fleet::LookOrder& order);
     void refuseAsFenced();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -194,6 +194,8 @@
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
             .set(static_cast<double>(fleet.runsStoppedForOthers));
+        registry.gauge("agatevane_fillers_slowed", "Times that the fillers of a worker were slowed in this tenure")
+            .set(static_cast<double>(fleet.pacesLowered));
     }
     respond({ statusOk, { { "content-type", metrics::contentType } }, registry.render() });
 }
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -34,6 +34,7 @@
 
     virtual void start(const fleet::StartOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
     virtual void stop(const fleet::StopOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
+    virtual void pace(const fleet::PaceOrder& order, Instant deadline, std::function<void(OrderAnswer)> done) = 0;
     virtual void ask(const fleet::AdviceOrder& order, Instant deadline, std::function<void(fleet::AdviceAnswer)> done)
         = 0;
     virtual void look(const fleet::LookOrder& order, Instant deadline, std::function<void(LookResult)> done) = 0;
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -282,6 +282,10 @@
             { worker, {}, *task, run, platform::textOr(body, "specification"), platform::textOr(body, "checkpoint"), {},
                 platform::integerOr(body, "untilMs", 0), token },
             modelMillis());
+    else if (request.target == "/api/pace")
+        outcome = workers_.pace(
+            { worker, {}, *task, run, static_cast<int>(platform::integerOr(body, "percent", 0)), token },
+            modelMillis());
     else
         outcome = workers_.stop({ worker, {}, *task, run, token }, modelMillis());
     bool isRefused = outcome.isFenced || outcome.outcome != fleet::OrderOutcome::Done;
@@ -316,7 +320,8 @@
     }
     auto running = json::array();
     for (const auto& each : look.answer.running)
-        running.push_back({ platform::encodeTaskName(each.key.first), each.key.second, each.checkpoint, each.percent });
+        running.push_back({ platform::encodeTaskName(each.key.first), each.key.second, each.checkpoint, each.percent,
+            each.recentFigure });
     auto ended = json::array();
     for (const auto& each : look.answer.ended)
         ended.push_back({ each.number, platform::encodeTaskName(each.key.first), each.key.second,
--- a/standins/platform/worker_model.cpp
+++ b/standins/platform/worker_model.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr std::int64_t firstClockMs = 1000;
+    constexpr int fullPercent = 100;
 
     bool isSameGang(const fleet::RunKey& a, const fleet::RunKey& b)
     {
@@ -46,6 +47,10 @@
             behaviour.hangs = true;
         else if (name == "saves")
             behaviour.savesWork = true;
+        else if (name == "tail")
+            behaviour.tailMs = number;
+        else if (name == "disturbs")
+            behaviour.disturbanceMs = number;
     }
     return behaviour;
 }
@@ -183,6 +188,45 @@
     return {};
 }
 
+StartOutcome WorkerModel::pace(const fleet::PaceOrder& order, std::int64_t nowMs)
+{
+    advance(nowMs);
+    auto& worker = workers_.at(order.worker);
+    if (!admit(worker, order.fencingToken))
+        return { fleet::OrderOutcome::Outdated, true };
+    auto found = worker.runs.find({ order.task, order.run });
+    if (found != worker.runs.end())
+        found->second.pacePercent = order.percent;
+    return {};
+}
+
+std::int64_t WorkerModel::tailOf(const ModelWorker& worker, const ModelRun& run)
+{
+    auto tail = run.behaviour.tailMs;
+    if (tail == 0)
+        return 0;
+    for (const auto& [key, other] : worker.runs)
+        tail += other.behaviour.disturbanceMs * other.pacePercent / fullPercent;
+    return tail;
+}
+
+std::int64_t WorkerModel::worstTail(const fleet::WorkerId& id) const
+{
+    std::int64_t worst = 0;
+    const auto& worker = workers_.at(id);
+    for (const auto& [key, run] : worker.runs)
+        worst = std::max(worst, tailOf(worker, run));
+    return worst;
+}
+
+int WorkerModel::fillerPace(const fleet::WorkerId& id) const
+{
+    int pace = 0;
+    for (const auto& [key, run] : workers_.at(id).runs)
+        pace = std::max(pace, run.behaviour.disturbanceMs > 0 ? run.pacePercent : 0);
+    return pace;
+}
+
 LookOutcome WorkerModel::look(const fleet::LookOrder& order, std::int64_t nowMs)
 {
     advance(nowMs);
@@ -200,7 +244,7 @@
     outcome.answer.lifetime = worker.listing.lifetime;
     for (const auto& [key, run] : worker.runs) {
         auto percent = run.behaviour.durationMs > 0 ? 100 * run.progressMs / run.behaviour.durationMs : 100;
-        outcome.answer.running.push_back({ key, run.checkpoint, static_cast<int>(percent) });
+        outcome.answer.running.push_back({ key, run.checkpoint, static_cast<int>(percent), tailOf(worker, run) });
     }
     for (const auto& end : worker.ends)
         outcome.answer.ended.push_back(end.report);
@@ -294,7 +338,7 @@
             continue;
         }
         if (!run.behaviour.hangs)
-            run.progressMs += stepMs;
+            run.progressMs += stepMs * run.pacePercent / fullPercent;
         if (run.behaviour.savesWork)
             run.checkpoint = encodeCheckpoint(run.progressMs / times_.checkpointMs * times_.checkpointMs);
         if (worker.fails || (run.progressMs >= run.behaviour.durationMs && key.second <= run.behaviour.fails))
--- a/standins/platform/worker_model.h
+++ b/standins/platform/worker_model.h
@@ -12,13 +12,15 @@
 //! Workers of the platform as plain state: they start whatever they are told, run gangs together, let leases lapse.
 namespace agatevane::standin {
 
-//! What a task does, read from its payload: "ms=2500 gang=4 fails=2 hangs". Missing parts have these values.
+//! What a task does, read from its payload: "ms=2500 gang=4 fails=2 hangs tail=40". Missing parts have these values.
 struct TaskBehaviour {
     std::int64_t durationMs = 1000;
     std::size_t gang = 0; //!< members that must be present; 0: none
     std::uint32_t fails = 0; //!< runs of a task that fail before one ends well; counted by run
     bool hangs = false; //!< makes no progress
     bool savesWork = false;
+    std::int64_t tailMs = 0; //!< of a task that serves: tail without disturbance; 0: it does not serve
+    std::int64_t disturbanceMs = 0; //!< of a filler: added at full pace to the tail of each task that serves beside it
 };
 
 TaskBehaviour parseBehaviour(const std::string& payload);
@@ -68,9 +70,15 @@
 
     StartOutcome start(const fleet::StartOrder& order, std::int64_t nowMs);
     StartOutcome stop(const fleet::StopOrder& order, std::int64_t nowMs);
+    StartOutcome pace(const fleet::PaceOrder& order, std::int64_t nowMs);
     LookOutcome look(const fleet::LookOrder& order, std::int64_t nowMs);
     void advance(std::int64_t nowMs);
 
+    //! The worst tail of the tasks that serve on `worker`; 0: there are none.
+    std::int64_t worstTail(const fleet::WorkerId& worker) const;
+    //! The highest pace of the fillers on `worker`; 0: there are none.
+    int fillerPace(const fleet::WorkerId& worker) const;
+
     const std::vector<RunRecord>& history() const { return history_; }
 
 private:
@@ -80,6 +88,7 @@
         std::int64_t progressMs = 0;
         std::int64_t stopAtMs = -1; //!< -1: not being stopped
         std::string checkpoint;
+        int pacePercent = 100;
         std::size_t record = 0;
     };
 
@@ -107,6 +116,8 @@
     void extendLease(ModelWorker& worker, std::int64_t untilMs, std::int64_t nowMs) const;
     void end(ModelWorker& worker, const fleet::RunKey& key, fleet::EndKind kind, std::int64_t nowMs);
     void advanceWorker(ModelWorker& worker, std::int64_t nowMs, std::int64_t stepMs);
+    //! The tail of a task that serves, with what the fillers beside it add.
+    static std::int64_t tailOf(const ModelWorker& worker, const ModelRun& run);
     std::size_t membersPresent(const fleet::RunKey& key) const;
     void breakGang(const fleet::RunKey& key, fleet::EndKind kind, std::int64_t nowMs);
 
--- /dev/null
+++ b/tests/fleet/pacing_tests.cpp
@@ -0,0 +1,121 @@
+#include "simulation.h"
+
+#include "agatevane/fleet/pacing.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace agatevane;
+using test::FleetSimulation;
+
+namespace {
+
+constexpr std::int64_t targetMs = 100;
+//! Fillers may keep a task over its target for this long.
+constexpr std::int64_t mostOverMs = 4000;
+
+fleet::JobSpec servingJob(const fleet::JobId& id, std::uint32_t count)
+{
+    auto job = test::sampleJob(id, count, 1, 600000);
+    job.payload += " tail=60";
+    job.steps[0].tailTargetMs = targetMs;
+    job.steps[0].isContinuous = true;
+    return job;
+}
+
+fleet::JobSpec fillerJob(const fleet::JobId& id, std::uint32_t count, std::int64_t durationMs, int disturbanceMs)
+{
+    auto job = test::sampleJob(id, count, 0, durationMs);
+    job.payload += " disturbs=" + std::to_string(disturbanceMs);
+    job.steps[0].isFiller = true;
+    return job;
+}
+
+//! How the worst tails compared with the target while the simulation ran.
+struct Harm {
+    std::int64_t longestMs = 0; //!< for which a worker was over it while its fillers worked
+    double share = 0; //!< of the time of all workers in which a worker was over it while its fillers worked
+};
+
+Harm watchHarm(FleetSimulation& simulation, std::int64_t endMs)
+{
+    std::map<fleet::WorkerId, std::int64_t> since;
+    Harm harm;
+    std::int64_t looks = 0;
+    std::int64_t harmed = 0;
+    while (simulation.nowMs() < endMs) {
+        simulation.runUntil(simulation.nowMs() + 20);
+        for (const auto& listing : simulation.workers().listings()) {
+            const auto& id = listing.id;
+            bool isHarmed = simulation.workers().worstTail(id) > targetMs && simulation.workers().fillerPace(id) > 0;
+            auto begin = since.try_emplace(id, simulation.nowMs()).first;
+            if (!isHarmed)
+                begin->second = simulation.nowMs();
+            harm.longestMs = std::max(harm.longestMs, simulation.nowMs() - begin->second);
+            ++looks;
+            harmed += isHarmed ? 1 : 0;
+        }
+    }
+    harm.share = static_cast<double>(harmed) / static_cast<double>(std::max<std::int64_t>(1, looks));
+    return harm;
+}
+
+} // namespace
+
+// Guards against fillers that keep the tasks beside them over their target (HARM).
+BOOST_AUTO_TEST_CASE(Fillers_are_slowed_while_a_task_beside_them_is_over_its_target, *boost::unit_test::label("pacing"))
+{
+    FleetSimulation simulation({ .seed = 21, .workers = 2 });
+    simulation.runUntil(500);
+    simulation.submit(servingJob("00000000000000ba", 8), test::sampleQueue());
+    simulation.submit(fillerJob("00000000000000bb", 2, 600000, 90), test::sampleQueue(2));
+    BOOST_CHECK_LT(watchHarm(simulation, 20000).longestMs, mostOverMs);
+    BOOST_CHECK_GT(simulation.fleet().pacesLowered, 0U);
+}
+
+// Guards against the same where orders are lost and owners change: a new owner does not know the pace in force.
+BOOST_AUTO_TEST_CASE(Fillers_are_slowed_across_owners_and_lost_orders, *boost::unit_test::label("pacing"))
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        FleetSimulation simulation({ .seed = seed, .workers = 2, .lostOrders = 0.05, .takeoverEveryMs = 5000 });
+        simulation.runUntil(500);
+        simulation.submit(servingJob("00000000000000ba", 8), test::sampleQueue());
+        simulation.submit(fillerJob("00000000000000bb", 2, 600000, 90), test::sampleQueue(2));
+        BOOST_CHECK_LT(watchHarm(simulation, 30000).longestMs, mostOverMs);
+    }
+}
+
+// Guards against a pace that goes up and down: each time it goes up the tasks that serve are over their target again.
+BOOST_AUTO_TEST_CASE(The_pace_of_fillers_settles_where_the_target_is_met, *boost::unit_test::label("pacing"))
+{
+    FleetSimulation simulation({ .seed = 24, .workers = 1 });
+    simulation.runUntil(500);
+    simulation.submit(servingJob("00000000000000ca", 1), test::sampleQueue());
+    simulation.submit(fillerJob("00000000000000cb", 1, 600000, 300), test::sampleQueue(2));
+    simulation.runUntil(4000);
+    auto harm = watchHarm(simulation, 30000);
+    BOOST_CHECK_LT(harm.share, 0.05);
+    BOOST_CHECK_GT(simulation.workers().fillerPace("w100"), 0);
+}
+
+// Guards against fillers that stay slow although nothing is disturbed, and never end.
+BOOST_AUTO_TEST_CASE(Fillers_work_at_full_pace_where_they_disturb_nobody, *boost::unit_test::label("pacing"))
+{
+    FleetSimulation simulation({ .seed = 22, .workers = 4 });
+    simulation.runUntil(500);
+    simulation.submit(servingJob("00000000000000bc", 1), test::sampleQueue());
+    simulation.submit(fillerJob("00000000000000bd", 3, 3000, 90), test::sampleQueue(2));
+    simulation.runUntil(6000);
+    BOOST_CHECK(simulation.stateOf("00000000000000bd") == fleet::VisibleState::Completed);
+    BOOST_CHECK_EQUAL(simulation.fleet().pacesLowered, 0U);
+}
+
+// Guards against a filler that is stopped as hanging while it has been told to rest.
+BOOST_AUTO_TEST_CASE(A_filler_that_rests_is_not_taken_for_one_that_hangs, *boost::unit_test::label("pacing"))
+{
+    FleetSimulation simulation({ .seed = 23, .workers = 1 });
+    simulation.runUntil(500);
+    simulation.submit(servingJob("00000000000000be", 1), test::sampleQueue());
+    simulation.submit(fillerJob("00000000000000bf", 1, 600000, 900), test::sampleQueue(2));
+    simulation.runUntil(30000);
+    for (const auto& record : simulation.workers().history())
+        BOOST_CHECK(!record.end || *record.end != fleet::EndKind::Stopped);
+}
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -1,5 +1,6 @@
 #include "simulation.h"
 
+#include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/record.h"
 #include <algorithm>
 
@@ -205,6 +206,8 @@
         sendStart(owner, order);
     for (const auto& order : orders.stops)
         sendStop(owner, order);
+    for (const auto& order : orders.paces)
+        sendPace(owner, order);
     for (const auto& order : orders.looks)
         sendLook(owner, order);
     commit(owner);
@@ -275,6 +278,23 @@
     });
 }
 
+void FleetSimulation::sendPace(const std::shared_ptr<Owner>& owner, const fleet::PaceOrder& order)
+{
+    auto answer = [this, owner, order](fleet::OrderOutcome outcome) {
+        if (!owner->isDeposed)
+            fleet::applyPaceOutcome(
+                owner->fleet, order.worker, { order.task, order.run }, order.percent, outcome, at(nowMs_));
+    };
+    schedule(delay(), [this, order, answer] {
+        if (!isReachable(order.worker) || happens(options_.lostOrders)) {
+            schedule(answerTimeoutMs, [answer] { answer(fleet::OrderOutcome::Unknown); });
+            return;
+        }
+        auto outcome = workers_.pace(order, nowMs_);
+        schedule(delay(), [answer, outcome] { answer(outcome.outcome); });
+    });
+}
+
 void FleetSimulation::sendLook(const std::shared_ptr<Owner>& owner, const fleet::LookOrder& order)
 {
     // The modelled worker answers at once; the wait for an end becomes a later look.
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -68,6 +68,7 @@
     void step();
     void sendStart(const std::shared_ptr<Owner>& owner, const fleet::StartOrder& order);
     void sendStop(const std::shared_ptr<Owner>& owner, const fleet::StopOrder& order);
+    void sendPace(const std::shared_ptr<Owner>& owner, const fleet::PaceOrder& order);
     void sendLook(const std::shared_ptr<Owner>& owner, const fleet::LookOrder& order);
     void commit(const std::shared_ptr<Owner>& owner);
     void injectFaults();
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -156,6 +156,13 @@
             done({ outcome.outcome, outcome.isFenced });
         });
     }
+    void pace(const fleet::PaceOrder& order, Instant, std::function<void(node::OrderAnswer)> done) override
+    {
+        later([this, order, done = std::move(done)] {
+            auto outcome = model_.pace(order, modelMillis());
+            done({ outcome.outcome, outcome.isFenced });
+        });
+    }
     void ask(const fleet::AdviceOrder&, Instant, std::function<void(fleet::AdviceAnswer)> done) override
     {
         later([done = std::move(done)] { done({}); });
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -65,7 +65,7 @@
     event_http::Request request { "POST", "/q/5c0e7a21d94b36f8", {},
         R"({"specification":"text","steps":[{"count":4,"cpu":500,"taskMemoryMb":256,"estimatedMs":900,"affinity":"r1-3"},
         {"count":20,"cpu":2000,"gpu":2,"after":[0],"enableCheckpoints":true,"gang":true,"tightlyCoupled":true,
-        "requirements":"a","antiAffinity":2}]})" };
+        "requirements":"a","antiAffinity":2,"image":"m1","targetMs":80}]})" };
     auto call = decodeCall(request, "5c0e7a21d94b36f8", findings);
     BOOST_REQUIRE_MESSAGE(call, format(findings));
     BOOST_REQUIRE_EQUAL(call->spec.steps.size(), 2U);
@@ -75,6 +75,8 @@
     BOOST_CHECK(second.isGang && second.isTightlyCoupled && second.savesCheckpoints);
     BOOST_CHECK_EQUAL(second.requiredLabel, "a");
     BOOST_CHECK_EQUAL(second.maxPerWorker, 2U);
+    BOOST_CHECK_EQUAL(second.image, "m1");
+    BOOST_CHECK_EQUAL(second.tailTargetMs, 80);
     BOOST_CHECK(second.after == std::vector<std::uint32_t> { 0 });
 }
 
@@ -162,6 +164,7 @@
     BOOST_REQUIRE_EQUAL(look.answer.running.size(), 1U);
     BOOST_CHECK_EQUAL(look.answer.running.front().key.first.index, 17U);
     BOOST_CHECK_EQUAL(look.answer.running.front().percent, 41);
+    BOOST_CHECK_EQUAL(look.answer.running.front().recentFigure, 3);
     BOOST_REQUIRE_EQUAL(look.answer.ended.size(), 1U);
     BOOST_CHECK(look.answer.ended.front().kind == fleet::EndKind::Done);
 }
