Add a fault soak of the node: real processes, faults from outside

Change: agatevane-soak plans faults from a seed (nodes killed, stopped, paused, all killed; the store down, slow, losing answers; links to store and workers cut, silent, one way, delayed, reset by a loopback relay; workers reborn or failing; keys changed), drives callers that keep their connections, and checks what callers were told against the workers' history. The relay learns resets and one-way links; the stand-in publishes relayed addresses. The deployment of platform_system throws in place of failing through the test framework, so that the soak's program uses it too; its checks are the same.

--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -144,8 +144,10 @@
         return;
     std::map<fleet::WorkerId, std::string> current;
     for (const auto& listing : workers_.listings()) {
+        const auto& published = endpoints_.at(listing.id).publishedAddress;
         json entry { { "service", listing.service },
-            { "address", listing.address.address + ":" + std::to_string(listing.address.port) },
+            { "address",
+                published.empty() ? listing.address.address + ":" + std::to_string(listing.address.port) : published },
             { "zone", listing.zone }, { "version", "v1" }, { "slots", 8 },
             { "state", listing.isDraining ? "draining" : "ready" }, { "born", listing.lifetime },
             { "capacity",
@@ -331,7 +333,8 @@
             { "ended", ended } }));
 }
 
-//! POST /faults {down, losesAnswers, delayMs}; POST /desired; POST /workers/ID/(restart|crash|drain|fail); GET /runs.
+//! POST /faults {down, losesAnswers, delayMs}; POST /desired; POST /workers/ID/(restart|crash|drain|fail); GET /runs,
+//! /workers.
 void PlatformServer::handleControl(const Request& request, const Respond& respond)
 {
     if (request.target == "/runs") {
@@ -339,9 +342,16 @@
         for (const auto& record : workers_.history())
             runs.push_back({ { "task", fleet::toString(record.key.first) }, { "run", record.key.second },
                 { "worker", record.worker }, { "beganMs", record.beganMs }, { "endedMs", record.endedMs },
-                { "how", record.end ? std::string(nameOf(*record.end)) : std::string() } });
+                { "how", record.end ? std::string(nameOf(*record.end)) : std::string() },
+                { "isNoted", record.isNoted } });
         return respond(reply(platform::statusOk, runs));
     }
+    if (request.target == "/workers") {
+        auto ports = json::object();
+        for (const auto& [id, endpoint] : endpoints_)
+            ports[id] = endpoint.server->port();
+        return respond(reply(platform::statusOk, ports));
+    }
     if (request.target == "/desired") {
         putDesired(request.body);
         return respond(reply(platform::statusOk));
@@ -370,6 +380,10 @@
         workers_.setDraining(worker, true);
     else if (action == "fail")
         workers_.setFailing(worker, true);
+    else if (action == "mend")
+        workers_.setFailing(worker, false);
+    else if (action == "publish")
+        endpoints_.at(worker).publishedAddress = request.body;
     else
         return respond(reply(statusNotFound));
     respond(reply(platform::statusOk));
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -45,6 +45,7 @@
     struct Endpoint {
         fleet::WorkerId worker;
         std::unique_ptr<event_http::Server> server;
+        std::string publishedAddress; //!< shown in the store in place of its own; empty: its own
     };
 
     void handleStore(const event_http::Request& request, const Respond& respond);
--- a/standins/relay/link.h
+++ b/standins/relay/link.h
@@ -18,6 +18,7 @@
 struct LinkState {
     bool isCut = false; //!< TCP: refuses connections and closes those that exist; UDP: drops everything
     bool isStalled = false; //!< TCP: forwards nothing and keeps connections; UDP: drops everything
+    bool holdsAnswers = false; //!< TCP: forwards only what the connecting side sends
     std::chrono::milliseconds delay { 0 }; //!< added in each direction
 };
 
@@ -33,6 +34,8 @@
     virtual ~Link() = default;
     virtual int port() const = 0;
     virtual void apply(const LinkState& state) = 0;
+    //! TCP: resets the connections that exist, on both sides.
+    virtual void reset() { }
     const LinkCounts& counts() const { return counts_; }
 
 protected:
@@ -50,6 +53,7 @@
 
     int port() const override { return listen_.port(); }
     void apply(const LinkState& state) override;
+    void reset() override;
 
 private:
     struct Session;
--- a/standins/relay/relay.cpp
+++ b/standins/relay/relay.cpp
@@ -134,6 +134,16 @@
     return count;
 }
 
+void Relay::reset(const std::string& pattern)
+{
+    runOnLinks([&] {
+        for (auto& [name, link] : links_) {
+            if (matches(pattern, name))
+                link->reset();
+        }
+    });
+}
+
 nlohmann::json Relay::describe()
 {
     auto links = nlohmann::json::object();
@@ -167,6 +177,7 @@
             json::ObjectReader reader(body, "", findings);
             reader.read("cut", state.isCut, json::Presence::Optional);
             reader.read("stalled", state.isStalled, json::Presence::Optional);
+            reader.read("holdsAnswers", state.holdsAnswers, json::Presence::Optional);
             reader.read("delayMs", delayMs, json::Presence::Optional, 0, 600000);
             reader.finish();
         }
--- a/standins/relay/relay.h
+++ b/standins/relay/relay.h
@@ -35,6 +35,8 @@
 
     //! Applies to all links whose name matches `pattern`, in which a final '*' stands for any rest. Returns how many.
     int apply(const std::string& pattern, const LinkState& state);
+    //! Resets the connections of all links whose name matches.
+    void reset(const std::string& pattern);
 
     //! {"control": port, "links": {name: {port, connections, bytes, dropped}}}
     nlohmann::json describe();
--- a/standins/relay/tcp_link.cpp
+++ b/standins/relay/tcp_link.cpp
@@ -66,7 +66,8 @@
 
     void wait(Pump& pump, std::size_t length, std::chrono::milliseconds delay)
     {
-        if (delay.count() == 0 && !link.state_.isStalled) {
+        bool isHeld = link.state_.isStalled || (link.state_.holdsAnswers && &pump == &down);
+        if (delay.count() == 0 && !isHeld) {
             write(pump, length);
             return;
         }
@@ -178,4 +179,17 @@
     }
 }
 
+void TcpLink::reset()
+{
+    auto sessions = std::move(sessions_);
+    sessions_.clear();
+    for (const auto& session : sessions) {
+        // Without lingering, closing sends a reset in place of an orderly end.
+        std::error_code ignored;
+        session->client.set_option(tcp::socket::linger(true, 0), ignored);
+        session->server.set_option(tcp::socket::linger(true, 0), ignored);
+        session->close();
+    }
+}
+
 } // namespace agatevane::standin
--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -1,8 +1,8 @@
 #include "deployment.h"
 
-#include <boost/test/unit_test.hpp>
 #include <cstdio>
 #include <fstream>
+#include <stdexcept>
 #include <thread>
 #include <unistd.h>
 
@@ -12,31 +12,57 @@
 
     constexpr Millis startLimit { 15000 };
     constexpr Millis pollPause { 50 };
-    constexpr int nodeCount = 3;
+    void require(bool condition, const std::string& what)
+    {
+        if (!condition)
+            throw std::runtime_error(what);
+    }
 
 } // namespace
 
-PlatformDeployment::PlatformDeployment()
+PlatformDeployment::PlatformDeployment(const DeploymentOptions& options)
     : client_(context_)
-    , platform_(std::make_unique<Process>("standin-platform", std::vector<std::string> { "--workers", "4" }))
+    , platform_(std::make_unique<Process>(
+          "standin-platform", std::vector<std::string> { "--workers", std::to_string(options.workers) }))
 {
-    BOOST_REQUIRE(await(startLimit, [this] { return platform_->output().find("}") != std::string::npos; }));
+    require(await(startLimit, [this] { return platform_->output().find("}") != std::string::npos; }),
+        "the platform's stand-in does not start");
     auto ports = nlohmann::json::parse(platform_->output());
     storePort_ = ports.at("store");
     controlPort_ = ports.at("control");
     putDesired(1, { "key-1" });
-    for (int index = 0; index < nodeCount; ++index) {
+    auto workers = controlGet("/workers");
+    for (const auto& [id, port] : workers.items())
+        workers_.push_back(id);
+    if (options.relay)
+        relayWorkers(*options.relay);
+    for (int index = 0; index < options.nodes; ++index) {
         auto& member = nodes_.emplace_back();
         member.callersPort = freePort();
         member.readinessPort = freePort();
         member.peersPort = freePort();
         member.metricsPort = freePort();
+        member.storePort = storePort_;
+        if (options.relay)
+            member.storePort
+                = options.relay->add({ "store-" + std::to_string(index), "tcp", freePort(), "127.0.0.1", storePort_ });
     }
-    for (int index = 0; index < nodeCount; ++index) {
+    for (int index = 0; index < options.nodes; ++index) {
         writeSettings(nodes_[static_cast<std::size_t>(index)], index);
         startNode(index);
     }
-    BOOST_REQUIRE(await(startLimit, [this] { return owner() >= 0 && stateOf(0, "ffffffffffffffff") == "410"; }));
+    require(await(startLimit, [this] { return owner() >= 0 && stateOf(0, "ffffffffffffffff") == "410"; }),
+        "no node serves the fleet");
+}
+
+void PlatformDeployment::relayWorkers(standin::Relay& relay)
+{
+    auto ports = controlGet("/workers");
+    for (const auto& [id, port] : ports.items()) {
+        auto link = relay.add({ "worker-" + id, "tcp", freePort(), "127.0.0.1", port.get<int>() });
+        require(link > 0, "a link to worker " + id + " can't listen");
+        control("/workers/" + id + "/publish", "127.0.0.1:" + std::to_string(link));
+    }
 }
 
 void PlatformDeployment::writeSettings(Member& member, int index)
@@ -51,7 +77,7 @@
          << "listenAddresses.ready=127.0.0.1:" << member.readinessPort << "\n"
          << "listenAddresses.control=127.0.0.1:" << member.peersPort << "\n"
          << "internalPortRange=" << member.metricsPort - 1 << "," << member.metricsPort + 1 << "\n"
-         << "seedNodes=" << seeds << "\nplatform.address=127.0.0.1:" << storePort_ << "\n"
+         << "seedNodes=" << seeds << "\nplatform.address=127.0.0.1:" << member.storePort << "\n"
          << "platform.ttlMinMs=1000\nbounds.graceS=6\nbounds.holdMaxMs=6000\nbounds.status_s=120\n";
 }
 
@@ -122,16 +148,21 @@
 
 void PlatformDeployment::control(const std::string& path, const std::string& body)
 {
-    BOOST_REQUIRE_EQUAL(send(controlPort_, { "POST", path, {}, body }, nullptr), 200);
+    require(send(controlPort_, { "POST", path, {}, body }, nullptr) == 200, "the stand-in refuses " + path);
 }
 
-nlohmann::json PlatformDeployment::runs()
+nlohmann::json PlatformDeployment::controlGet(const std::string& path)
 {
     std::string answer;
-    BOOST_REQUIRE_EQUAL(send(controlPort_, { "GET", "/runs", {}, {} }, &answer), 200);
+    require(send(controlPort_, { "GET", path, {}, {} }, &answer) == 200, "the stand-in refuses " + path);
     return nlohmann::json::parse(answer);
 }
 
+nlohmann::json PlatformDeployment::runs()
+{
+    return controlGet("/runs");
+}
+
 void PlatformDeployment::putDesired(int version, const std::vector<std::string>& keys)
 {
     nlohmann::json state { { "version", version },
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/event_http/client.h"
+#include "standins/relay/relay.h"
 #include "tests/system/process.h"
 #include <asio/io_context.hpp>
 #include <functional>
@@ -9,12 +10,21 @@
 #include <string>
 #include <vector>
 
-//! Three nodes and the platform's stand-in as processes on loopback.
+//! Nodes and the platform's stand-in as processes on loopback.
 namespace agatevane::test {
 
+struct DeploymentOptions {
+    int nodes = 3;
+    int workers = 4;
+    //! Forwards what the nodes send to the store and to the workers over links named "store-N" and "worker-ID"; null:
+    //! they send it directly.
+    standin::Relay* relay = nullptr;
+};
+
+//! Throws std::runtime_error if a process can't be started.
 class PlatformDeployment {
 public:
-    PlatformDeployment();
+    explicit PlatformDeployment(const DeploymentOptions& options = {});
 
     //! Status of the answer, 0 if there was none.
     int ask(int node, const std::string& method, const std::string& id, const nlohmann::json& body = nullptr,
@@ -30,6 +40,9 @@
 
     Process& node(int index) { return *nodes_.at(static_cast<std::size_t>(index)).process; }
     void startNode(int index);
+    int nodeCount() const { return static_cast<int>(nodes_.size()); }
+    int callersPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).callersPort; }
+    std::vector<std::string> workers() const { return workers_; }
     bool await(Millis limit, const std::function<bool()>& condition);
 
 private:
@@ -39,17 +52,21 @@
         int readinessPort = 0;
         int peersPort = 0;
         int metricsPort = 0;
+        int storePort = 0; //!< of the store or of the link to it
         std::unique_ptr<Process> process;
     };
 
     int send(int port, event_http::Request request, std::string* answer);
     void writeSettings(Member& member, int index);
+    nlohmann::json controlGet(const std::string& path);
+    void relayWorkers(standin::Relay& relay);
 
     asio::io_context context_;
     event_http::Client client_;
     std::unique_ptr<Process> platform_;
     int storePort_ = 0;
     int controlPort_ = 0;
+    std::vector<std::string> workers_;
     std::vector<Member> nodes_;
 };
 
--- /dev/null
+++ b/tests/soak/injector.cpp
@@ -0,0 +1,201 @@
+#include "tests/soak/injector.h"
+
+#include <iostream>
+
+namespace agatevane::soak {
+
+namespace {
+
+    constexpr int storeDelayMs = 300;
+    constexpr std::chrono::milliseconds linkDelay { 400 };
+    //! A process is started again this long after it was killed or has exited.
+    constexpr std::int64_t restartAfterMs = 300;
+    //! The platform kills a process that has not exited this long after SIGTERM.
+    constexpr std::int64_t graceMs = 6000;
+
+} // namespace
+
+Injector::Injector(test::PlatformDeployment& deployment, standin::Relay& relay, std::vector<Fault> plan,
+    std::function<void(const std::string& key)> keyChanged)
+    : deployment_(deployment)
+    , relay_(relay)
+    , plan_(std::move(plan))
+    , keyChanged_(std::move(keyChanged))
+{
+}
+
+void Injector::advance(std::int64_t atMs)
+{
+    watchProcesses();
+    while (!ends_.empty() && ends_.begin()->first <= atMs) {
+        auto end = std::move(ends_.begin()->second);
+        ends_.erase(ends_.begin());
+        end();
+    }
+    while (next_ < plan_.size() && plan_[next_].atMs <= atMs)
+        begin(plan_[next_++], atMs);
+}
+
+void Injector::begin(const Fault& fault, std::int64_t atMs)
+{
+    std::cout << atMs << " ms " << nameOf(fault.kind) << " " << fault.target % 1000 << " for " << fault.forMs
+              << " ms\n";
+    auto endMs = atMs + fault.forMs;
+    switch (fault.kind) {
+    case FaultKind::NodeKilled:
+    case FaultKind::NodeStopped:
+    case FaultKind::NodePaused:
+    case FaultKind::AllNodesKilled:
+        return beginOnNode(fault, endMs);
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreLosesAnswers:
+        return beginOnStore(fault, endMs);
+    case FaultKind::StoreLinkCut:
+    case FaultKind::StoreLinkSilent:
+    case FaultKind::StoreLinkOneWay:
+    case FaultKind::StoreLinkReset:
+    case FaultKind::WorkerLinkSilent:
+    case FaultKind::WorkerLinkOneWay:
+    case FaultKind::WorkerLinkDelayed:
+    case FaultKind::WorkerLinkReset:
+        return beginOnLink(fault, endMs);
+    case FaultKind::WorkerRestarted:
+    case FaultKind::WorkerFailing:
+        return beginOnWorker(fault, endMs);
+    case FaultKind::KeysChanged:
+        return changeKeys();
+    }
+}
+
+void Injector::beginOnNode(const Fault& fault, std::int64_t endMs)
+{
+    auto node = static_cast<Node>(fault.target % static_cast<std::uint64_t>(deployment_.nodeCount()));
+    if (fault.kind == FaultKind::AllNodesKilled) {
+        for (node = 0; node < deployment_.nodeCount(); ++node) {
+            if (!std::exchange(isDown_[node], true))
+                startAgain(node, endMs);
+            deployment_.node(node).kill();
+        }
+        return;
+    }
+    if (isDown_[node])
+        return;
+    auto& process = deployment_.node(node);
+    if (fault.kind == FaultKind::NodePaused) {
+        process.pause();
+        return endAt(endMs, [this, node] { deployment_.node(node).resume(); });
+    }
+    isDown_[node] = true;
+    if (fault.kind == FaultKind::NodeKilled) {
+        process.kill();
+        return startAgain(node, endMs);
+    }
+    isStopping_[node] = true;
+    process.resume();
+    process.requestStop();
+    startAgain(node, endMs - fault.forMs + graceMs);
+}
+
+//! Whatever is left of the process is killed first, as the platform does.
+void Injector::startAgain(Node node, std::int64_t endMs)
+{
+    endAt(endMs + restartAfterMs, [this, node] {
+        deployment_.node(node).kill();
+        deployment_.startNode(node);
+        isDown_[node] = false;
+        isStopping_[node] = false;
+    });
+}
+
+void Injector::watchProcesses()
+{
+    for (Node node = 0; node < deployment_.nodeCount(); ++node) {
+        auto& process = deployment_.node(node);
+        if (isDown_[node] && !isStopping_[node])
+            continue;
+        if (process.isRunning() || (isStopping_[node] && process.exitCode() == 0))
+            continue;
+        unexpectedExits_.push_back("node " + std::to_string(node) + " ended with code "
+            + std::to_string(process.exitCode()) + "; its output ends:\n"
+            + process.output().substr(process.output().size() - std::min<std::size_t>(process.output().size(), 2000)));
+        if (!std::exchange(isDown_[node], true))
+            deployment_.startNode(node);
+        isDown_[node] = isStopping_[node];
+        isStopping_[node] = false;
+    }
+}
+
+void Injector::beginOnStore(const Fault& fault, std::int64_t endMs)
+{
+    nlohmann::json faults = nlohmann::json::object();
+    if (fault.kind == FaultKind::StoreDown)
+        faults["down"] = true;
+    else if (fault.kind == FaultKind::StoreLosesAnswers)
+        faults["losesAnswers"] = true;
+    else
+        faults["delayMs"] = storeDelayMs;
+    deployment_.control("/faults", faults.dump());
+    endAt(endMs, [this] { deployment_.control("/faults", "{}"); });
+}
+
+void Injector::beginOnLink(const Fault& fault, std::int64_t endMs)
+{
+    auto workers = deployment_.workers();
+    auto isStore = fault.kind < FaultKind::WorkerLinkSilent;
+    auto name = isStore ? "store-" + std::to_string(fault.target % static_cast<std::uint64_t>(deployment_.nodeCount()))
+                        : "worker-" + workers[fault.target % workers.size()];
+    standin::LinkState state;
+    switch (fault.kind) {
+    case FaultKind::StoreLinkReset:
+    case FaultKind::WorkerLinkReset:
+        return relay_.reset(name);
+    case FaultKind::StoreLinkCut:
+        state.isCut = true;
+        break;
+    case FaultKind::StoreLinkSilent:
+    case FaultKind::WorkerLinkSilent:
+        state.isStalled = true;
+        break;
+    case FaultKind::WorkerLinkDelayed:
+        state.delay = linkDelay;
+        break;
+    default:
+        state.holdsAnswers = true;
+        break;
+    }
+    relay_.apply(name, state);
+    endAt(endMs, [this, name] { relay_.apply(name, {}); });
+}
+
+void Injector::beginOnWorker(const Fault& fault, std::int64_t endMs)
+{
+    auto workers = deployment_.workers();
+    auto path = "/workers/" + workers[fault.target % workers.size()];
+    if (fault.kind == FaultKind::WorkerRestarted)
+        return deployment_.control(path + "/restart", "");
+    deployment_.control(path + "/fail", "");
+    endAt(endMs, [this, path] { deployment_.control(path + "/mend", ""); });
+}
+
+//! Callers change to the new key at once; the one before stays valid until the next change.
+void Injector::changeKeys()
+{
+    auto before = "key-" + std::to_string(keyVersion_);
+    auto key = "key-" + std::to_string(++keyVersion_);
+    deployment_.putDesired(keyVersion_, { before, key });
+    keyChanged_(before);
+}
+
+void Injector::heal()
+{
+    while (!ends_.empty()) {
+        auto end = std::move(ends_.begin()->second);
+        ends_.erase(ends_.begin());
+        end();
+    }
+    relay_.apply("*", {});
+    deployment_.control("/faults", "{}");
+}
+
+} // namespace agatevane::soak
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,127 @@
+#include "tests/soak/ledger.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace agatevane::soak {
+
+namespace {
+
+    bool isEnd(const std::string& state)
+    {
+        return state == "completed" || state == "failed" || state == "cancelled";
+    }
+
+    std::int64_t endOf(const RunEntry& run)
+    {
+        return run.endedMs < 0 ? std::numeric_limits<std::int64_t>::max() : run.endedMs;
+    }
+
+    std::string describe(const RunEntry& run)
+    {
+        return run.task + " run " + std::to_string(run.number) + " on " + run.worker + " from "
+            + std::to_string(run.beganMs) + " to " + std::to_string(run.endedMs) + " " + run.how;
+    }
+
+    void checkOneAtATime(Ledger& ledger, const std::vector<const RunEntry*>& runs)
+    {
+        for (std::size_t a = 0; a < runs.size(); ++a) {
+            for (std::size_t b = a + 1; b < runs.size(); ++b) {
+                const auto& first = *runs[a];
+                const auto& second = *runs[b];
+                if (second.beganMs < endOf(first))
+                    ledger.breaches.push_back("runs twice at a time: " + describe(first) + "; " + describe(second));
+                else if (first.how == "done" && first.isNoted)
+                    ledger.breaches.push_back("runs after it was done: " + describe(first) + "; " + describe(second));
+            }
+        }
+    }
+
+    void checkWanted(Ledger& ledger, const RunEntry& run)
+    {
+        auto found = ledger.jobs.find(run.job);
+        if (found == ledger.jobs.end()) {
+            ledger.breaches.push_back("runs what nobody sent: " + describe(run));
+            return;
+        }
+        const auto& job = found->second;
+        if (job.isRefused())
+            ledger.breaches.push_back("runs although every attempt was refused: " + describe(run));
+        if (job.cancelAckedMs >= 0 && run.beganMs > job.cancelAckedMs + cancelBoundMs)
+            ledger.breaches.push_back(
+                "begins after its cancelling at " + std::to_string(job.cancelAckedMs) + ": " + describe(run));
+    }
+
+    void checkRoom(Ledger& ledger, const std::string& worker, const std::vector<const RunEntry*>& runs)
+    {
+        std::multimap<std::int64_t, int> changes;
+        for (const auto* run : runs) {
+            auto job = ledger.jobs.find(run->job);
+            auto need = job == ledger.jobs.end() ? 0 : job->second.acceleratorsPerTask;
+            changes.emplace(run->beganMs, need);
+            if (run->endedMs >= 0)
+                changes.emplace(run->endedMs, -need);
+        }
+        int used = 0;
+        for (auto change = changes.begin(); change != changes.end();) {
+            auto atMs = change->first;
+            for (; change != changes.end() && change->first == atMs; ++change)
+                used += change->second;
+            if (used > acceleratorsPerWorker) {
+                ledger.breaches.push_back("worker " + worker + " has " + std::to_string(used)
+                    + " accelerators in use at " + std::to_string(atMs));
+                return;
+            }
+        }
+    }
+
+} // namespace
+
+void noteState(Ledger& ledger, const std::string& id, int status, const std::string& state, std::int64_t atMs)
+{
+    auto& job = ledger.jobs.at(id);
+    if (status == 410 && job.acceptedMs >= 0 && atMs > job.acceptedMs + visibleBoundMs)
+        ledger.breaches.push_back("job " + id + " accepted at " + std::to_string(job.acceptedMs) + " is not known at "
+            + std::to_string(atMs));
+    if (status != 200)
+        return;
+    if (isEnd(job.state) && state != job.state)
+        ledger.breaches.push_back("job " + id + " is shown " + state + " after " + job.state);
+    if (state == "cancelled" && job.cancelSentMs < 0)
+        ledger.breaches.push_back("job " + id + " is shown cancelled, and nobody asked for it");
+    if (!isEnd(job.state) && isEnd(state))
+        job.endedMs = atMs;
+    job.state = state;
+}
+
+void checkRuns(Ledger& ledger, const std::vector<RunEntry>& runs)
+{
+    std::map<std::string, std::vector<const RunEntry*>> byTask;
+    std::map<std::string, std::vector<const RunEntry*>> byWorker;
+    for (const auto& run : runs) {
+        checkWanted(ledger, run);
+        byTask[run.task].push_back(&run);
+        byWorker[run.worker].push_back(&run);
+    }
+    for (auto& [task, entries] : byTask) {
+        std::sort(entries.begin(), entries.end(),
+            [](const RunEntry* a, const RunEntry* b) { return a->beganMs < b->beganMs; });
+        checkOneAtATime(ledger, entries);
+    }
+    for (const auto& [worker, entries] : byWorker)
+        checkRoom(ledger, worker, entries);
+    for (const auto& [id, job] : ledger.jobs) {
+        if (job.state != "completed")
+            continue;
+        std::map<std::string, int> done;
+        for (const auto& run : runs) {
+            if (run.job == id && run.how == "done")
+                ++done[run.task];
+        }
+        if (static_cast<int>(done.size()) < job.tasks)
+            ledger.breaches.push_back("job " + id + " is shown completed with " + std::to_string(done.size()) + " of "
+                + std::to_string(job.tasks) + " tasks done");
+    }
+}
+
+} // namespace agatevane::soak
--- /dev/null
+++ b/tests/soak/plan.cpp
@@ -0,0 +1,40 @@
+#include "tests/soak/plan.h"
+
+#include "agatevane/base/random.h"
+
+namespace agatevane::soak {
+
+namespace {
+
+    constexpr std::int64_t shortestPauseMs = 100;
+    constexpr std::int64_t shortestFaultMs = 300;
+    constexpr std::int64_t longestFaultMs = 5000;
+    //! A series strikes the same target this many times at most.
+    constexpr std::int64_t longestSeries = 4;
+
+} // namespace
+
+std::vector<Fault> makePlan(const PlanOptions& options)
+{
+    Random random(options.seed);
+    std::vector<Fault> plan;
+    std::int64_t atMs = 0;
+    while (atMs < options.lengthMs) {
+        Fault fault;
+        fault.kind = EnumNames<FaultKind>::table
+                         .at(static_cast<std::size_t>(uniform(random, 0, EnumNames<FaultKind>::table.size() - 1)))
+                         .first;
+        fault.target = random();
+        bool isSeries = uniform(random, 0, 3) == 0;
+        auto strikes = isSeries ? uniform(random, 2, longestSeries) : 1;
+        for (std::int64_t n = 0; n < strikes; ++n) {
+            atMs += uniform(random, shortestPauseMs, options.longestPauseMs);
+            fault.atMs = atMs;
+            fault.forMs = uniform(random, shortestFaultMs, longestFaultMs);
+            plan.push_back(fault);
+        }
+    }
+    return plan;
+}
+
+} // namespace agatevane::soak
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,113 @@
+#include "tests/soak/soak.h"
+
+#include "tests/soak/callers.h"
+#include "tests/soak/injector.h"
+
+namespace agatevane::soak {
+
+namespace {
+
+    constexpr Millis step { 20 };
+    //! Of the deployment's only queue.
+    constexpr std::size_t maxAttempts = 3;
+    //! Accepted jobs have ended this long after the last fault: leases lapse, hanging calls time out, failed runs
+    //! repeat.
+    constexpr std::int64_t finishBoundMs = 30000;
+    //! Every node follows the newest desired state this long after the last fault.
+    constexpr std::int64_t settleBoundMs = 4000;
+
+    std::vector<RunEntry> runsOf(test::PlatformDeployment& deployment)
+    {
+        std::vector<RunEntry> runs;
+        for (const auto& each : deployment.runs()) {
+            RunEntry run;
+            run.task = each.at("task");
+            run.job = run.task.substr(0, run.task.find('.'));
+            run.number = each.at("run");
+            run.worker = each.at("worker");
+            run.beganMs = each.at("beganMs");
+            run.endedMs = each.at("endedMs");
+            run.how = each.at("how");
+            run.isNoted = each.at("isNoted");
+            runs.push_back(run);
+        }
+        return runs;
+    }
+
+    //! A job is shown as failed only after as many failed runs of one task as its queue allows.
+    void checkFailures(Ledger& ledger, const std::vector<RunEntry>& runs)
+    {
+        for (const auto& [id, job] : ledger.jobs) {
+            std::map<std::string, std::set<std::uint32_t>> failed;
+            for (const auto& run : runs) {
+                if (run.job == id && run.how == "failed")
+                    failed[job.isGang ? id : run.task].insert(run.number);
+            }
+            bool isDue = std::any_of(
+                failed.begin(), failed.end(), [](const auto& each) { return each.second.size() >= maxAttempts; });
+            if (job.state == "failed" && !isDue)
+                ledger.breaches.push_back("job " + id + " is shown failed before its attempts were used up");
+        }
+    }
+
+    void checkNodes(test::PlatformDeployment& deployment, const std::string& key, Ledger& ledger)
+    {
+        for (int node = 0; node < deployment.nodeCount(); ++node) {
+            auto status = deployment.ask(node, "GET", "", nullptr, nullptr, key);
+            auto refused = deployment.ask(node, "GET", "", nullptr, nullptr, "key-0");
+            if (status != 200 || refused != 401)
+                ledger.breaches.push_back("node " + std::to_string(node) + " answers " + std::to_string(status)
+                    + " to the newest key and " + std::to_string(refused) + " to an unknown one");
+        }
+    }
+
+} // namespace
+
+std::vector<std::string> runSoak(const SoakOptions& options, std::ostream& out)
+{
+    standin::Relay relay("127.0.0.1", 0);
+    test::PlatformDeployment deployment({ options.nodes, options.workers, &relay });
+    Ledger ledger;
+    std::vector<int> ports;
+    for (int node = 0; node < deployment.nodeCount(); ++node)
+        ports.push_back(deployment.callersPort(node));
+    Callers callers(ledger, ports, options.plan.seed);
+    std::string key = "key-1";
+    Injector injector(deployment, relay, makePlan(options.plan), [&](const std::string& newest) {
+        key = newest;
+        callers.useKey(newest);
+    });
+    auto startMs = callers.nowMs();
+    auto sinceStart = [&] { return callers.nowMs() - startMs; };
+    while (!injector.isFinished()) {
+        injector.advance(sinceStart());
+        callers.run(step);
+    }
+    injector.heal();
+    callers.stopSubmitting();
+    auto healedMs = sinceStart();
+    while (sinceStart() < healedMs + settleBoundMs || (callers.isOwed() && sinceStart() < healedMs + finishBoundMs)) {
+        injector.advance(sinceStart());
+        callers.run(step);
+    }
+    for (const auto& [id, job] : ledger.jobs) {
+        if (job.isOwed())
+            ledger.breaches.push_back("job " + id + " accepted at " + std::to_string(job.acceptedMs)
+                + " has not ended; last shown: " + job.state);
+    }
+    auto runs = runsOf(deployment);
+    checkRuns(ledger, runs);
+    checkFailures(ledger, runs);
+    checkNodes(deployment, key, ledger);
+    for (const auto& exit : injector.unexpectedExits())
+        ledger.breaches.push_back(exit);
+    auto accepted = std::count_if(
+        ledger.jobs.begin(), ledger.jobs.end(), [](const auto& each) { return each.second.acceptedMs >= 0; });
+    out << "seed " << options.plan.seed << ": " << ledger.jobs.size() << " jobs, " << accepted << " accepted, "
+        << runs.size() << " runs; answers 200: " << callers.answered(200) << ", 503: " << callers.answered(503)
+        << ", 504: " << callers.answered(504) << ", none: " << callers.answered(0) << "; " << ledger.breaches.size()
+        << " broken promises\n";
+    return ledger.breaches;
+}
+
+} // namespace agatevane::soak
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,42 @@
+#include "tests/soak/soak.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+using namespace agatevane;
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "Injects seeded faults into real processes and checks what callers and workers see. Exit 1 if a "
+                   "promise was broken." };
+    soak::SoakOptions options;
+    std::uint64_t first = 1;
+    std::uint64_t count = 1;
+    int seconds = 20;
+    app.add_option("--first-seed", first, "First seed")->envname("AGATEVANE_SOAK_FIRST_SEED")->capture_default_str();
+    app.add_option("--seeds", count, "Number of seeds")->check(CLI::Range(1, 10000))->capture_default_str();
+    app.add_option("--seconds", seconds, "Time in which faults begin, for each seed")
+        ->check(CLI::Range(1, 3600))
+        ->capture_default_str();
+    app.add_option("--longest-pause-ms", options.plan.longestPauseMs, "Between two faults")
+        ->check(CLI::Range(110, 60000))
+        ->capture_default_str();
+    app.add_option("--nodes", options.nodes, "Nodes")->check(CLI::Range(1, 50))->capture_default_str();
+    app.add_option("--workers", options.workers, "Workers")->check(CLI::Range(1, 300))->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    constexpr std::int64_t millisPerSecond = 1000;
+    options.plan.lengthMs = seconds * millisPerSecond;
+    int broken = 0;
+    for (auto seed = first; seed < first + count; ++seed) {
+        options.plan.seed = seed;
+        auto breaches = soak::runSoak(options, std::cout);
+        for (const auto& breach : breaches)
+            std::cout << "BROKEN seed " << seed << ": " << breach << "\n";
+        broken += breaches.empty() ? 0 : 1;
+        std::cout.flush();
+    }
+    std::cout << count << " seeds, " << broken << " with a broken promise\n";
+    return broken == 0 ? 0 : 1;
+}
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -54,6 +54,7 @@
     : name_(std::move(other.name_))
     , outputFile_(std::exchange(other.outputFile_, {}))
     , pid_(std::exchange(other.pid_, -1))
+    , exitCode_(other.exitCode_)
 {
 }
 
@@ -62,6 +63,7 @@
     std::swap(name_, other.name_);
     std::swap(outputFile_, other.outputFile_);
     std::swap(pid_, other.pid_);
+    std::swap(exitCode_, other.exitCode_);
     return *this;
 }
 
@@ -82,12 +84,14 @@
 
 void Process::pause()
 {
-    ::kill(pid_, SIGSTOP);
+    if (pid_ >= 0)
+        ::kill(pid_, SIGSTOP);
 }
 
 void Process::resume()
 {
-    ::kill(pid_, SIGCONT);
+    if (pid_ >= 0)
+        ::kill(pid_, SIGCONT);
 }
 
 int Process::terminate(Millis limit)
@@ -108,6 +112,12 @@
     return -1;
 }
 
+void Process::requestStop()
+{
+    if (pid_ >= 0)
+        ::kill(pid_, SIGTERM);
+}
+
 bool Process::isRunning()
 {
     if (pid_ < 0)
@@ -116,6 +126,7 @@
     if (waitpid(pid_, &status, WNOHANG) != pid_)
         return true;
     pid_ = -1;
+    exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     return false;
 }
 
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -25,7 +25,11 @@
     void resume();
     //! SIGTERM; returns the exit code, or -1 if the process did not exit by itself within the limit and was killed.
     int terminate(Millis limit = Millis(15000));
+    //! SIGTERM without waiting; `isRunning` tells when the process has exited.
+    void requestStop();
     bool isRunning();
+    //! Of a process that `isRunning` has found ended: its exit code, or -1 if a signal ended it.
+    int exitCode() const { return exitCode_; }
     std::string output() const;
     const std::string& name() const { return name_; }
 
@@ -35,6 +39,7 @@
     std::string name_;
     std::string outputFile_;
     pid_t pid_ = -1;
+    int exitCode_ = 0;
 };
 
 //! Folder of the built programs.
