Carry runs over to a new life of their worker, close inherited sockets of test processes

An order that was under way is then carried out by the new life, while the owner, told of the new life, took the run for dead and started the task elsewhere: two runs at a time, or a run after the task was done. Change: only runs that a look at the earlier life has shown die with it. For the others the order is repeated: a start runs the task there or finds it, a stop keeps a late start out. Starts without an answer are remembered for as long as they may be carried out. A repeated start that comes too late, or meets another life, is stopped and not forgotten. The nodes inherited the relay's listening sockets, so that a link that was cut could not listen again; processes now get only their three streams.

--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -188,8 +188,11 @@
     if (!worker)
         return;
     auto found = worker->runs.find(key);
-    if (found == worker->runs.end() || found->second.state != RunState::Ordered)
+    if (found == worker->runs.end() || found->second.state != RunState::Ordered) {
+        if (outcome == OrderOutcome::Unknown)
+            worker->unansweredStarts[key] = at + lateOrderBound;
         return;
+    }
     auto& run = found->second;
     run.isOrderInFlight = false;
     if (outcome != OrderOutcome::Done)
@@ -207,6 +210,7 @@
         run.confirmedAt = run.progressAt = at;
         return;
     case OrderOutcome::Unknown:
+        worker->unansweredStarts[key] = at + lateOrderBound;
         run.nextSendAt = at + resendAfter;
         return;
     case OrderOutcome::NotSent:
@@ -229,6 +233,9 @@
     case OrderOutcome::OtherLifetime:
         worker->nextLookAt = at;
         worker->avoidUntil = std::max(worker->avoidUntil, at + resendAfter);
+        // An earlier order of this run may have been carried out.
+        if (run.ordersSent > 1)
+            return requestStop(run, at);
         return cancelUnstarted(fleet, *worker, key, at);
     case OrderOutcome::Outdated:
         return cancelUnstarted(fleet, *worker, key, at);
@@ -274,7 +281,8 @@
                 continue;
             }
             auto* job = findJob(fleet, key.first.job);
-            if (!job)
+            // The lease is asked for on the worker's clock, which the first look at its life tells.
+            if (!job || !worker.isLookedAt)
                 continue;
             run.isOrderInFlight = true;
             ++run.ordersSent;
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -7,6 +7,8 @@
 
 //! Percent of its speed at which a task works unless it is told otherwise.
 constexpr int fullPace = 100;
+//! A start without an answer may yet be carried out for this long; the platform's late orders take up to 12 s.
+constexpr Millis lateOrderBound { 12500 };
 
 //! What is known after a start or stop order.
 enum class OrderOutcome {
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -88,6 +88,7 @@
     int ordersSent = 0;
     Instant confirmedAt; //!< start answered, or seen in a list; for Stopping: stop answered
     bool isConfirmed = false;
+    bool isSeen = false; //!< a look at the present life of the worker has shown it
     int percent = 0; //!< of its work, as the worker last said
     Instant progressAt; //!< when `percent` last changed
     std::int64_t tailMs = 0; //!< of a task that serves users: tail of its response times as the worker last said
@@ -142,6 +143,7 @@
     bool hasUnknownUse = false; //!< a run of unknown size is there: nothing is placed
     int failuresInRow = 0; //!< runs that failed since one ended well
     Instant avoidUntil; //!< fails or hangs what it starts
+    std::map<RunKey, Instant> unansweredStarts; //!< may yet be carried out until the instant, also by a later life
     Instant unlistedAt;
     bool isEmptying = false; //!< its machine is to go down: no new work
     FillerPace fillers;
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -27,29 +27,70 @@
     constexpr Millis fillerStandstill { 12000 };
     constexpr Millis avoidAfterStandstill { 8000 };
 
+    void loseRun(Fleet& fleet, Worker& worker, const RunKey& key, Instant at, std::string_view reason)
+    {
+        Line("run_lost")
+            .with("job", key.first.job)
+            .with("task", toString(key.first))
+            .with("run", key.second)
+            .with("worker", worker.id)
+            .with("reason", reason);
+        removeRun(fleet, worker, key);
+        if (auto* job = findJob(fleet, key.first.job);
+            job && findTask(fleet, key.first) && stepOf(*job, key.first).isGang)
+            stopTaskRuns(fleet, *job, key.first, at, "member_lost");
+    }
+
     void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
     {
         std::vector<RunKey> keys;
         for (const auto& [key, run] : worker.runs)
             keys.push_back(key);
-        for (const auto& key : keys) {
-            Line("run_lost")
-                .with("job", key.first.job)
-                .with("task", toString(key.first))
-                .with("run", key.second)
-                .with("worker", worker.id)
-                .with("reason", reason);
-            removeRun(fleet, worker, key);
-            if (auto* job = findJob(fleet, key.first.job);
-                job && findTask(fleet, key.first) && stepOf(*job, key.first).isGang)
-                stopTaskRuns(fleet, *job, key.first, at, "member_lost");
+        for (const auto& key : keys)
+            loseRun(fleet, worker, key, at, reason);
+    }
+
+    void forgetAnsweredStarts(Worker& worker, Instant at)
+    {
+        std::erase_if(worker.unansweredStarts, [at](const auto& each) { return at >= each.second; });
+    }
+
+    //! The order for the run is sent again, to the new life: a start runs it there, or finds it, and a stop keeps a
+    //! late start from being carried out.
+    void repeatOrder(Run& run, Instant at)
+    {
+        if (run.state == RunState::Running)
+            run.state = RunState::Ordered;
+        run.isConfirmed = false;
+        run.isSeen = false;
+        run.isOrderInFlight = false;
+        run.percent = 0;
+        run.orderedAt = run.nextSendAt = run.progressAt = at;
+    }
+
+    //! Runs that a look at the earlier life has shown died with it. The others may have been started by the new life,
+    //! or may yet be.
+    void carryOver(Fleet& fleet, Worker& worker, Instant at)
+    {
+        forgetAnsweredStarts(worker, at);
+        std::vector<RunKey> dead;
+        for (auto& [key, run] : worker.runs) {
+            if (run.isSeen && !worker.unansweredStarts.contains(key))
+                dead.push_back(key);
+            else
+                repeatOrder(run, at);
+        }
+        for (const auto& key : dead)
+            loseRun(fleet, worker, key, at, "worker_restarted");
+        for (const auto& [key, until] : worker.unansweredStarts) {
+            if (!worker.runs.contains(key))
+                adoptRun(fleet, worker, key, false, at);
         }
     }
 
     void beginLifetime(Fleet& fleet, Worker& worker, std::int64_t lifetime, Instant at)
     {
-        if (worker.lifetime != 0)
-            loseRuns(fleet, worker, at, "worker_restarted");
+        bool isFirst = worker.lifetime == 0;
         worker.lifetime = lifetime;
         worker.isLookedAt = false;
         worker.listedEnds.clear();
@@ -58,6 +99,12 @@
         worker.leaseBound = {};
         worker.failuresInRow = 0;
         worker.nextLookAt = at;
+        if (isFirst)
+            return;
+        carryOver(fleet, worker, at);
+        // The new life's clock may grant a late order the longest lease.
+        if (!worker.runs.empty())
+            worker.leaseBound = at + lateOrderBound + fleet.limits.leaseSpan;
     }
 
     void applyEnds(Fleet& fleet, Worker& worker, const std::vector<EndReport>& ends, std::int64_t unixMs, Instant at)
@@ -78,6 +125,7 @@
             run.state = RunState::Running;
             run.isOrderInFlight = false;
         }
+        run.isSeen = true;
         if (run.state == RunState::Running && !std::exchange(run.isConfirmed, true))
             run.confirmedAt = at;
         if (report.percent != run.percent) {
@@ -273,6 +321,7 @@
 {
     for (auto each = fleet.workers.begin(); each != fleet.workers.end();) {
         auto& worker = each->second;
+        forgetAnsweredStarts(worker, at);
         if (!worker.runs.empty() && worker.missedLooks > 0 && (at >= worker.leaseBound || hasLeft(worker, at))) {
             loseRuns(fleet, worker, at, hasLeft(worker, at) ? "worker_left" : "lease_passed");
             worker.isLookedAt = false;
--- a/tests/fleet/worker_tests.cpp
+++ b/tests/fleet/worker_tests.cpp
@@ -55,6 +55,47 @@
     BOOST_CHECK_EQUAL(simulation.workers().history().size(), 2U);
 }
 
+// Guards against a run that is taken for dead because its worker began a new life before it was started there, and that
+// is then run a second time elsewhere (seed 39 of the soak).
+BOOST_AUTO_TEST_CASE(A_run_that_began_in_a_new_life_of_its_worker_goes_on, *boost::unit_test::label("workers"))
+{
+    FleetSimulation simulation({ .seed = 12, .workers = 2 });
+    simulation.runUntil(1010);
+    simulation.workers().restart("w100", simulation.nowMs());
+    simulation.workers().restart("w101", simulation.nowMs());
+    simulation.submit(test::sampleJob("00000000000000ae", 1, 1, 1500), test::sampleQueue());
+    BOOST_CHECK(simulation.runUntilEnded(6000));
+    BOOST_CHECK_EQUAL(simulation.workers().history().size(), 1U);
+}
+
+// Guards against an order that is carried out late by a new life of its worker, after the task was run elsewhere (seed
+// 50 of the soak).
+BOOST_AUTO_TEST_CASE(A_late_order_to_a_worker_that_started_anew_runs_nothing_twice, *boost::unit_test::label("workers"))
+{
+    FleetSimulation simulation({ .seed = 13, .workers = 2 });
+    simulation.runUntil(500);
+    auto& fleet = simulation.fleet();
+    auto at = [&simulation] { return Instant(std::chrono::hours(1)) + Millis(simulation.nowMs()); };
+    auto job = test::sampleJob("00000000000000af", 1, 1, 700);
+    simulation.submit(job, test::sampleQueue());
+    while (simulation.workers().history().empty())
+        simulation.runUntil(simulation.nowMs() + 1);
+    // The order is under way when its worker starts anew; nobody answers it.
+    auto first = simulation.workers().history().front();
+    simulation.workers().restart(first.worker, simulation.nowMs());
+    fleet::applyStartOutcome(fleet, first.worker, first.key, fleet::OrderOutcome::Unknown, at());
+    simulation.runUntil(simulation.nowMs() + 400);
+    fleet::StartOrder late { first.worker, {}, first.key.first, first.key.second, job.payload, {}, {}, 100000, 1 };
+    simulation.workers().start(late, simulation.nowMs());
+    BOOST_CHECK(simulation.runUntilEnded(8000));
+    simulation.runUntil(simulation.nowMs() + 3000);
+    simulation.checkHistory();
+    BOOST_CHECK(simulation.breaches().empty());
+    for (const auto& record : simulation.workers().history())
+        BOOST_TEST_MESSAGE(record.worker << " " << record.key.second << " " << record.beganMs << "-" << record.endedMs);
+    BOOST_CHECK_LE(simulation.workers().history().size(), 2U);
+}
+
 // Guards against a worker that fails at once, looks idle and so draws all the work.
 BOOST_AUTO_TEST_CASE(A_worker_that_fails_everything_does_not_fail_the_jobs, *boost::unit_test::label("workers"))
 {
--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -86,10 +86,18 @@
 void PlatformDeployment::startNode(int index)
 {
     auto& member = nodes_.at(static_cast<std::size_t>(index));
+    if (member.process)
+        member.earlierOutput += member.process->output();
     member.process
         = std::make_unique<Process>("agatevane-node", std::vector<std::string> { "--settings", member.settingsFile });
 }
 
+std::string PlatformDeployment::logOf(int index) const
+{
+    const auto& member = nodes_.at(static_cast<std::size_t>(index));
+    return member.earlierOutput + (member.process ? member.process->output() : std::string());
+}
+
 bool PlatformDeployment::await(Millis limit, const std::function<bool()>& condition)
 {
     auto end = now() + limit;
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -41,6 +41,8 @@
 
     Process& node(int index) { return *nodes_.at(static_cast<std::size_t>(index)).process; }
     void startNode(int index);
+    //! What the node's processes have written since the beginning.
+    std::string logOf(int index) const;
     int nodeCount() const { return static_cast<int>(nodes_.size()); }
     int callersPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).callersPort; }
     std::vector<std::string> workers() const { return workers_; }
@@ -55,6 +57,7 @@
         int metricsPort = 0;
         int storePort = 0; //!< of the store or of the link to it
         std::unique_ptr<Process> process;
+        std::string earlierOutput; //!< of the processes before
     };
 
     int send(int port, event_http::Request request, std::string* answer);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,6 +2,9 @@
 
 #include "tests/soak/callers.h"
 #include "tests/soak/injector.h"
+#include <algorithm>
+#include <fstream>
+#include <set>
 
 namespace agatevane::soak {
 
@@ -50,6 +53,15 @@
         }
     }
 
+    void keepLogs(const test::PlatformDeployment& deployment, const SoakOptions& options)
+    {
+        for (int node = 0; node < deployment.nodeCount(); ++node) {
+            std::ofstream file(options.logFolder + "/seed-" + std::to_string(options.plan.seed) + "-node-"
+                + std::to_string(node) + ".log");
+            file << deployment.logOf(node);
+        }
+    }
+
     void checkNodes(test::PlatformDeployment& deployment, const std::string& key, Ledger& ledger)
     {
         for (int node = 0; node < deployment.nodeCount(); ++node) {
@@ -101,6 +113,8 @@
     checkNodes(deployment, key, ledger);
     for (const auto& exit : injector.unexpectedExits())
         ledger.breaches.push_back(exit);
+    if (!ledger.breaches.empty() && !options.logFolder.empty())
+        keepLogs(deployment, options);
     auto accepted = std::count_if(
         ledger.jobs.begin(), ledger.jobs.end(), [](const auto& each) { return each.second.acceptedMs >= 0; });
     out << "seed " << options.plan.seed << ": " << ledger.jobs.size() << " jobs, " << accepted << " accepted, "
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,6 +4,7 @@
 #include "tests/soak/plan.h"
 #include <cstdint>
 #include <ostream>
+#include <string>
 
 namespace agatevane::soak {
 
@@ -11,6 +12,7 @@
     PlanOptions plan;
     int nodes = 3;
     int workers = 6;
+    std::string logFolder; //!< gets the nodes' logs of a seed that breaks a promise; empty: they are dropped
 };
 
 //! Runs one plan against real processes and returns the broken promises; empty if all were kept. What was injected and
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -24,6 +24,8 @@
         ->capture_default_str();
     app.add_option("--nodes", options.nodes, "Nodes")->check(CLI::Range(1, 50))->capture_default_str();
     app.add_option("--workers", options.workers, "Workers")->check(CLI::Range(1, 300))->capture_default_str();
+    app.add_option("--logs", options.logFolder, "Folder for the nodes' logs of a seed that breaks a promise")
+        ->check(CLI::ExistingDirectory);
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     constexpr std::int64_t millisPerSecond = 1000;
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -36,7 +36,8 @@
     if (pid_ == 0) {
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
-        close(output);
+        // Sockets of the test, such as a relay's, would stay open in the program after the test has closed them.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(path.c_str(), argv.data());
         _exit(127);
     }
