Let an owner that nobody confirms not speak for the fleet

Cause: an owner that was paused, or is cut off from the store and all nodes, answered questions about jobs from what it knew, although another node may have become the owner: an old state, or 410 for a job that was accepted since. Change: without a confirmation by the store such an owner answers states, counts and cancellations only if another node has lately told that it knows no later owner; it asks three at a time. Submissions are answered by the store's word alone as before. Handlers of a destroyed node do nothing any more. Ruled out: refusing whenever the store is silent; while the store is away from all, the owner is right and answers (test An_owner_answers_while_the_store_is_away_from_all).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -105,19 +105,20 @@
                 { place, address.address + ":" + std::to_string(address.port) + ": " + error.message() });
     };
     callers_ = std::make_unique<event_http::Server>(
-        context_, [this](const event_http::Request& request, event_http::Respond respond) {
+        context_, liveness_.guard([this](const event_http::Request& request, event_http::Respond respond) {
             handleCaller(request, std::move(respond));
-        });
+        }));
     readiness_ = std::make_unique<event_http::Server>(
-        context_, [this](const event_http::Request& request, const event_http::Respond& respond) {
+        context_, liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
             handleReadiness(request, respond);
-        });
-    metricsServer_ = std::make_unique<event_http::Server>(
-        context_, [this](const event_http::Request&, const event_http::Respond& respond) { handleMetrics(respond); });
+        }));
+    metricsServer_ = std::make_unique<event_http::Server>(context_,
+        liveness_.guard(
+            [this](const event_http::Request&, const event_http::Respond& respond) { handleMetrics(respond); }));
     peerServer_ = std::make_unique<net::RpcServer>(
-        context_, [this](std::uint16_t kind, std::string_view payload, const net::Reply& reply) {
+        context_, liveness_.guard([this](std::uint16_t kind, std::string_view payload, const net::Reply& reply) {
             handlePeer(kind, payload, reply);
-        });
+        }));
     listen(*callers_, settings_.callers, "callers");
     listen(*readiness_, settings_.readiness, "readiness");
     listen(*metricsServer_, settings_.metrics, "metrics");
@@ -236,7 +237,9 @@
 void Node::route(const std::shared_ptr<CallState>& call)
 {
     ++call->attempts;
-    if (owner_ && owner_->isReady()) {
+    // A submission is answered only once the store has confirmed it, which an owner that was replaced can't reach.
+    bool mayAnswer = call->request.kind == CallKind::Submit ? owner_ && owner_->isReady() : maySpeakForFleet();
+    if (mayAnswer) {
         return owner_->call(call->request, call->queue, call->tenant, call->deadline,
             liveness_.guard([this, call](CallerAnswer answer) {
                 if (answer.status == CallStatus::WrongNode)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -55,6 +55,11 @@
     void beginOwnership(std::uint32_t tenure, kv::Revision commitRevision);
     void endOwnership(std::string_view reason);
 
+    //! Other nodes that may be asked.
+    std::vector<net::PeerAddress> otherNodes() const;
+    //! True for a ready owner that the store, or another node, has confirmed lately. One that was paused or is cut off
+    //! may have been replaced without knowing, and what it knows of jobs may be old.
+    bool maySpeakForFleet() const;
     void pullNext();
     void pull(const net::PeerAddress& address);
     void applyPull(const net::PeerAddress& from, const PullReply& reply);
@@ -83,6 +88,7 @@
     std::unique_ptr<FleetOwner> owner_;
     std::unique_ptr<FleetOwner> retired_; //!< kept until the loop has left its functions
     Instant ownerHeardAt_;
+    Instant agreedAt_; //!< another node last knew no owner but this one
     bool isStopping_ = false;
     bool wasReady_ = false;
     std::uint64_t nextRequest_ = 1;
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -2,6 +2,7 @@
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
 #include "node/node.h"
+#include <algorithm>
 
 namespace agatevane::node {
 
@@ -13,6 +14,7 @@
     constexpr Millis pullTimeout { 600 };
     constexpr std::size_t maxPeers = 64;
     constexpr std::size_t maxPeersTold = 16;
+    constexpr std::size_t pullsOfUnconfirmedOwner = 3;
 
 } // namespace
 
@@ -50,7 +52,8 @@
 
 void Node::handleForwarded(const ForwardedCall& call, const net::Reply& reply)
 {
-    if (!owner_ || !owner_->isReady()) {
+    bool mayAnswer = call.kind == CallKind::Submit ? owner_ && owner_->isReady() : maySpeakForFleet();
+    if (!mayAnswer) {
         ForwardedAnswer answer;
         answer.status = CallStatus::WrongNode;
         return reply(net::encode(answer));
@@ -93,14 +96,28 @@
     bool hasSource = owner_ ? !seat_.isUnconfirmed() : isOwnerElsewhere && !isStoreSilent;
     if (hasSource && desired_.current())
         return;
-    std::vector<net::PeerAddress> candidates(settings_.seeds);
+    auto others = otherNodes();
+    std::shuffle(others.begin(), others.end(), random_);
+    // An owner without the store needs one answer soon, and some of the others may be gone.
+    others.resize(std::min(others.size(), owner_ ? pullsOfUnconfirmedOwner : 1));
+    for (const auto& other : others)
+        pull(other);
+}
+
+std::vector<net::PeerAddress> Node::otherNodes() const
+{
+    std::vector<net::PeerAddress> others(settings_.seeds);
     for (const auto& [name, address] : peers_)
-        candidates.push_back(address);
-    std::erase(candidates, settings_.peers);
-    if (candidates.empty())
-        return;
-    auto index = uniform(random_, 0, static_cast<std::int64_t>(candidates.size()) - 1);
-    pull(candidates[static_cast<std::size_t>(index)]);
+        others.push_back(address);
+    std::erase(others, settings_.peers);
+    return others;
+}
+
+bool Node::maySpeakForFleet() const
+{
+    if (!owner_ || !owner_->isReady())
+        return false;
+    return !seat_.isUnconfirmed() || bootNow() - agreedAt_ < ownerSilence || otherNodes().empty();
 }
 
 void Node::pull(const net::PeerAddress& address)
@@ -117,6 +134,8 @@
 void Node::applyPull(const net::PeerAddress& from, const PullReply& reply)
 {
     seat_.learn(reply.owner);
+    if (owner_)
+        agreedAt_ = bootNow();
     if (!reply.desiredState.empty())
         desired_.learn(reply.desiredRevision, reply.desiredState);
     for (const auto& peer : reply.peers)
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -149,6 +149,38 @@
     BOOST_CHECK_EQUAL(ask(*old, "POST", "00000000000000d2"), 200);
 }
 
+// Guards against stale answers: an owner that was paused, or is cut off from everybody, may have been replaced. Told by
+// a soak in which a job was shown as running after it had been shown as completed.
+BOOST_AUTO_TEST_CASE(An_owner_that_nobody_confirms_does_not_speak_for_the_fleet, *boost::unit_test::label("node"))
+{
+    BOOST_CHECK_EQUAL(ask(*follower(), "POST", jobId), 200);
+    auto* old = owner();
+    for (auto& [name, member] : members) {
+        if (&member != old)
+            member.node.reset();
+    }
+    BOOST_CHECK_EQUAL(ask(*old, "GET", jobId), 200);
+    old->store->setFault(StoreFault::Silent);
+    await(Millis(4500), [] { return false; });
+    BOOST_REQUIRE(old->node->isOwner());
+    BOOST_CHECK_NE(ask(*old, "GET", jobId), 200);
+    BOOST_CHECK_NE(ask(*old, "GET", "00000000000000d2"), 500 + static_cast<int>(node::CallStatus::NoSuchJob));
+    old->store->setFault(StoreFault::None);
+    BOOST_CHECK(await(Millis(4000), [&] { return ask(*old, "GET", jobId) == 200; }));
+}
+
+// Guards against an owner that falls silent with the store although the other nodes still know no other.
+BOOST_AUTO_TEST_CASE(An_owner_answers_while_the_store_is_away_from_all, *boost::unit_test::label("node"))
+{
+    BOOST_CHECK_EQUAL(ask(*follower(), "POST", jobId), 200);
+    for (auto& [name, member] : members)
+        member.store->setFault(StoreFault::Silent);
+    await(Millis(3500), [] { return false; });
+    BOOST_REQUIRE(owner());
+    for (auto& [name, member] : members)
+        BOOST_CHECK_EQUAL(ask(member, "GET", jobId), 200);
+}
+
 // Guards against a node that keeps an old desired state, or a removed key, because the store turns it away.
 BOOST_AUTO_TEST_CASE(A_node_without_the_store_learns_the_desired_state_from_others, *boost::unit_test::label("node"))
 {
