Reset connections whose call was given up

The worker had started anew under its id; a look at its earlier life, which a silent link had held back, reached the new life and acknowledged the first ends there, which nobody had read. The same way lets starts be carried out seconds late: a connection that is closed in order goes on delivering what a partition holds back. Change: the HTTP client resets the connection of a call that has timed out, so that what was not delivered is dropped. The stand-in's looks end with the life of the worker they were sent to, and the relay loses what it holds when its sender resets. Ruled out: an answer lost between the owner and its log; the owner's log shows no end of the run and run_missing 1.5 s later. Before: the new test of tests/event_http ended with an orderly end of stream. After: a reset. What the platform itself carries out late can still do this to a worker that starts anew under its id; see docs/platform.md.

--- a/src/agatevane/event_http/client.cpp
+++ b/src/agatevane/event_http/client.cpp
@@ -167,6 +167,9 @@
     {
         ++state_->counters.timeouts;
         state_->idle.erase(peer_);
+        // A reset drops what is still on its way, so that the call is not carried out seconds later.
+        std::error_code ignored;
+        socket_.set_option(tcp::socket::linger(true, 0), ignored);
         finish(sent_ ? Errc::Timeout : Errc::Unreachable);
     }
 
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -377,21 +377,24 @@
     order.fencingToken = static_cast<std::uint64_t>(platform::integerOr(body, "fencingToken", 0));
     if (body.contains("untilMs"))
         order.leaseUntilMs = platform::integerOr(body, "untilMs", 0);
-    answerLook(worker, order, modelMillis() + platform::integerOr(body, "waitMs", 0), respond);
+    auto lifetime = workers_.listing(worker).lifetime;
+    answerLook(worker, lifetime, order, modelMillis() + platform::integerOr(body, "waitMs", 0), respond);
 }
 
-void PlatformServer::answerLook(
-    const fleet::WorkerId& worker, const fleet::LookOrder& order, std::int64_t untilMs, const Respond& respond)
+void PlatformServer::answerLook(const fleet::WorkerId& worker, std::int64_t lifetime, const fleet::LookOrder& order,
+    std::int64_t untilMs, const Respond& respond)
 {
-    if (!workers_.isUp(worker))
+    // A look that waits ends with the life of the worker that it was sent to.
+    if (!workers_.isUp(worker) || workers_.listing(worker).lifetime != lifetime)
         return;
     auto look = workers_.look(order, modelMillis());
     if (look.isFenced)
         return respond(reply(platform::statusConflict, { { "reason", "fence" } }));
     if (look.answer.ended.empty() && modelMillis() < untilMs) {
         auto timer = std::make_shared<node::Timer>(context_);
-        timer->arm(pollInterval,
-            [this, timer, worker, order, untilMs, respond] { answerLook(worker, order, untilMs, respond); });
+        timer->arm(pollInterval, [this, timer, worker, lifetime, order, untilMs, respond] {
+            answerLook(worker, lifetime, order, untilMs, respond);
+        });
         return;
     }
     auto running = json::array();
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -70,8 +70,8 @@
     void waitForChanges(const std::string& prefix, kv::Revision after, std::int64_t untilMs, const Respond& respond);
     void handleWorker(const fleet::WorkerId& worker, const event_http::Request& request, const Respond& respond);
     void handleLook(const fleet::WorkerId& worker, const Json& body, const Respond& respond);
-    void answerLook(
-        const fleet::WorkerId& worker, const fleet::LookOrder& order, std::int64_t untilMs, const Respond& respond);
+    void answerLook(const fleet::WorkerId& worker, std::int64_t lifetime, const fleet::LookOrder& order,
+        std::int64_t untilMs, const Respond& respond);
     void handleControl(const event_http::Request& request, const Respond& respond);
     void putDesired(const std::string& text);
     void beat();
--- a/standins/relay/tcp_link.cpp
+++ b/standins/relay/tcp_link.cpp
@@ -57,7 +57,9 @@
     {
         pump.from.async_read_some(
             asio::buffer(pump.buffer), [self = shared_from_this(), &pump](std::error_code error, std::size_t length) {
-                if (error)
+                if (error == asio::error::connection_reset)
+                    self->end();
+                else if (error)
                     self->endDirection(pump);
                 else if (!self->isClosed)
                     self->wait(pump, length, self->link.state_.delay);
@@ -71,6 +73,10 @@
             write(pump, length);
             return;
         }
+        if (wasReset(pump.from)) {
+            end();
+            return;
+        }
         pump.timer.expires_after(delay.count() == 0 ? stallPoll : delay);
         pump.timer.async_wait([self = shared_from_this(), &pump, length](std::error_code error) {
             if (!error && !self->isClosed)
@@ -78,6 +84,16 @@
         });
     }
 
+    //! What a link holds back is lost when its sender resets the connection.
+    static bool wasReset(tcp::socket& socket)
+    {
+        char byte = 0;
+        std::error_code error;
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::connection_reset;
+    }
+
     void write(Pump& pump, std::size_t length)
     {
         link.counts_.bytes += length;
--- a/tests/event_http/event_http_tests.cpp
+++ b/tests/event_http/event_http_tests.cpp
@@ -122,6 +122,26 @@
     BOOST_CHECK_EQUAL(server.requestsInProgress(), 0);
 }
 
+// Guards against a call that is carried out after its caller has given it up: a connection that is closed in order goes
+// on delivering what a partition has held back, one that is reset does not. Seen in a soak, where a look that was late
+// took the first ends of a worker's new life for acknowledged.
+BOOST_AUTO_TEST_CASE(A_call_without_an_answer_resets_its_connection, *boost::unit_test::label("event_http"))
+{
+    Loop loop;
+    SilentPeer peer(loop.context);
+    Client client(loop.context);
+    std::error_code outcome;
+    client.send(peer.address(), { "POST", "/", {}, "x" }, now() + Millis(100),
+        [&](std::error_code error, const Response&) { outcome = error; });
+    loop.runFor(Millis(400));
+    BOOST_CHECK(outcome == Errc::Timeout);
+    std::array<char, 1024> bytes {};
+    std::error_code error;
+    while (!error)
+        peer.socket.read_some(asio::buffer(bytes), error);
+    BOOST_CHECK(error == asio::error::connection_reset);
+}
+
 BOOST_AUTO_TEST_CASE(A_message_beyond_the_limits_is_refused, *boost::unit_test::label("event_http"))
 {
     int whole = 0;
