Wait for the end of a run whose repeated start is refused as outdated

The owner took the run for one that never was and started the task again at once; the logs show the refusal, run 2 ordered 2 ms later, and the end of run 1 after that. Change: the run stays until the next look lists its end or shows that it is gone. A new life of a worker is logged. Ruled out: a lost end; it was listed and read, but after the second start. Before: A_start_refused_as_outdated_waits_for_the_end_of_its_run saw two runs.

--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -238,7 +238,11 @@
             return requestStop(run, at);
         return cancelUnstarted(fleet, *worker, key, at);
     case OrderOutcome::Outdated:
-        return cancelUnstarted(fleet, *worker, key, at);
+        // The run has ended there; the next look lists how, or shows that it is gone.
+        run.state = RunState::Stopping;
+        run.isConfirmed = true;
+        run.confirmedAt = worker->nextLookAt = at;
+        return;
     }
 }
 
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -101,6 +101,11 @@
         worker.nextLookAt = at;
         if (isFirst)
             return;
+        Line("worker_started_anew")
+            .with("worker", worker.id)
+            .with("lifetime", lifetime)
+            .with("runs", worker.runs.size())
+            .with("unanswered_starts", worker.unansweredStarts.size());
         carryOver(fleet, worker, at);
         // The new life's clock may grant a late order the longest lease.
         if (!worker.runs.empty())
--- a/tests/fleet/worker_tests.cpp
+++ b/tests/fleet/worker_tests.cpp
@@ -96,6 +96,22 @@
     BOOST_CHECK_LE(simulation.workers().history().size(), 2U);
 }
 
+// Guards against a second run of a task that is done: the worker refuses a repeated start since the run has ended
+// there, and only its list of ends tells how (seeds 14 and 16 of the soak).
+BOOST_AUTO_TEST_CASE(A_start_refused_as_outdated_waits_for_the_end_of_its_run, *boost::unit_test::label("workers"))
+{
+    FleetSimulation simulation({ .seed = 14, .workers = 2 });
+    simulation.runUntil(500);
+    simulation.submit(test::sampleJob("00000000000000b1", 1, 1, 200), test::sampleQueue());
+    while (simulation.workers().history().empty())
+        simulation.runUntil(simulation.nowMs() + 1);
+    auto first = simulation.workers().history().front();
+    fleet::applyStartOutcome(simulation.fleet(), first.worker, first.key, fleet::OrderOutcome::Outdated,
+        Instant(std::chrono::hours(1)) + Millis(simulation.nowMs()));
+    BOOST_CHECK(simulation.runUntilEnded(4000));
+    BOOST_CHECK_EQUAL(simulation.workers().history().size(), 1U);
+}
+
 // Guards against a worker that fails at once, looks idle and so draws all the work.
 BOOST_AUTO_TEST_CASE(A_worker_that_fails_everything_does_not_fail_the_jobs, *boost::unit_test::label("workers"))
 {
