Acknowledge ends only to a worker whose last look was answered

The next look still carried the count of the earlier life, so that the new life forgot its first ends before anybody had read them; the task was found missing and run again, although its end counted as acknowledged. The log shows the start carried out by the new life, refused as outdated when it was sent again, and no end. Change: a look that follows an unanswered one acknowledges nothing and does not wait; its answer tells the life. The connections of a life break when it ends, so that the look before that one fails. The stand-in breaks them too: its server closes its connections when it is destroyed. Before: A_look_after_a_silence_acknowledges_nothing saw the old count.

--- a/src/agatevane/event_http/server.cpp
+++ b/src/agatevane/event_http/server.cpp
@@ -63,6 +63,13 @@
 
     void start() { read(); }
 
+    void close()
+    {
+        std::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
     void closeIfIdle()
     {
         if (!busy_ && queue_.empty() && !parser_.isInMessage())
@@ -155,13 +162,6 @@
         send({ 400, {}, {} });
     }
 
-    void close()
-    {
-        std::error_code ignored;
-        socket_.shutdown(tcp::socket::shutdown_both, ignored);
-        socket_.close(ignored);
-    }
-
     tcp::socket socket_;
     std::shared_ptr<Server::State> server_;
     Parser parser_;
@@ -196,6 +196,9 @@
 {
     std::error_code ignored;
     state_->acceptor.close(ignored);
+    auto connections = state_->connections;
+    for (auto* connection : connections)
+        connection->close();
 }
 
 std::error_code Server::listen(const std::string& address, int port)
--- a/src/agatevane/event_http/server.h
+++ b/src/agatevane/event_http/server.h
@@ -19,6 +19,7 @@
 class Server {
 public:
     Server(asio::io_context& context, Handler handler, const MessageLimits& limits = {});
+    //! Closes all connections.
     ~Server();
 
     //! Port 0 chooses a free port.
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -358,11 +358,14 @@
         if (worker.isLookInFlight || at < worker.nextLookAt || !needsLook(fleet, worker))
             continue;
         acknowledgeCommitted(fleet, worker);
-        LookOrder look { id, worker.address, worker.acknowledgedEnd, std::nullopt, Millis(0), fleet.fencingToken };
+        // After a silence the look may meet a new life of the worker, whose ends count from 1 again.
+        bool isLifeCertain = worker.missedLooks == 0;
+        LookOrder look { id, worker.address, isLifeCertain ? worker.acknowledgedEnd : 0, std::nullopt, Millis(0),
+            fleet.fencingToken };
         // A look that may go unanswered must not move the instant at which a silent worker's runs are given up.
-        if (worker.clockMs > 0 && worker.missedLooks == 0)
+        if (worker.clockMs > 0 && isLifeCertain)
             look.leaseUntilMs = extendLease(fleet, worker, at);
-        if (worker.isLookedAt && worker.listedEnds.empty() && !worker.runs.empty())
+        if (worker.isLookedAt && isLifeCertain && worker.listedEnds.empty() && !worker.runs.empty())
             look.wait = needsPacing(fleet, worker) ? pacingLookWait : lookWait;
         worker.isLookInFlight = true;
         worker.lookSentAt = at;
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -139,11 +139,7 @@
 {
     auto& endpoint = endpoints_[listing.id];
     endpoint.worker = listing.id;
-    endpoint.server = std::make_unique<event_http::Server>(
-        context_, [this, id = listing.id](const Request& request, const Respond& respond) {
-            handleWorker(id, request, respond);
-        });
-    if (endpoint.server->listen(options_.address, 0))
+    if (!serveWorker(endpoint, 0))
         return false;
     auto entered = listing;
     entered.address = { options_.address, endpoint.server->port() };
@@ -151,6 +147,26 @@
     return true;
 }
 
+//! A new life at the same address; the connections of the earlier one break. False if the port can't be bound again.
+bool PlatformServer::restartWorker(const fleet::WorkerId& worker)
+{
+    workers_.restart(worker, modelMillis());
+    auto& endpoint = endpoints_.at(worker);
+    auto port = endpoint.server->port();
+    endpoint.server.reset();
+    return serveWorker(endpoint, port);
+}
+
+//! False if the port can't be bound.
+bool PlatformServer::serveWorker(Endpoint& endpoint, int port)
+{
+    endpoint.server = std::make_unique<event_http::Server>(
+        context_, [this, id = endpoint.worker](const Request& request, const Respond& respond) {
+            handleWorker(id, request, respond);
+        });
+    return !endpoint.server->listen(options_.address, port);
+}
+
 void PlatformServer::handleMachines(const Request& request, const Respond& respond)
 {
     if (pathOf(request.target) == "/api/machines") {
@@ -457,9 +473,10 @@
     auto action = request.target.substr(slash + 1);
     if (!endpoints_.contains(worker))
         return respond(reply(statusNotFound));
-    if (action == "restart")
-        workers_.restart(worker, modelMillis());
-    else if (action == "crash")
+    if (action == "restart") {
+        if (!restartWorker(worker))
+            return respond(reply(platform::statusUnavailable));
+    } else if (action == "crash")
         workers_.crash(worker, modelMillis());
     else if (action == "drain")
         workers_.setDraining(worker, true);
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -60,6 +60,8 @@
     };
 
     bool addWorker(const fleet::WorkerListing& listing);
+    bool serveWorker(Endpoint& endpoint, int port);
+    bool restartWorker(const fleet::WorkerId& worker);
     void handleMachines(const event_http::Request& request, const Respond& respond);
     Response takeDown(const Json& body);
     void returnMachines();
--- a/tests/fleet/worker_tests.cpp
+++ b/tests/fleet/worker_tests.cpp
@@ -112,6 +112,27 @@
     BOOST_CHECK_EQUAL(simulation.workers().history().size(), 1U);
 }
 
+// Guards against ends that a worker's new life forgets unread: its ends count from 1 again, and a look that still
+// carries the earlier life's count acknowledges them (seed 12 of the soak).
+BOOST_AUTO_TEST_CASE(A_look_after_a_silence_acknowledges_nothing, *boost::unit_test::label("workers"))
+{
+    FleetSimulation simulation({ .seed = 15, .workers = 1 });
+    simulation.runUntil(500);
+    simulation.submit(test::sampleJob("00000000000000b2", 1, 1, 100), test::sampleQueue());
+    BOOST_REQUIRE(simulation.runUntilEnded(3000));
+    simulation.submit(test::sampleJob("00000000000000b3", 1, 1, 5000), test::sampleQueue());
+    simulation.runUntil(simulation.nowMs() + 500);
+    auto& fleet = simulation.fleet();
+    auto at = Instant(std::chrono::hours(1)) + Millis(simulation.nowMs());
+    BOOST_REQUIRE_EQUAL(fleet.workers.at("w100").acknowledgedEnd, 1);
+    fleet::applyLookFailure(fleet, "w100", at);
+    fleet::Orders orders;
+    fleet::emitLooks(fleet, at + Millis(1000), orders);
+    BOOST_REQUIRE_EQUAL(orders.looks.size(), 1U);
+    BOOST_CHECK_EQUAL(orders.looks.front().acknowledgedEnd, 0);
+    BOOST_CHECK(orders.looks.front().wait == Millis(0));
+}
+
 // Guards against a worker that fails at once, looks idle and so draws all the work.
 BOOST_AUTO_TEST_CASE(A_worker_that_fails_everything_does_not_fail_the_jobs, *boost::unit_test::label("workers"))
 {
