Keep the buffers of an ended connection between nodes apart from the next one's

Cause (read, not seen): the RPC client used one socket and one set of buffers for all its connections. A read that had got a part of its bytes when the connection was given up went on, with the next step of the composed operation, on the socket and buffers of the connection after it. Change: each connection has its own socket and buffers, which its handlers hold; they do nothing once it is not the present one. There is no test that fails first: the moment lies between two steps of the library. Before and after: tests/net and tests/node pass.

--- a/src/agatevane/net/rpc_client.cpp
+++ b/src/agatevane/net/rpc_client.cpp
@@ -32,9 +32,24 @@
 
     enum class Link { Closed, Connecting, Open };
 
+    //! One connection with its buffers. Its handlers hold it, so that what is left of an ended one touches no later
+    //! one.
+    struct Connection {
+        explicit Connection(const asio::strand<asio::io_context::executor_type>& strand)
+            : socket(strand)
+        {
+        }
+
+        tcp::socket socket;
+        std::array<char, headerBytes> header {};
+        FrameHeader frame;
+        std::string incoming;
+        std::string outgoing; //!< the frame that is being written
+    };
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
     State(asio::io_context& context, const PeerAddress& peerAddress)
         : strand(asio::make_strand(context))
-        , socket(strand)
         , peer(peerAddress)
     {
     }
@@ -92,33 +107,34 @@
         if (error)
             return fail();
         link = Link::Connecting;
-        ++generation;
-        socket = tcp::socket(strand);
+        connection = std::make_shared<Connection>(strand);
         tcp::endpoint endpoint(ip, static_cast<unsigned short>(peer.port));
-        socket.async_connect(endpoint, [self = shared_from_this(), current = generation](std::error_code failure) {
-            if (current != self->generation)
-                return;
-            if (failure)
-                return self->fail();
-            std::error_code ignored;
-            self->socket.set_option(tcp::no_delay(true), ignored);
-            self->link = Link::Open;
-            self->readHeader();
-            if (!self->outgoing.empty())
-                self->writeNext();
-        });
+        connection->socket.async_connect(
+            endpoint, [self = shared_from_this(), current = connection](std::error_code failure) {
+                if (current != self->connection)
+                    return;
+                if (failure)
+                    return self->fail();
+                std::error_code ignored;
+                current->socket.set_option(tcp::no_delay(true), ignored);
+                self->link = Link::Open;
+                self->readHeader();
+                if (!self->outgoing.empty())
+                    self->writeNext();
+            });
     }
 
     void writeNext()
     {
         writing = true;
-        current = std::move(outgoing.front());
+        auto next = std::move(outgoing.front());
         outgoing.pop_front();
-        if (auto found = pending.find(current.id); found != pending.end())
+        if (auto found = pending.find(next.id); found != pending.end())
             markWritten(found->second);
-        asio::async_write(socket, asio::buffer(current.bytes),
-            [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
-                if (started != self->generation)
+        connection->outgoing = std::move(next.bytes);
+        asio::async_write(connection->socket, asio::buffer(connection->outgoing),
+            [self = shared_from_this(), current = connection](std::error_code error, std::size_t) {
+                if (current != self->connection)
                     return;
                 self->writing = false;
                 if (error)
@@ -136,12 +152,12 @@
 
     void readHeader()
     {
-        asio::async_read(socket, asio::buffer(header),
-            [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
-                if (started != self->generation)
+        asio::async_read(connection->socket, asio::buffer(connection->header),
+            [self = shared_from_this(), current = connection](std::error_code error, std::size_t) {
+                if (current != self->connection)
                     return;
                 self->lastReceived = now();
-                if (error || !decodeHeader(self->header, self->frame))
+                if (error || !decodeHeader(current->header, current->frame))
                     return self->fail();
                 self->readPayload();
             });
@@ -149,27 +165,27 @@
 
     void readPayload()
     {
-        incoming.resize(frame.payloadBytes);
-        asio::async_read(socket, asio::buffer(incoming),
-            [self = shared_from_this(), started = generation](std::error_code error, std::size_t) {
-                if (started != self->generation)
+        connection->incoming.resize(connection->frame.payloadBytes);
+        asio::async_read(connection->socket, asio::buffer(connection->incoming),
+            [self = shared_from_this(), current = connection](std::error_code error, std::size_t) {
+                if (current != self->connection)
                     return;
                 if (error)
                     return self->fail();
-                self->finish(self->frame.requestId, {}, std::move(self->incoming));
-                self->incoming.clear();
-                self->readHeader();
+                self->finish(current->frame.requestId, {}, std::exchange(current->incoming, {}));
+                if (current == self->connection)
+                    self->readHeader();
             });
     }
 
     //! Ends every call in progress; the next call connects again.
     void fail()
     {
-        ++generation;
         link = Link::Closed;
         writing = false;
         std::error_code ignored;
-        socket.close(ignored);
+        if (auto ended = std::exchange(connection, nullptr))
+            ended->socket.close(ignored);
         outgoing.clear();
         auto calls = std::exchange(pending, {});
         for (auto& [id, call] : calls) {
@@ -179,18 +195,13 @@
     }
 
     asio::strand<asio::io_context::executor_type> strand;
-    tcp::socket socket;
+    ConnectionPtr connection; //!< null while closed
     PeerAddress peer;
     Link link = Link::Closed;
     bool writing = false;
-    std::uint64_t generation = 0; //!< completions of an earlier connection are ignored
     std::uint64_t nextId = 1;
     std::map<std::uint64_t, Pending> pending;
     std::deque<Outgoing> outgoing;
-    Outgoing current {};
-    std::array<char, headerBytes> header {};
-    FrameHeader frame;
-    std::string incoming;
     Instant lastReceived;
 };
 
