Apply a changed settings file without a signal

Cause: the platform may change the file with or without SIGHUP; a change without one was never seen. Change: the file is read again every 5 s and applied when its text has changed; the line at a reload says what caused it. Ruled out: watching the file; inotify is not to be had there. Before: A_changed_settings_file_is_applied_without_a_signal fails on the node of the commit before (no reload is logged). After: it passes.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/event_http/client.h"
 #include "agatevane/event_log/event_log.h"
 #include "node/node.h"
+#include "node/timer.h"
 #include "platform/job_interface.h"
 #include "platform/machine_client.h"
 #include "platform/settings_file.h"
@@ -27,41 +28,79 @@
         platform::isReadinessCheck, platform::wavePrefix, platform::decodeWave, platform::encodeWaveStatus };
 }
 
-std::optional<node::Settings> readSettingsFile(const std::string& path, Findings& findings)
+//! The platform may change the file without a signal.
+constexpr Millis settingsCheckInterval { 5000 };
+
+std::optional<std::string> readFile(const std::string& path)
 {
     std::ifstream file(path);
-    if (!file) {
-        findings.push_back({ path, "can't be read" });
+    if (!file)
         return std::nullopt;
-    }
     std::stringstream text;
     text << file.rdbuf();
-    return platform::readSettings(text.str(), findings);
+    return text.str();
 }
 
-//! A changed settings file takes effect at the next signal; a wrong one is reported and leaves the old one in force.
-void reload(const std::string& path, node::Node& process)
-{
-    Findings findings;
-    auto settings = readSettingsFile(path, findings);
-    for (const auto& finding : findings)
-        event_log::Line("settings_wrong").with("place", finding.place).with("text", finding.text);
-    if (settings)
-        process.reload(*settings);
-    event_log::Line("reloaded").with("applied", settings.has_value());
-}
+//! The settings file of a running process. A changed one is applied whole; a wrong one is reported and leaves the old
+//! one in force.
+class SettingsFile {
+public:
+    SettingsFile(asio::io_context& context, const std::string& path, const std::string& text, node::Node& process)
+        : path_(path)
+        , text_(text)
+        , process_(process)
+        , signals_(context, SIGHUP)
+        , timer_(context)
+    {
+        awaitSignal();
+        check();
+    }
 
-void awaitReload(asio::signal_set& signals, const std::string& path, node::Node& process)
-{
-    signals.async_wait([&](std::error_code error, int) {
-        if (error)
-            return;
-        reload(path, process);
-        awaitReload(signals, path, process);
-    });
-}
+private:
+    void awaitSignal()
+    {
+        signals_.async_wait([this](std::error_code error, int) {
+            if (error)
+                return;
+            reload("signal");
+            awaitSignal();
+        });
+    }
+
+    void check()
+    {
+        timer_.arm(settingsCheckInterval, [this] {
+            if (readFile(path_).value_or(text_) != text_)
+                reload("change");
+            check();
+        });
+    }
 
-int run(const std::string& path, const node::Settings& settings)
+    void reload(std::string_view cause)
+    {
+        Findings findings;
+        std::optional<node::Settings> settings;
+        if (auto text = readFile(path_)) {
+            text_ = *text;
+            settings = platform::readSettings(text_, findings);
+        } else {
+            findings.push_back({ path_, "can't be read" });
+        }
+        for (const auto& finding : findings)
+            event_log::Line("settings_wrong").with("place", finding.place).with("text", finding.text);
+        if (settings)
+            process_.reload(*settings);
+        event_log::Line("reloaded").with("cause", cause).with("applied", settings.has_value());
+    }
+
+    std::string path_;
+    std::string text_; //!< as last read
+    node::Node& process_;
+    asio::signal_set signals_;
+    node::Timer timer_;
+};
+
+int run(const std::string& path, const std::string& text, const node::Settings& settings)
 {
     asio::io_context context(1);
     event_http::Client client(context);
@@ -84,8 +123,7 @@
         event_log::Line("stopping").with("signal", signal);
         process.stop([&context] { context.stop(); });
     });
-    asio::signal_set reloads(context, SIGHUP);
-    awaitReload(reloads, path, process);
+    SettingsFile settingsFile(context, path, text, process);
     context.run();
     event_log::Line("stopped").with("dropped_lines", event_log::droppedLines());
     return 0;
@@ -102,7 +140,10 @@
     app.add_flag("--check", checkOnly, "Only check the settings");
     CLI11_PARSE(app, argc, argv);
     Findings findings;
-    auto settings = readSettingsFile(path, findings);
+    auto text = readFile(path);
+    if (!text)
+        findings.push_back({ path, "can't be read" });
+    auto settings = text ? platform::readSettings(*text, findings) : std::nullopt;
     if (!settings) {
         std::cerr << format(findings);
         return badSettingsExit;
@@ -111,5 +152,5 @@
         return 0;
     std::signal(SIGPIPE, SIG_IGN);
     event_log::open(settings->name);
-    return run(path, *settings);
+    return run(path, *text, *settings);
 }
--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -92,6 +92,12 @@
         = std::make_unique<Process>("agatevane-node", std::vector<std::string> { "--settings", member.settingsFile });
 }
 
+void PlatformDeployment::addSetting(int index, const std::string& line)
+{
+    std::ofstream file(nodes_.at(static_cast<std::size_t>(index)).settingsFile, std::ios::app);
+    file << line << "\n";
+}
+
 std::string PlatformDeployment::logOf(int index) const
 {
     const auto& member = nodes_.at(static_cast<std::size_t>(index));
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -41,6 +41,8 @@
 
     Process& node(int index) { return *nodes_.at(static_cast<std::size_t>(index)).process; }
     void startNode(int index);
+    //! Adds a line to the node's settings file, without a signal.
+    void addSetting(int index, const std::string& line);
     //! What the node's processes have written since the beginning.
     std::string logOf(int index) const;
     int nodeCount() const { return static_cast<int>(nodes_.size()); }
--- a/tests/platform_system/path_tests.cpp
+++ b/tests/platform_system/path_tests.cpp
@@ -108,6 +108,20 @@
     }
 }
 
+// Guards against a changed settings file that takes effect only with a signal, and against a wrong one that is applied.
+BOOST_AUTO_TEST_CASE(A_changed_settings_file_is_applied_without_a_signal, *boost::unit_test::label("platform_system"))
+{
+    PlatformDeployment deployment;
+    deployment.addSetting(0, "bounds.status_s=60");
+    auto hasLogged = [&](const std::string& text) {
+        return deployment.await(Millis(8000), [&] { return deployment.logOf(0).find(text) != std::string::npos; });
+    };
+    BOOST_CHECK(hasLogged("reloaded process=node-0 cause=change applied=true"));
+    deployment.addSetting(0, "bounds.graceS=soon");
+    BOOST_CHECK(hasLogged("reloaded process=node-0 cause=change applied=false"));
+    BOOST_CHECK(hasLogged("settings_wrong"));
+}
+
 // Guards against waves of upkeep that are not carried out, or that cost work which could have been saved.
 BOOST_AUTO_TEST_CASE(A_wave_of_upkeep_is_completed_while_work_goes_on, *boost::unit_test::label("platform_system"))
 {
