Reserve the ports of soaked processes for as long as they are down

Five soaks and a test ran side by side, and another one took the port while the node was down; its log names the port and nothing else failed. Change: these ports stay bound for datagrams, which the node does not use, by the process that handed them out. Ruled out: the node's own earlier process, which had been waited for.

--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -39,14 +39,14 @@
         relayWorkers(*options.relay);
     for (int index = 0; index < options.nodes; ++index) {
         auto& member = nodes_.emplace_back();
-        member.callersPort = freePort();
-        member.readinessPort = freePort();
-        member.peersPort = freePort();
-        member.metricsPort = freePort();
+        member.callersPort = reservedPort();
+        member.readinessPort = reservedPort();
+        member.peersPort = reservedPort();
+        member.metricsPort = reservedPort();
         member.storePort = storePort_;
         if (options.relay)
-            member.storePort
-                = options.relay->add({ "store-" + std::to_string(index), "tcp", freePort(), "127.0.0.1", storePort_ });
+            member.storePort = options.relay->add(
+                { "store-" + std::to_string(index), "tcp", reservedPort(), "127.0.0.1", storePort_ });
     }
     for (int index = 0; index < options.nodes; ++index) {
         writeSettings(nodes_[static_cast<std::size_t>(index)], index);
@@ -60,7 +60,7 @@
 {
     auto ports = controlGet("/workers");
     for (const auto& [id, port] : ports.items()) {
-        auto link = relay.add({ "worker-" + id, "tcp", freePort(), "127.0.0.1", port.get<int>() });
+        auto link = relay.add({ "worker-" + id, "tcp", reservedPort(), "127.0.0.1", port.get<int>() });
         require(link > 0, "a link to worker " + id + " can't listen");
         control("/workers/" + id + "/publish", "127.0.0.1:" + std::to_string(link));
     }
--- a/tests/support/free_port.cpp
+++ b/tests/support/free_port.cpp
@@ -15,16 +15,27 @@
     //! Test programs that run side by side begin this far from each other, spread by their process ids.
     constexpr int portsPerProcess = 97;
 
-    bool isFree(int type, int port)
+    //! A bound socket, or -1 if the port is taken.
+    int bindPort(int type, int port)
     {
-        int probe = ::socket(AF_INET, type, 0);
+        int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         address.sin_port = htons(static_cast<std::uint16_t>(port));
-        bool isBound = ::bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-        ::close(probe);
-        return isBound;
+        if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+            return socket;
+        ::close(socket);
+        return -1;
+    }
+
+    bool isFree(int type, int port)
+    {
+        int socket = bindPort(type, port);
+        if (socket < 0)
+            return false;
+        ::close(socket);
+        return true;
     }
 
 } // namespace
@@ -41,4 +52,16 @@
     throw std::runtime_error("no free port below the range of outgoing connections");
 }
 
+int reservedPort()
+{
+    constexpr int maxTries = 100;
+    for (int tried = 0; tried < maxTries; ++tried) {
+        int port = freePort();
+        // The socket is never closed; the kernel closes it with the process.
+        if (bindPort(SOCK_DGRAM, port) >= 0)
+            return port;
+    }
+    throw std::runtime_error("no port could be reserved");
+}
+
 } // namespace agatevane::test
--- a/tests/support/free_port.h
+++ b/tests/support/free_port.h
@@ -8,4 +8,8 @@
 //! choice and the start of the server.
 int freePort();
 
+//! As freePort, and no other test process gets the port as long as this one lives: its UDP port stays bound. For
+//! programs that use only TCP and are stopped and started again.
+int reservedPort();
+
 } // namespace agatevane::test
