Send a call on only if there is time for its answer

Change: the margins take no more than a quarter of the time there is; with less than 10 ms left a call is refused, unsent. Ruled out: an owner that was gone; it answered others at the time. Before: A_call_with_little_time_left_is_served_or_refused got unknown for a caller with 160 ms and for one with 4 ms. After: the first is served, the second refused, and its job never exists.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,10 +17,13 @@
     constexpr Millis electionPatience { 1200 };
     //! A request is tried again at the owner after this.
     constexpr Millis routeRetry { 40 };
-    //! Kept of the caller's time for the way back.
+    //! Kept of the caller's time for the way back, but no more than a quarter of what a caller in a hurry has.
     constexpr Millis answerMargin { 150 };
+    constexpr int marginDivisor = 4;
+    //! With less time than this a call is not sent on: it could only end as unknown.
+    constexpr Millis leastForwardTime { 10 };
     constexpr Millis defaultPatience { 3000 };
-    //! Kept of the time for the way between two nodes of far regions.
+    //! Kept of the time for the way between two nodes of far regions, but no more than a quarter of it.
     constexpr Millis forwardMargin { 50 };
     //! The balancer takes a node out after two missed checks, one second apart.
     constexpr Millis drainTime { 2500 };
@@ -32,6 +35,11 @@
     constexpr double ampleProcessorShare = 0.25;
     constexpr double handicapMsPerShare = 1500;
 
+    Millis marginOf(Millis time, Millis most)
+    {
+        return std::min(most, time / marginDivisor);
+    }
+
     Millis handicapOf(double processorShare)
     {
         auto lacking = std::max(0.0, ampleProcessorShare - processorShare);
@@ -211,7 +219,7 @@
     call->respond = std::move(respond);
     call->translation = &translation_;
     auto patience = translation_.patienceOf(request).value_or(defaultPatience);
-    call->deadline = call->receivedAt + std::max(Millis(0), patience - answerMargin);
+    call->deadline = call->receivedAt + std::max(Millis(0), patience - marginOf(patience, answerMargin));
     call->giveUpAt = std::min(call->deadline, call->receivedAt + electionPatience);
     const auto& desired = desired_.current();
     if (!desired)
@@ -248,6 +256,8 @@
             }));
     }
     const auto& owner = seat_.owner();
+    if (elapsed(now(), call->deadline) < leastForwardTime)
+        return finish(call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "too little time is left" });
     if (owner_ || owner.revision == 0 || owner.record.name == settings_.name)
         return routeLater(call);
     forward(call, owner.record.address);
@@ -272,7 +282,8 @@
     message.spec = call->request.spec;
     message.queue = call->queue;
     message.tenant = call->tenant;
-    message.patienceMs = elapsed(at, call->deadline - forwardMargin).count();
+    auto left = elapsed(at, call->deadline);
+    message.patienceMs = (left - marginOf(left, forwardMargin)).count();
     clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Call), net::encode(message), call->deadline,
         liveness_.guard([this, call](std::error_code error, const std::string& payload) {
             ForwardedAnswer answer;
--- a/tests/node/fakes.cpp
+++ b/tests/node/fakes.cpp
@@ -60,7 +60,10 @@
     translation.hostOf
         = [](const event_http::Request& request) { return event_http::headerOf(request.headers, "x-queue-host"); };
     translation.keyOf = [](const event_http::Request&) { return std::string(); };
-    translation.patienceOf = [](const event_http::Request&) { return std::optional(Millis(3000)); };
+    translation.patienceOf = [](const event_http::Request& request) {
+        auto text = std::string(event_http::headerOf(request.headers, "x-patience"));
+        return std::optional(Millis(text.empty() ? 3000 : std::stoll(text)));
+    };
     translation.encodeAnswer = [](const node::CallerAnswer& answer) {
         event_http::Response response;
         response.status = answer.status == node::CallStatus::Ok ? 200 : 500 + static_cast<int>(answer.status);
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -80,10 +80,12 @@
     }
 
     int ask(const Member& member, const std::string& method, const std::string& id, std::string* body = nullptr,
-        const std::string& content = {})
+        const std::string& content = {}, Millis patience = Millis(3000))
     {
         int status = -1;
-        client.send(member.settings.callers, { method, "/q/" + id, { { "x-queue-host", "jobs.example" } }, content },
+        client.send(member.settings.callers,
+            { method, "/q/" + id,
+                { { "x-queue-host", "jobs.example" }, { "x-patience", std::to_string(patience.count()) } }, content },
             now() + Millis(4000), [&](std::error_code error, const event_http::Response& response) {
                 status = error ? 0 : response.status;
                 if (body)
@@ -149,6 +151,17 @@
     BOOST_CHECK_EQUAL(ask(*old, "POST", "00000000000000d2"), 200);
 }
 
+// Guards against a call that is given up the moment it is sent on, and so is told as unknown, because its caller has
+// little time left (incident inc-c8aa of tuuletoke-grown).
+BOOST_AUTO_TEST_CASE(A_call_with_little_time_left_is_served_or_refused, *boost::unit_test::label("node"))
+{
+    BOOST_CHECK_EQUAL(ask(*follower(), "POST", jobId, nullptr, {}, Millis(160)), 200);
+    auto refused = 500 + static_cast<int>(node::CallStatus::NotAccepted);
+    BOOST_CHECK_EQUAL(ask(*follower(), "POST", "00000000000000d2", nullptr, {}, Millis(4)), refused);
+    await(Millis(300), [] { return false; });
+    BOOST_CHECK_EQUAL(ask(*owner(), "GET", "00000000000000d2"), 500 + static_cast<int>(node::CallStatus::NoSuchJob));
+}
+
 // Guards against stale answers: an owner that was paused, or is cut off from everybody, may have been replaced. Told by
 // a soak in which a job was shown as running after it had been shown as completed.
 BOOST_AUTO_TEST_CASE(An_owner_that_nobody_confirms_does_not_speak_for_the_fleet, *boost::unit_test::label("node"))
