Refuse a call that has no time to be sent on, and copy nothing for empty strings

And the undefined-behaviour sanitizer ended tests fleet and node: an empty string was read into a null pointer by memcpy.

--- a/src/agatevane/net/archive.h
+++ b/src/agatevane/net/archive.h
@@ -40,7 +40,9 @@
     {
         if (size > source_.size())
             throw cereal::Exception("message is shorter than its content");
-        std::memcpy(data, source_.data(), size);
+        // An empty string may have no buffer, which memcpy does not take even for nothing.
+        if (size > 0)
+            std::memcpy(data, source_.data(), size);
         source_.remove_prefix(size);
     }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,14 +17,13 @@
     constexpr Millis electionPatience { 1200 };
     //! A request is tried again at the owner after this.
     constexpr Millis routeRetry { 40 };
-    //! Kept of the caller's time for the way back, but no more than a quarter of what a caller in a hurry has.
+    //! Kept of the caller's time for the way back.
     constexpr Millis answerMargin { 150 };
-    constexpr int marginDivisor = 4;
-    //! With less time than this a call is not sent on: it could only end as unknown.
-    constexpr Millis leastForwardTime { 10 };
     constexpr Millis defaultPatience { 3000 };
-    //! Kept of the time for the way between two nodes of far regions, but no more than a quarter of it.
+    //! Kept of the time for the way between two nodes of far regions.
     constexpr Millis forwardMargin { 50 };
+    //! With less time than this a call is not sent on: it could only end as unknown.
+    constexpr Millis leastForwardTime = forwardMargin + Millis(10);
     //! The balancer takes a node out after two missed checks, one second apart.
     constexpr Millis drainTime { 2500 };
     constexpr Millis drainCheck { 50 };
@@ -35,11 +34,6 @@
     constexpr double ampleProcessorShare = 0.25;
     constexpr double handicapMsPerShare = 1500;
 
-    Millis marginOf(Millis time, Millis most)
-    {
-        return std::min(most, time / marginDivisor);
-    }
-
     Millis handicapOf(double processorShare)
     {
         auto lacking = std::max(0.0, ampleProcessorShare - processorShare);
@@ -219,7 +213,7 @@
     call->respond = std::move(respond);
     call->translation = &translation_;
     auto patience = translation_.patienceOf(request).value_or(defaultPatience);
-    call->deadline = call->receivedAt + std::max(Millis(0), patience - marginOf(patience, answerMargin));
+    call->deadline = call->receivedAt + std::max(Millis(0), patience - answerMargin);
     call->giveUpAt = std::min(call->deadline, call->receivedAt + electionPatience);
     const auto& desired = desired_.current();
     if (!desired)
@@ -282,8 +276,7 @@
     message.spec = call->request.spec;
     message.queue = call->queue;
     message.tenant = call->tenant;
-    auto left = elapsed(at, call->deadline);
-    message.patienceMs = (left - marginOf(left, forwardMargin)).count();
+    message.patienceMs = elapsed(at, call->deadline - forwardMargin).count();
     clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Call), net::encode(message), call->deadline,
         liveness_.guard([this, call](std::error_code error, const std::string& payload) {
             ForwardedAnswer answer;
