Split the owner's reading and the stand-in's control from grown files

Moves only: what an owner reads from the store, and the stand-in's machines and control paths, have files of their own.

--- a/src/agatevane/upkeep/upkeep.cpp
+++ b/src/agatevane/upkeep/upkeep.cpp
@@ -31,7 +31,10 @@
         bool isCompleted = false;
         std::vector<MachineId> done;
 
-        template <typename Archive> void serialize(Archive& archive) { archive(number, deadlineUnixMs, isCompleted, done); }
+        template <typename Archive> void serialize(Archive& archive)
+        {
+            archive(number, deadlineUnixMs, isCompleted, done);
+        }
     };
 
     struct Record {
--- /dev/null
+++ b/src/node/fleet_owner_reading.cpp
@@ -0,0 +1,171 @@
+//! What an owner reads from the store: jobs when it begins, workers all the time.
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/record.h"
+#include "node/fleet_owner.h"
+
+namespace agatevane::node {
+
+namespace {
+
+    using event_log::Line;
+
+    constexpr Millis loadTimeout { 3000 };
+    constexpr Millis storeRetry { 100 };
+    constexpr Millis watchWait { 1000 };
+    constexpr Millis watchMargin { 800 };
+    //! Workers report every second or so each; collecting their changes saves calls.
+    constexpr Millis watchPause { 400 };
+
+} // namespace
+
+void FleetOwner::load()
+{
+    auto read = [this](const char* prefix, std::optional<kv::ReadResult>& target) {
+        if (target)
+            return;
+        environment_.store.list(
+            prefix, now() + loadTimeout, liveness_.guard([this, &target](const kv::ReadResult& result) {
+                if (isStopped_)
+                    return;
+                if (result.error) {
+                    Line("load_failed").with("error", result.error.message());
+                    listTimer_.arm(storeRetry, [this] { load(); });
+                    return;
+                }
+                target = result;
+                if (isReady_ || !acceptances_ || !progress_ || !known_ || !listed_)
+                    return;
+                takeJobs(*acceptances_, *progress_);
+                takeKnownWorkers(*known_);
+                takeListings(*listed_);
+                acceptances_.reset();
+                progress_.reset();
+                isReady_ = true;
+                Line("fleet_loaded")
+                    .with("tenure", fleet_.tenure)
+                    .with("jobs", fleet_.jobs.size())
+                    .with("open", fleet_.openJobs.size())
+                    .with("workers", fleet_.workers.size())
+                    .with("as_of", workersAsOf_);
+                watchWorkers();
+                if (upkeep_)
+                    upkeep_->start();
+                tick();
+            }));
+    };
+    read(fleet::acceptancePrefix, acceptances_);
+    read(fleet::progressPrefix, progress_);
+    read(knownWorkersKey, known_);
+    read(environment_.translation.workerPrefix.c_str(), listed_);
+}
+
+void FleetOwner::takeJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress)
+{
+    std::map<std::string_view, const kv::Item*> progressOf;
+    for (const auto& item : progress.items)
+        progressOf.emplace(std::string_view(item.key).substr(std::string_view(fleet::progressPrefix).size()), &item);
+    auto unixMs = unixMillis();
+    auto at = bootNow();
+    for (const auto& item : acceptances.items) {
+        auto job = fleet::decodeAcceptance(item.value);
+        if (!job) {
+            Line("record_unreadable").with("key", item.key).with("revision", item.revision);
+            continue;
+        }
+        auto found = progressOf.find(job->spec.id);
+        if (found != progressOf.end() && !fleet::decodeProgress(found->second->value, *job)) {
+            Line("record_unreadable").with("key", found->second->key).with("revision", found->second->revision);
+            continue;
+        }
+        fleet::inherit(fleet_, std::move(*job), unixMs, at);
+    }
+}
+
+//! Workers that an earlier owner knew and that are not in the list may still run its tasks.
+void FleetOwner::takeKnownWorkers(const kv::ReadResult& known)
+{
+    auto at = bootNow();
+    for (const auto& item : known.items) {
+        std::vector<fleet::WorkerListing> listings;
+        if (!net::decode(item.value, listings)) {
+            Line("record_unreadable").with("key", item.key).with("revision", item.revision);
+            continue;
+        }
+        for (const auto& listing : listings) {
+            fleet::applyListing(fleet_, listing, at);
+            fleet::applyUnlisted(fleet_, listing.id, at);
+        }
+        committer_.setKnownWorkers(item.value);
+    }
+}
+
+void FleetOwner::takeListings(const kv::ReadResult& listed)
+{
+    std::vector<fleet::WorkerListing> listings;
+    Findings findings;
+    for (const auto& item : listed.items) {
+        if (auto listing = environment_.translation.decodeListing(item, findings))
+            listings.push_back(std::move(*listing));
+    }
+    for (const auto& finding : findings)
+        Line("entry_ignored").with("place", finding.place).with("text", finding.text);
+    fleet::applyFullList(fleet_, listings, bootNow());
+    workersAsOf_ = listed.asOf;
+    fleet_.areWorkersChanged = true;
+}
+
+void FleetOwner::listWorkers()
+{
+    environment_.store.list(environment_.translation.workerPrefix, now() + loadTimeout,
+        liveness_.guard([this](const kv::ReadResult& result) {
+            if (isStopped_)
+                return;
+            if (result.error) {
+                listTimer_.arm(storeRetry, [this] { listWorkers(); });
+                return;
+            }
+            takeListings(result);
+            wake();
+            watchWorkers();
+        }));
+}
+
+void FleetOwner::watchWorkers()
+{
+    auto deadline = now() + watchWait + watchMargin;
+    environment_.store.watch(environment_.translation.workerPrefix, workersAsOf_, watchWait, deadline,
+        liveness_.guard([this](const kv::WatchResult& result) {
+            if (isStopped_)
+                return;
+            if (result.error) {
+                if (result.historyIsGone)
+                    return listWorkers();
+                listTimer_.arm(storeRetry, [this] { watchWorkers(); });
+                return;
+            }
+            workersAsOf_ = std::max(workersAsOf_, result.asOf);
+            for (const auto& change : result.changes)
+                applyWorkerChange(change);
+            if (!result.changes.empty()) {
+                fleet_.areWorkersChanged = true;
+                wake();
+            }
+            listTimer_.arm(watchPause, [this] { watchWorkers(); });
+        }));
+}
+
+void FleetOwner::applyWorkerChange(const kv::Change& change)
+{
+    auto at = bootNow();
+    auto id = change.item.key.substr(environment_.translation.workerPrefix.size());
+    if (change.isRemoval)
+        return fleet::applyUnlisted(fleet_, id, at);
+    Findings findings;
+    if (auto listing = environment_.translation.decodeListing(change.item, findings))
+        return fleet::applyListing(fleet_, *listing, at);
+    for (const auto& finding : findings)
+        Line("entry_ignored").with("place", finding.place).with("text", finding.text);
+    fleet::applyUnlisted(fleet_, id, at);
+}
+
+} // namespace agatevane::node
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -4,32 +4,19 @@
 #include "agatevane/base/error.h"
 #include "agatevane/json/reader.h"
 #include "platform/wire.h"
+#include "standins/platform/replies.h"
 
 namespace agatevane::standin {
 
 namespace {
 
     using event_http::Request;
-    using event_http::Response;
     using nlohmann::json;
 
-    constexpr int statusNotFound = 404;
     constexpr int statusConditionFailed = 412;
     constexpr auto beatInterval = Millis(200);
-    //! How long a machine is down for its upkeep.
-    constexpr std::int64_t upkeepTimeMs = 2000;
     constexpr auto pollInterval = Millis(10);
 
-    std::int64_t modelMillis()
-    {
-        return elapsed(Instant {}, now()).count();
-    }
-
-    Response reply(int status, const json& body = json::object())
-    {
-        return { status, { { "content-type", "application/json" } }, body.dump() };
-    }
-
     std::string unescape(std::string_view text)
     {
         std::string plain;
@@ -59,11 +46,6 @@
         return query;
     }
 
-    std::string pathOf(const std::string& target)
-    {
-        return target.substr(0, target.find('?'));
-    }
-
     json encodeItem(const kv::Item& item)
     {
         return { { "key", item.key }, { "value", toBase64(item.value) }, { "revision", item.revision },
@@ -167,64 +149,6 @@
     return !endpoint.server->listen(options_.address, port);
 }
 
-void PlatformServer::handleMachines(const Request& request, const Respond& respond)
-{
-    if (pathOf(request.target) == "/api/machines") {
-        auto rows = json::array();
-        for (const auto& [id, machine] : machines_)
-            rows.push_back({ { "machine", id }, { "pool", options_.service },
-                { "state", machine.backAtMs >= 0 ? "upkeep" : "up" }, { "zone", "zone-a" }, { "id", machine.worker } });
-        return respond(reply(platform::statusOk, { { "machines", rows }, { "nextPageToken", nullptr } }));
-    }
-    auto body = json::parse(request.body, nullptr, false);
-    if (request.target != "/api/machine-upkeep" || !body.is_object()
-        || event_http::headerOf(request.headers, "x-agatevane-duty-holder").empty())
-        return respond(reply(platform::statusBadRequest));
-    respond(takeDown(body));
-}
-
-event_http::Response PlatformServer::takeDown(const Json& body)
-{
-    auto found = machines_.find(platform::textOr(body, "machine"));
-    auto wave = platform::integerOr(body, "wave", 0);
-    if (found == machines_.end())
-        return reply(platform::statusBadRequest);
-    auto& machine = found->second;
-    if (machine.waves.contains(wave))
-        return reply(platform::statusOk);
-    if (machine.backAtMs >= 0)
-        return reply(platform::statusConflict, { { "reason", "busy" } });
-    machine.waves.insert(wave);
-    machine.backAtMs = modelMillis() + upkeepTimeMs;
-    if (workers_.isUp(machine.worker))
-        workers_.crash(machine.worker, modelMillis());
-    return reply(platform::statusOk);
-}
-
-void PlatformServer::returnMachines()
-{
-    for (auto& [id, machine] : machines_) {
-        if (machine.backAtMs < 0 || modelMillis() < machine.backAtMs)
-            continue;
-        auto listing = workers_.listing(machine.worker);
-        listing.id = "i-" + id.substr(2) + "-" + std::to_string(++machine.upkeeps);
-        if (!addWorker(listing))
-            continue;
-        machine.worker = listing.id;
-        machine.backAtMs = -1;
-    }
-}
-
-bool PlatformServer::putWave(const std::string& text)
-{
-    auto body = json::parse(text, nullptr, false);
-    if (!body.is_object())
-        return false;
-    kv_.commit(
-        { {}, { { "op/wave/" + std::to_string(platform::integerOr(body, "wave", 0)), text, 0 } }, {} }, modelMillis());
-    return true;
-}
-
 //! Publishes what has changed of the workers, and removes those that are down.
 void PlatformServer::beat()
 {
@@ -426,74 +350,4 @@
             { "ended", ended } }));
 }
 
-//! POST /faults {down, losesAnswers, delayMs}, /desired, /waves, /workers/ID/(restart|crash|drain|fail|mend|publish).
-//! GET /runs, /workers, /status.
-void PlatformServer::handleControl(const Request& request, const Respond& respond)
-{
-    if (request.target == "/runs") {
-        auto runs = json::array();
-        for (const auto& record : workers_.history())
-            runs.push_back({ { "task", fleet::toString(record.key.first) }, { "run", record.key.second },
-                { "worker", record.worker }, { "beganMs", record.beganMs }, { "endedMs", record.endedMs },
-                { "how", record.end ? std::string(nameOf(*record.end)) : std::string() },
-                { "isNoted", record.isNoted } });
-        return respond(reply(platform::statusOk, runs));
-    }
-    if (request.target == "/waves")
-        return respond(reply(putWave(request.body) ? platform::statusOk : platform::statusBadRequest));
-    if (request.target == "/status") {
-        auto status = json::object();
-        for (const auto& item : kv_.list("status/", modelMillis()).items)
-            status[item.key] = item.value;
-        return respond(reply(platform::statusOk, status));
-    }
-    if (request.target == "/workers") {
-        auto ports = json::object();
-        for (const auto& [id, endpoint] : endpoints_)
-            ports[id] = endpoint.server->port();
-        return respond(reply(platform::statusOk, ports));
-    }
-    if (request.target == "/desired") {
-        putDesired(request.body);
-        return respond(reply(platform::statusOk));
-    }
-    if (request.target == "/faults") {
-        auto body = json::parse(request.body, nullptr, false);
-        if (!body.is_object())
-            return respond(reply(platform::statusBadRequest));
-        faults_ = { platform::flagOr(body, "down"), platform::flagOr(body, "losesAnswers"),
-            static_cast<int>(platform::integerOr(body, "delayMs", 0)) };
-        return respond(reply(platform::statusOk));
-    }
-    constexpr std::string_view workersPath = "/workers/";
-    auto slash = request.target.rfind('/');
-    if (!request.target.starts_with(workersPath) || slash < workersPath.size())
-        return respond(reply(statusNotFound));
-    auto worker = request.target.substr(workersPath.size(), slash - workersPath.size());
-    auto action = request.target.substr(slash + 1);
-    if (!endpoints_.contains(worker))
-        return respond(reply(statusNotFound));
-    if (action == "restart") {
-        if (!restartWorker(worker))
-            return respond(reply(platform::statusUnavailable));
-    } else if (action == "crash")
-        workers_.crash(worker, modelMillis());
-    else if (action == "drain")
-        workers_.setDraining(worker, true);
-    else if (action == "fail")
-        workers_.setFailing(worker, true);
-    else if (action == "mend")
-        workers_.setFailing(worker, false);
-    else if (action == "publish")
-        endpoints_.at(worker).publishedAddress = request.body;
-    else
-        return respond(reply(statusNotFound));
-    respond(reply(platform::statusOk));
-}
-
-void PlatformServer::putDesired(const std::string& text)
-{
-    kv_.commit({ {}, { { "op/config", text, 0 } }, {} }, modelMillis());
-}
-
 } // namespace agatevane::standin
