Write log lines as JSON objects

Cause: `key=value` lines need a parser of our own, and a value with a line end or bytes that are not UTF-8 was changed or broke the line.

Change: one JSON object a line; strings that need escapes go through nlohmann::json. The two checks of path_tests that searched a line search the same line in its new form.

--- a/src/agatevane/event_log/event_log.cpp
+++ b/src/agatevane/event_log/event_log.cpp
@@ -1,8 +1,9 @@
 #include "agatevane/event_log/event_log.h"
 
-#include <cerrno>
+#include <algorithm>
 #include <chrono>
 #include <fcntl.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace agatevane::event_log {
@@ -38,9 +39,25 @@
             ++output().dropped;
     }
 
-    bool needsQuotes(std::string_view value)
+    bool needsEscape(unsigned char letter)
     {
-        return value.empty() || value.find_first_of(" \"=\n") != std::string_view::npos;
+        constexpr unsigned char firstPrintable = 0x20;
+        constexpr unsigned char lastAscii = 0x7e;
+        return letter < firstPrintable || letter > lastAscii || letter == '"' || letter == '\\';
+    }
+
+    //! Bytes that are not UTF-8 come from outside and are replaced.
+    std::string toJson(std::string_view value)
+    {
+        if (std::none_of(value.begin(), value.end(), needsEscape))
+            return '"' + std::string(value) + '"';
+        return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    std::string beginningOf(std::int64_t timeMs, std::string_view event)
+    {
+        return R"({"time_ms":)" + std::to_string(timeMs) + R"(,"event":)" + toJson(event) + R"(,"process":)"
+            + toJson(output().processName);
     }
 
 } // namespace
@@ -63,28 +80,22 @@
 {
     if (!output().isOpen)
         return;
-    text_ = std::to_string(unixMillis()) + " " + std::string(event);
-    with("process", output().processName);
+    text_ = beginningOf(unixMillis(), event);
 }
 
 Line& Line::with(std::string_view key, std::string_view value)
+{
+    return output().isOpen ? withRaw(key, toJson(value)) : *this;
+}
+
+Line& Line::withRaw(std::string_view key, std::string_view value)
 {
     if (!output().isOpen)
         return *this;
-    text_ += " ";
+    text_ += ",\"";
     text_ += key;
-    text_ += "=";
-    if (!needsQuotes(value)) {
-        text_ += value;
-        return *this;
-    }
-    text_ += "\"";
-    for (char letter : value) {
-        if (letter == '"' || letter == '\\')
-            text_ += '\\';
-        text_ += letter == '\n' ? ' ' : letter;
-    }
-    text_ += "\"";
+    text_ += "\":";
+    text_ += value;
     return *this;
 }
 
@@ -98,7 +109,8 @@
         out.second = second;
         out.linesInSecond = 0;
         if (out.dropped != out.droppedReported) {
-            write(std::to_string(second * 1000) + " log_lines_dropped total=" + std::to_string(out.dropped) + "\n");
+            write(
+                beginningOf(second * 1000, "log_lines_dropped") + R"(,"total":)" + std::to_string(out.dropped) + "}\n");
             out.droppedReported = out.dropped;
         }
     }
@@ -106,7 +118,7 @@
         ++out.dropped;
         return;
     }
-    text_ += "\n";
+    text_ += "}\n";
     write(text_);
 }
 
--- a/src/agatevane/event_log/event_log.h
+++ b/src/agatevane/event_log/event_log.h
@@ -6,13 +6,14 @@
 #include <type_traits>
 
 //! Structured log lines on standard output: one for each decision that touches a request or changes a belief.
-//! A line is "time event key=value ...". Writing never blocks; lines beyond a bound are counted and dropped.
+//! A line is one JSON object that begins with `time_ms` (Unix time), `event` and `process`. Writing never blocks; lines
+//! beyond a bound are counted and dropped.
 namespace agatevane::event_log {
 
 //! Most lines a second that are written; a flood of requests must not turn into a flood of lines.
 constexpr int maxLinesPerSecond = 400;
 
-//! One line; it is written when the object is destroyed. Values with spaces or quotes are quoted.
+//! One line; it is written when the object is destroyed. Keys are names of the program: they need no escapes.
 class Line {
 public:
     explicit Line(std::string_view event);
@@ -26,12 +27,15 @@
     requires std::is_arithmetic_v<Number> Line& with(std::string_view key, Number value)
     {
         if constexpr (std::is_same_v<Number, bool>)
-            return with(key, value ? std::string_view("true") : std::string_view("false"));
+            return withRaw(key, value ? std::string_view("true") : std::string_view("false"));
         else
-            return with(key, std::string_view(std::to_string(value)));
+            return withRaw(key, std::to_string(value));
     }
 
 private:
+    //! `value` is JSON.
+    Line& withRaw(std::string_view key, std::string_view value);
+
     std::string text_;
 };
 
--- a/tests/platform_system/path_tests.cpp
+++ b/tests/platform_system/path_tests.cpp
@@ -116,10 +116,10 @@
     auto hasLogged = [&](const std::string& text) {
         return deployment.await(Millis(8000), [&] { return deployment.logOf(0).find(text) != std::string::npos; });
     };
-    BOOST_CHECK(hasLogged("reloaded process=node-0 cause=change applied=true"));
+    BOOST_CHECK(hasLogged(R"("event":"reloaded","process":"node-0","cause":"change","applied":true})"));
     deployment.addSetting(0, "bounds.graceS=soon");
-    BOOST_CHECK(hasLogged("reloaded process=node-0 cause=change applied=false"));
-    BOOST_CHECK(hasLogged("settings_wrong"));
+    BOOST_CHECK(hasLogged(R"("event":"reloaded","process":"node-0","cause":"change","applied":false})"));
+    BOOST_CHECK(hasLogged(R"("event":"settings_wrong")"));
 }
 
 // Guards against waves of upkeep that are not carried out, or that cost work which could have been saved.
