Show the fleet, and why each job waits, at every node; explain a job from logs

Change: the metrics address serves the owner's view of jobs, workspaces, fleet, workers and waves under the paths that agatevanectl asks entries for; followers pass the question on. fleet/waiting says why tasks wait. `agatevanectl explain ID LOG...` puts the lines on a job, its workers and its owners in order. Refused calls are logged with the id they ask for and the path that names no queue.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -43,14 +43,6 @@
         bool operator<(const Shape& other) const { return key() < other.key(); }
     };
 
-    bool arePredecessorsDone(const Occurrence& occurrence, const StepSpec& spec)
-    {
-        return std::all_of(spec.after.begin(), spec.after.end(), [&occurrence](std::uint32_t earlier) {
-            const auto& step = occurrence.steps[earlier];
-            return step.done == step.tasks.size();
-        });
-    }
-
     class Round {
     public:
         Round(Fleet& fleet, std::int64_t unixMs, Instant at)
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -117,6 +117,13 @@
     room.fillerMilliCores += step.isFiller ? step.need.milliCores : 0;
 }
 
+bool arePredecessorsDone(const Occurrence& occurrence, const StepSpec& step)
+{
+    return std::all_of(step.after.begin(), step.after.end(), [&occurrence](std::uint32_t earlier) {
+        return occurrence.steps[earlier].done == occurrence.steps[earlier].tasks.size();
+    });
+}
+
 bool isAllowed(const Unit& unit, const Worker& worker)
 {
     const auto& spec = unit.spec();
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -46,6 +46,8 @@
 //! Counts a task of `step` among those that disturb each other in the room.
 void addNeighbour(Room& room, const StepSpec& step);
 
+//! True if all tasks of the steps that `step` waits for are done.
+bool arePredecessorsDone(const Occurrence& occurrence, const StepSpec& step);
 //! True if the step's demands on the kind of worker and on other tasks of the step allow one more task there.
 bool isAllowed(const Unit& unit, const Worker& worker);
 //! How many more tasks of the step may run there besides `placed` ones of this round; bounded by its spread.
--- /dev/null
+++ b/src/agatevane/fleet/waiting.cpp
@@ -0,0 +1,78 @@
+#include "agatevane/fleet/waiting.h"
+
+#include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/placement.h"
+#include "agatevane/fleet/workers.h"
+#include <algorithm>
+
+namespace agatevane::fleet {
+
+namespace {
+
+    //! Tasks of the step that the worker could hold if it were empty.
+    std::int64_t tasksThatFit(const StepSpec& step, const Worker& worker)
+    {
+        std::int64_t most = step.maxPerWorker > 0 ? std::min(step.maxPerWorker, step.count) : step.count;
+        auto bound = [&most](std::int64_t has, std::int64_t needs) {
+            if (needs > 0)
+                most = std::min(most, has / needs);
+        };
+        bound(worker.capacity.milliCores, step.isFiller ? 0 : step.need.milliCores);
+        bound(worker.capacity.memoryMiB, step.need.memoryMiB);
+        bound(worker.capacity.accelerators, step.need.accelerators);
+        return most;
+    }
+
+    bool areWorkersSuitable(const Fleet& fleet, const Job& job, const StepSpec& step, Instant at)
+    {
+        std::int64_t places = 0;
+        for (const auto& [id, worker] : fleet.workers) {
+            const auto& labels = worker.labels;
+            bool isOfKind = worker.service == job.policy.service
+                && (step.requiredLabel.empty()
+                    || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
+            if (isOfKind && isUsable(worker, at))
+                places += tasksThatFit(step, worker);
+        }
+        return places >= (step.isGang ? static_cast<std::int64_t>(step.count) : 1);
+    }
+
+    WaitReason reasonOf(const Fleet& fleet, const Job& job, const StepId& id, Instant at)
+    {
+        const auto& spec = job.spec.steps[id.step];
+        const auto& step = job.occurrences[id.occurrence].steps[id.step];
+        if (job.isInherited && mayRunUnseen(fleet, at))
+            return WaitReason::RunsOfEarlierOwner;
+        if (spec.isGang && step.active > 0)
+            return WaitReason::RunsBeingStopped;
+        if (!areWorkersSuitable(fleet, job, spec, at))
+            return WaitReason::NoSuitableWorker;
+        if (job.policy.needsTickets && ticketedWorkers(fleet, id, at).empty())
+            return WaitReason::NoTicket;
+        return WaitReason::NoRoom;
+    }
+
+} // namespace
+
+Wait waitOf(const Fleet& fleet, const Job& job, std::int64_t unixMs, Instant at)
+{
+    if (job.phase != JobPhase::Open)
+        return {};
+    bool isAnyDue = false;
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        if (job.spec.occurrences > 0 && unixMs < job.spec.firstDueUnixMs + k * job.spec.intervalMs)
+            continue;
+        isAnyDue = true;
+        const auto& occurrence = job.occurrences[k];
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            const auto& step = occurrence.steps[s];
+            auto waiting = static_cast<std::uint32_t>(step.tasks.size()) - step.done - step.active;
+            if (waiting == 0 || !arePredecessorsDone(occurrence, job.spec.steps[s]))
+                continue;
+            return { reasonOf(fleet, job, { job.spec.id, k, s }, at), k, s, waiting };
+        }
+    }
+    return { isAnyDue ? WaitReason::NotWaiting : WaitReason::NotDue, 0, 0, 0 };
+}
+
+} // namespace agatevane::fleet
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -27,4 +27,10 @@
 ExitCode listOwners(const Context& context);
 ExitCode drain(const Context& context, const std::string& vm);
 
+//! Shown by nodes only.
+ExitCode listWorkers(const Context& context);
+ExitCode listWaves(const Context& context);
+//! Prints what the nodes' logs say about a job. Asks no process.
+ExitCode explainJob(const Context& context, const std::string& job, const std::vector<std::string>& logs);
+
 } // namespace agatevane::ctl
--- a/src/ctl/context.cpp
+++ b/src/ctl/context.cpp
@@ -125,17 +125,24 @@
         context.out << json::dump(body) << "\n";
         return;
     }
+    auto elements = body.is_object() && body.contains(rowsField) ? body[rowsField] : nlohmann::json::array();
+    // An entry and a node know different things of the same kind of row.
+    std::vector<Column> shown;
+    std::copy_if(columns.begin(), columns.end(), std::back_inserter(shown), [&elements](const Column& column) {
+        auto name = column.field.substr(0, column.field.find('/'));
+        return elements.empty()
+            || std::any_of(elements.begin(), elements.end(),
+                [&name](const nlohmann::json& element) { return element.is_object() && element.contains(name); });
+    });
     std::vector<std::vector<std::string>> rows { {} };
-    for (const auto& column : columns)
+    for (const auto& column : shown)
         rows[0].push_back(column.title);
-    if (body.is_object() && body.contains(rowsField)) {
-        for (const auto& element : body[rowsField]) {
-            auto& row = rows.emplace_back();
-            for (const auto& column : columns)
-                row.push_back(fieldOf(element, column.field));
-        }
+    for (const auto& element : elements) {
+        auto& row = rows.emplace_back();
+        for (const auto& column : shown)
+            row.push_back(fieldOf(element, column.field));
     }
-    std::vector<std::size_t> widths(columns.size());
+    std::vector<std::size_t> widths(shown.size());
     for (const auto& row : rows) {
         for (std::size_t i = 0; i < row.size(); ++i)
             widths[i] = std::max(widths[i], row[i].size());
--- a/src/ctl/context.h
+++ b/src/ctl/context.h
@@ -52,7 +52,7 @@
     std::string field;
 };
 
-//! Prints `body[rowsField]` as a table, or the whole body as JSON.
+//! Prints `body[rowsField]` as a table without the columns that no row has, or the whole body as JSON.
 void printRows(const Context& context, const nlohmann::json& body, const std::string& rowsField,
     const std::vector<Column>& columns);
 
--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -40,8 +40,9 @@
         return refuseName(context, workspace);
     auto path = workspace.empty() ? std::string("/v1/jobs") : "/v1/jobs?workspace=" + workspace;
     return printList(context, path, "jobs",
-        { { "ID", "id" }, { "STATE", "state" }, { "WORKSPACE", "workspace" }, { "CLASS", "class" },
-            { "ACCELERATORS", "accelerators" }, { "QUEUED MS", "queuedForMs" }, { "RUNNING MS", "runningForMs" },
+        { { "ID", "id" }, { "STATE", "state" }, { "WORKSPACE", "workspace" }, { "QUEUE", "queue" },
+            { "CLASS", "class" }, { "PRIORITY", "priority" }, { "ACCELERATORS", "accelerators" }, { "AGE MS", "ageMs" },
+            { "QUEUED MS", "queuedForMs" }, { "RUNNING MS", "runningForMs" }, { "WAITING TASKS", "waitingTasks" },
             { "REASON", "reason" } });
 }
 
@@ -97,8 +98,9 @@
 {
     return printList(context, "/v1/workspaces", "workspaces",
         { { "WORKSPACE", "workspace" }, { "DATA CENTRE", "dataCentre" }, { "GUARANTEED", "guaranteed" },
-            { "EFFECTIVE", "effectiveGuarantee" }, { "USED", "used" }, { "LENT", "lent" }, { "WAITING", "waiting" },
-            { "SHARE", "dominantShare" }, { "STATUS", "status" } });
+            { "EFFECTIVE", "effectiveGuarantee" }, { "USED", "used" }, { "BY URGENT", "usedByUrgent" },
+            { "LENT", "lent" }, { "LENDABLE", "lendable" }, { "WAITING", "waiting" }, { "SHARE", "dominantShare" },
+            { "STATUS", "status" } });
 }
 
 ExitCode showFleet(const Context& context)
@@ -120,7 +122,8 @@
 ExitCode listOwners(const Context& context)
 {
     return printList(context, "/v1/owners", "owners",
-        { { "DATA CENTRE", "dataCentre" }, { "OWNER", "owner" }, { "EPOCH", "epoch" } });
+        { { "DATA CENTRE", "dataCentre" }, { "OWNER", "owner" }, { "ADDRESS", "address" }, { "EPOCH", "epoch" },
+            { "REVISION", "revision" } });
 }
 
 ExitCode drain(const Context& context, const std::string& vm)
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr const char* summary = R"(Operates agatevane through the HTTP interface of any entry VM.
+constexpr const char* summary = R"(Operates agatevane through the HTTP interface of any entry VM, and shows what any
+agatevane-node knows when --entry is the node's metrics address: jobs, workspaces, fleet, members, owners, workers and
+waves. `explain` reads the nodes' logs and asks no process.
 
 Exit codes: 0 done, 1 refused (nothing was changed), 2 wrong usage, 3 the entry cannot be reached (nothing was
 changed), 4 conflict with another operator's change, 5 not found, 6 the answer was lost (the change may be in force),
@@ -124,6 +126,12 @@
     addCommand(app, "fleet", "Accelerators, queues and owners of all data centres", chosen, ctl::showFleet);
     addCommand(app, "members", "Entry VMs as the asked one sees them", chosen, ctl::listMembers);
     addCommand(app, "owners", "Owner and epoch of each data centre", chosen, ctl::listOwners);
+    addCommand(app, "workers", "Workers as the owner of the fleet sees them (nodes only)", chosen, ctl::listWorkers);
+    addCommand(app, "waves", "Waves of upkeep (nodes only)", chosen, ctl::listWaves);
+    auto* explain = addCommand(app, "explain", "What the nodes' logs say about a job, by time", chosen,
+        [&](const auto& each) { return ctl::explainJob(each, arguments.name, arguments.files); });
+    explain->add_option("id", arguments.name, "job id")->required();
+    explain->add_option("logs", arguments.files, "log files of the nodes")->required();
     addCommand(app, "drain", "Let an entry VM take no new requests; end it with SIGTERM afterwards", chosen,
         [&](const auto& each) { return ctl::drain(each, arguments.name); })
         ->add_option("vm", arguments.name, "name of the VM")
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -43,6 +43,14 @@
     constexpr int statusOk = 200;
     constexpr int statusUnavailable = 503;
 
+    //! Most of a caller's path that goes into a log line.
+    constexpr std::size_t longestLoggedPath = 64;
+
+    std::string loggable(std::string_view path)
+    {
+        return std::string(path.substr(0, longestLoggedPath));
+    }
+
     metrics::Counter& answersOf(CallKind kind, CallStatus status)
     {
         return metrics::registry().counter("agatevane_caller_answers_total", "Answers to callers",
@@ -114,9 +122,10 @@
         context_, liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
             handleReadiness(request, respond);
         }));
-    metricsServer_ = std::make_unique<event_http::Server>(context_,
-        liveness_.guard(
-            [this](const event_http::Request&, const event_http::Respond& respond) { handleMetrics(respond); }));
+    metricsServer_ = std::make_unique<event_http::Server>(
+        context_, liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
+            handleOperator(request, respond);
+        }));
     peerServer_ = std::make_unique<net::RpcServer>(
         context_, liveness_.guard([this](std::uint16_t kind, std::string_view payload, const net::Reply& reply) {
             handlePeer(kind, payload, reply);
@@ -182,29 +191,6 @@
         .with("store_silent", seat_.isStoreSilent());
 }
 
-void Node::handleMetrics(const event_http::Respond& respond)
-{
-    auto& registry = metrics::registry();
-    registry.gauge("agatevane_is_owner", "1 while this node owns the fleet").set(owner_ ? 1 : 0);
-    registry.gauge("agatevane_desired_revision", "Revision of the desired state in force")
-        .set(static_cast<double>(desired_.revision()));
-    registry.gauge("agatevane_log_lines_dropped", "Log lines dropped since the start")
-        .set(static_cast<double>(event_log::droppedLines()));
-    if (owner_) {
-        const auto& fleet = owner_->fleet();
-        registry.gauge("agatevane_open_jobs", "Accepted jobs that have not ended")
-            .set(static_cast<double>(fleet.openJobs.size()));
-        registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
-        registry.gauge("agatevane_starts_ordered", "Starts ordered in this tenure")
-            .set(static_cast<double>(fleet.startsOrdered));
-        registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
-            .set(static_cast<double>(fleet.runsStoppedForOthers));
-        registry.gauge("agatevane_fillers_slowed", "Times that the fillers of a worker were slowed in this tenure")
-            .set(static_cast<double>(fleet.pacesLowered));
-    }
-    respond({ statusOk, { { "content-type", metrics::contentType } }, registry.render() });
-}
-
 void Node::handleCaller(const event_http::Request& request, event_http::Respond respond)
 {
     auto call = std::make_shared<CallState>();
@@ -222,7 +208,11 @@
     path = path.substr(0, path.find('?'));
     const auto* queue = desired_state::findQueue(*desired, translation_.hostOf(request), path);
     if (!queue)
-        return finish(call, { CallStatus::NoSuchQueue, std::nullopt, std::nullopt, "no such queue" });
+        return finish(
+            call, { CallStatus::NoSuchQueue, std::nullopt, std::nullopt, "no such queue: " + loggable(path) });
+    // For the log, should the call be refused before it is read.
+    call->request.job = loggable(path.substr(queue->prefix.size()));
+    call->queue = *queue;
     const auto* tenant = desired_state::findTenant(*desired, translation_.keyOf(request));
     if (!tenant && !queue->allowsAnonymous)
         return finish(call, { CallStatus::UnknownKey, std::nullopt, std::nullopt, "unknown key" });
@@ -231,7 +221,6 @@
     if (!decoded)
         return finish(call, { CallStatus::Malformed, std::nullopt, std::nullopt, format(findings) });
     call->request = std::move(*decoded);
-    call->queue = *queue;
     call->tenant = tenant ? tenant->name : std::string();
     route(call);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,8 @@
 #include <asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 namespace agatevane::node {
@@ -42,10 +44,17 @@
 
     void handleCaller(const event_http::Request& request, event_http::Respond respond);
     void handleReadiness(const event_http::Request& request, const event_http::Respond& respond);
-    void handleMetrics(const event_http::Respond& respond);
+    void handleOperator(const event_http::Request& request, const event_http::Respond& respond);
     void handlePeer(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
     void handlePull(const PullRequest& request, const net::Reply& reply);
     void handleForwarded(const ForwardedCall& call, const net::Reply& reply);
+    void handlePage(const PageRequest& request, const net::Reply& reply);
+
+    event_http::Response metricsPage() const;
+    //! Only while this node owns the fleet.
+    std::optional<nlohmann::json> fleetPage(std::string_view path) const;
+    nlohmann::json membersPage() const;
+    nlohmann::json ownersPage() const;
 
     void route(const std::shared_ptr<CallState>& call);
     void forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address);
--- /dev/null
+++ b/src/node/node_operators.cpp
@@ -0,0 +1,133 @@
+//! What a node shows operators at the metrics address.
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/json/reader.h"
+#include "node/node.h"
+#include "node/operator_pages.h"
+#include <nlohmann/json.hpp>
+
+namespace agatevane::node {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+
+    //! For the way to the owner and back; an operator's client waits longer.
+    constexpr Millis pageTimeout { 2000 };
+
+    event_http::Response jsonResponse(int status, const nlohmann::json& body)
+    {
+        return { status, { { "content-type", "application/json" } }, json::dump(body) };
+    }
+
+    event_http::Response problem(int status, const std::string& title)
+    {
+        return jsonResponse(status, { { "status", status }, { "title", title } });
+    }
+
+    std::string textOf(const net::PeerAddress& address)
+    {
+        return address.address + ":" + std::to_string(address.port);
+    }
+
+} // namespace
+
+void Node::handleOperator(const event_http::Request& request, const event_http::Respond& respond)
+{
+    std::string_view path = request.target;
+    path = path.substr(0, path.find('?'));
+    if (!path.starts_with("/v1/"))
+        return respond(metricsPage());
+    if (path == "/v1/members")
+        return respond(jsonResponse(statusOk, membersPage()));
+    if (path == "/v1/owners")
+        return respond(jsonResponse(statusOk, ownersPage()));
+    if (owner_ && owner_->isReady()) {
+        auto page = fleetPage(path);
+        return respond(page ? jsonResponse(statusOk, *page) : problem(statusNotFound, "no such page or job"));
+    }
+    const auto& owner = seat_.owner();
+    if (owner_ || owner.revision == 0 || owner.record.name == settings_.name)
+        return respond(problem(statusUnavailable, "no node serves the fleet"));
+    clientOf(owner.record.address)
+        .call(static_cast<std::uint16_t>(PeerMessage::Page), net::encode(PageRequest { std::string(path) }),
+            now() + pageTimeout, liveness_.guard([respond](std::error_code error, const std::string& payload) {
+                PageReply reply;
+                if (error || !net::decode(payload, reply) || !reply.isOwner)
+                    return respond(problem(statusUnavailable, "the owner of the fleet has not answered"));
+                if (!reply.isFound)
+                    return respond(problem(statusNotFound, "no such page or job"));
+                respond({ statusOk, { { "content-type", "application/json" } }, reply.body });
+            }));
+}
+
+void Node::handlePage(const PageRequest& request, const net::Reply& reply)
+{
+    PageReply answer;
+    answer.isOwner = owner_ && owner_->isReady();
+    if (answer.isOwner) {
+        auto page = fleetPage(request.path);
+        answer.isFound = page.has_value();
+        answer.body = page ? json::dump(*page) : std::string();
+    }
+    reply(net::encode(answer));
+}
+
+std::optional<nlohmann::json> Node::fleetPage(std::string_view path) const
+{
+    const auto* duty = owner_->upkeepDuty();
+    return operatorPage(
+        { owner_->fleet(), duty ? &duty->state() : nullptr, settings_.name, unixMillis(), bootNow() }, path);
+}
+
+nlohmann::json Node::membersPage() const
+{
+    auto rows = nlohmann::json::array();
+    auto add = [&](const std::string& name, const net::PeerAddress& address) {
+        bool isOwner = name == seat_.owner().record.name;
+        rows.push_back(
+            { { "member", name }, { "address", textOf(address) }, { "state", isOwner ? "owner" : "follower" } });
+    };
+    add(settings_.name, settings_.peers);
+    for (const auto& [name, address] : peers_)
+        add(name, address);
+    return { { "members", std::move(rows) }, { "askedMember", settings_.name },
+        { "desiredRevision", desired_.revision() } };
+}
+
+nlohmann::json Node::ownersPage() const
+{
+    const auto& owner = seat_.owner();
+    auto rows = nlohmann::json::array();
+    if (owner.revision != 0) {
+        rows.push_back({ { "dataCentre", "all" }, { "owner", owner.record.name },
+            { "address", textOf(owner.record.address) }, { "revision", owner.revision } });
+    }
+    return { { "owners", std::move(rows) } };
+}
+
+event_http::Response Node::metricsPage() const
+{
+    auto& registry = metrics::registry();
+    registry.gauge("agatevane_is_owner", "1 while this node owns the fleet").set(owner_ ? 1 : 0);
+    registry.gauge("agatevane_desired_revision", "Revision of the desired state in force")
+        .set(static_cast<double>(desired_.revision()));
+    registry.gauge("agatevane_log_lines_dropped", "Log lines dropped since the start")
+        .set(static_cast<double>(event_log::droppedLines()));
+    if (owner_) {
+        const auto& fleet = owner_->fleet();
+        registry.gauge("agatevane_open_jobs", "Accepted jobs that have not ended")
+            .set(static_cast<double>(fleet.openJobs.size()));
+        registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
+        registry.gauge("agatevane_starts_ordered", "Starts ordered in this tenure")
+            .set(static_cast<double>(fleet.startsOrdered));
+        registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
+            .set(static_cast<double>(fleet.runsStoppedForOthers));
+        registry.gauge("agatevane_fillers_slowed", "Times that the fillers of a worker were slowed in this tenure")
+            .set(static_cast<double>(fleet.pacesLowered));
+    }
+    return { statusOk, { { "content-type", metrics::contentType } }, registry.render() };
+}
+
+} // namespace agatevane::node
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -28,6 +28,10 @@
         ForwardedCall call;
         if (net::decode(payload, call))
             return handleForwarded(call, reply);
+    } else if (kind == static_cast<std::uint16_t>(PeerMessage::Page)) {
+        PageRequest request;
+        if (net::decode(payload, request))
+            return handlePage(request, reply);
     }
     Line("peer_message_unreadable").with("kind", kind).with("bytes", payload.size());
     reply({});
--- /dev/null
+++ b/src/node/operator_pages.cpp
@@ -0,0 +1,273 @@
+#include "node/operator_pages.h"
+
+#include "agatevane/fleet/placement.h"
+#include "agatevane/fleet/ranking.h"
+#include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/waiting.h"
+#include "agatevane/fleet/workers.h"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace agatevane::node {
+
+namespace {
+
+    using nlohmann::json;
+
+    //! Row of the page of the fleet that sums up all data centres.
+    constexpr const char* wholeFleet = "all";
+
+    std::string stateOf(const fleet::Job& job)
+    {
+        using enum fleet::JobPhase;
+        switch (job.phase) {
+        case Accepting:
+            return "accepting";
+        case Open:
+            return job.hasStarted ? "running" : "queued";
+        case Completed:
+            return "completed";
+        case Failed:
+            return "failed";
+        case Cancelled:
+            return "cancelled";
+        }
+        return {};
+    }
+
+    std::string stateOf(const fleet::Worker& worker, Instant at)
+    {
+        if (!worker.isListed)
+            return "unlisted";
+        if (worker.isDraining)
+            return "draining";
+        if (worker.isEmptying)
+            return "emptying";
+        if (at < worker.avoidUntil)
+            return "failing";
+        return fleet::isUsable(worker, at) ? "usable" : "silent";
+    }
+
+    std::int64_t acceleratorsOf(const fleet::Job& job)
+    {
+        std::int64_t sum = 0;
+        for (const auto& step : job.spec.steps)
+            sum += step.count * step.need.accelerators;
+        return sum;
+    }
+
+    //! Places and state of the tasks that have a worker.
+    json runsOf(const fleet::Fleet& fleet, const fleet::JobId& job)
+    {
+        auto rows = json::array();
+        for (const auto& [id, worker] : fleet.workers) {
+            auto first = worker.runs.lower_bound({ { job, 0, 0, 0 }, 0 });
+            for (auto run = first; run != worker.runs.end() && run->first.first.job == job; ++run) {
+                rows.push_back({ { "task", fleet::toString(run->second.task) }, { "run", run->second.number },
+                    { "worker", id }, { "state", nameOf(run->second.state) }, { "percent", run->second.percent } });
+            }
+        }
+        return rows;
+    }
+
+    json rowOf(const FleetView& view, const fleet::Job& job)
+    {
+        auto wait = fleet::waitOf(view.fleet, job, view.unixMs, view.at);
+        json row { { "id", job.spec.id }, { "state", stateOf(job) }, { "workspace", job.spec.tenant },
+            { "queue", job.spec.queue }, { "priority", job.policy.priority }, { "accelerators", acceleratorsOf(job) },
+            { "ageMs", elapsed(job.acceptedAt, view.at).count() },
+            { "reason", wait.reason == fleet::WaitReason::NotWaiting ? "" : nameOf(wait.reason) } };
+        if (wait.tasks > 0)
+            row["waitingTasks"] = wait.tasks;
+        return row;
+    }
+
+    json listJobs(const FleetView& view)
+    {
+        auto rows = json::array();
+        for (const auto& id : view.fleet.openJobs) {
+            if (rows.size() == maxPageRows)
+                break;
+            rows.push_back(rowOf(view, view.fleet.jobs.at(id)));
+        }
+        return { { "openJobs", view.fleet.openJobs.size() }, { "jobs", std::move(rows) } };
+    }
+
+    std::optional<json> showJob(const FleetView& view, const std::string& id)
+    {
+        auto found = view.fleet.jobs.find(id);
+        if (found == view.fleet.jobs.end())
+            return std::nullopt;
+        const auto& job = found->second;
+        auto page = rowOf(view, job);
+        auto steps = json::array();
+        for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+            for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+                const auto& step = job.occurrences[k].steps[s];
+                std::size_t failed = 0;
+                for (const auto& task : step.tasks)
+                    failed += task.failedRuns.size();
+                steps.push_back({ { "occurrence", k }, { "step", s }, { "tasks", step.tasks.size() },
+                    { "done", step.done }, { "withWorker", step.active }, { "failedRuns", failed } });
+            }
+        }
+        page["isDurable"] = job.durablePhase == job.phase;
+        page["attempts"] = job.policy.maxAttempts;
+        page["steps"] = std::move(steps);
+        page["runs"] = runsOf(view.fleet, id);
+        return page;
+    }
+
+    //! Figures of the workers of one data centre, or of all.
+    struct Sum {
+        std::int64_t workers = 0;
+        std::int64_t usable = 0;
+        std::int64_t accelerators = 0;
+        std::int64_t free = 0;
+        std::map<std::string, std::int64_t> freeOfRack;
+    };
+
+    void add(Sum& sum, const fleet::Worker& worker, Instant at)
+    {
+        ++sum.workers;
+        if (!fleet::isUsable(worker, at))
+            return;
+        ++sum.usable;
+        sum.accelerators += worker.capacity.accelerators;
+        auto free = std::max<std::int64_t>(0, worker.capacity.accelerators - worker.used.accelerators);
+        sum.free += free;
+        sum.freeOfRack[worker.rack] += free;
+    }
+
+    json rowOf(const std::string& name, const Sum& sum)
+    {
+        std::int64_t largest = 0;
+        for (const auto& [rack, free] : sum.freeOfRack)
+            largest = std::max(largest, free);
+        return { { "dataCentre", name }, { "workers", sum.workers }, { "workersReachable", sum.usable },
+            { "accelerators", sum.accelerators }, { "acceleratorsFree", sum.free }, { "largestFreeGang", largest } };
+    }
+
+    json showFleet(const FleetView& view)
+    {
+        std::map<std::string, Sum> sums;
+        for (const auto& [id, worker] : view.fleet.workers) {
+            add(sums[worker.zone], worker, view.at);
+            add(sums[wholeFleet], worker, view.at);
+        }
+        std::int64_t queued = 0;
+        std::int64_t oldestMs = 0;
+        for (const auto& id : view.fleet.openJobs) {
+            const auto& job = view.fleet.jobs.at(id);
+            if (job.hasStarted)
+                continue;
+            ++queued;
+            oldestMs = std::max<std::int64_t>(oldestMs, elapsed(job.acceptedAt, view.at).count());
+        }
+        auto total = rowOf(wholeFleet, sums[wholeFleet]);
+        total.update({ { "owner", view.owner }, { "epoch", view.fleet.tenure }, { "jobsQueued", queued },
+            { "jobsRunning", static_cast<std::int64_t>(view.fleet.openJobs.size()) - queued },
+            { "oldestQueuedMs", oldestMs } });
+        auto rows = json::array({ std::move(total) });
+        for (const auto& [name, sum] : sums) {
+            if (name != wholeFleet)
+                rows.push_back(rowOf(name, sum));
+        }
+        return { { "dataCentres", std::move(rows) } };
+    }
+
+    json listWorkspaces(const FleetView& view)
+    {
+        struct Use {
+            std::int64_t accelerators = 0;
+            std::int64_t ofUrgentJobs = 0;
+            std::int64_t waitingJobs = 0;
+        };
+        std::map<std::string, Use> uses;
+        std::int64_t total = 0;
+        for (const auto& [id, worker] : view.fleet.workers) {
+            total += worker.capacity.accelerators;
+            for (const auto& [key, run] : worker.runs) {
+                auto job = view.fleet.jobs.find(key.first.job);
+                if (job == view.fleet.jobs.end())
+                    continue;
+                auto& use = uses[job->second.spec.tenant];
+                use.accelerators += run.need.accelerators;
+                if (job->second.policy.priority == 0)
+                    use.ofUrgentJobs += run.need.accelerators;
+            }
+        }
+        for (const auto& id : view.fleet.openJobs) {
+            const auto& job = view.fleet.jobs.at(id);
+            if (!job.hasStarted)
+                ++uses[job.spec.tenant].waitingJobs;
+        }
+        auto rows = json::array();
+        for (const auto& tenant : view.fleet.desired.tenants) {
+            const auto& use = uses[tenant.name];
+            // What urgent jobs of the tenant leave of its guarantee may be used by anybody.
+            auto lendable = std::max<std::int64_t>(0, tenant.guaranteedAccelerators - use.ofUrgentJobs);
+            rows.push_back({ { "workspace", tenant.name }, { "guaranteed", tenant.guaranteedAccelerators },
+                { "used", use.accelerators }, { "usedByUrgent", use.ofUrgentJobs }, { "lendable", lendable },
+                { "waiting", use.waitingJobs },
+                { "dominantShare", total > 0 ? static_cast<double>(use.accelerators) / static_cast<double>(total) : 0 },
+                { "status", view.fleet.claimingTenants.contains(tenant.name) ? "claiming" : "idle" } });
+        }
+        return { { "workspaces", std::move(rows) } };
+    }
+
+    json listWorkers(const FleetView& view)
+    {
+        auto rows = json::array();
+        for (const auto& [id, worker] : view.fleet.workers) {
+            if (rows.size() == maxPageRows)
+                break;
+            rows.push_back({ { "id", id }, { "service", worker.service }, { "dataCentre", worker.zone },
+                { "rack", worker.rack }, { "state", stateOf(worker, view.at) },
+                { "accelerators", worker.capacity.accelerators }, { "acceleratorsUsed", worker.used.accelerators },
+                { "milliCores", worker.capacity.milliCores }, { "milliCoresUsed", worker.used.milliCores },
+                { "runs", worker.runs.size() }, { "answeredMsAgo", elapsed(worker.lastAnswerAt, view.at).count() },
+                { "missedLooks", worker.missedLooks }, { "failuresInRow", worker.failuresInRow },
+                { "fillersPercent", worker.fillers.percent } });
+        }
+        return { { "knownWorkers", view.fleet.workers.size() }, { "workers", std::move(rows) } };
+    }
+
+    json listWaves(const FleetView& view)
+    {
+        auto rows = json::array();
+        if (!view.upkeep)
+            return { { "waves", std::move(rows) } };
+        for (const auto& [number, wave] : view.upkeep->waves) {
+            std::map<upkeep::Stage, int> counts;
+            for (const auto& [machine, duty] : wave.duties)
+                ++counts[duty.stage];
+            rows.push_back({ { "wave", number }, { "state", wave.isCompleted ? "completed" : "running" },
+                { "machines", wave.duties.size() }, { "waiting", counts[upkeep::Stage::Waiting] },
+                { "emptying", counts[upkeep::Stage::Emptying] }, { "ordered", counts[upkeep::Stage::Ordered] },
+                { "away", counts[upkeep::Stage::Away] }, { "done", counts[upkeep::Stage::Done] },
+                { "mostAtOnce", wave.request.mostAtOnce },
+                { "dueInMs", wave.deadlineUnixMs == 0 ? 0 : wave.deadlineUnixMs - view.unixMs } });
+        }
+        return { { "waves", std::move(rows) } };
+    }
+
+} // namespace
+
+std::optional<nlohmann::json> operatorPage(const FleetView& view, std::string_view path)
+{
+    constexpr std::string_view jobPrefix = "/v1/jobs/";
+    if (path.starts_with(jobPrefix))
+        return showJob(view, std::string(path.substr(jobPrefix.size())));
+    using Page = json (*)(const FleetView&);
+    constexpr std::array<std::pair<std::string_view, Page>, 5> pages { { { "/v1/jobs", listJobs },
+        { "/v1/fleet", showFleet }, { "/v1/workspaces", listWorkspaces }, { "/v1/workers", listWorkers },
+        { "/v1/waves", listWaves } } };
+    for (const auto& [name, page] : pages) {
+        if (path == name)
+            return page(view);
+    }
+    return std::nullopt;
+}
+
+} // namespace agatevane::node
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -10,7 +10,7 @@
 //! What nodes tell each other.
 namespace agatevane::node {
 
-enum class PeerMessage : std::uint16_t { Pull = 1, Call = 2 };
+enum class PeerMessage : std::uint16_t { Pull = 1, Call = 2, Page = 3 };
 
 //! Asks for news and tells what the sender has.
 struct PullRequest {
@@ -45,6 +45,21 @@
     }
 };
 
+//! Asks the owner of the fleet for a page for operators.
+struct PageRequest {
+    std::string path;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(path); }
+};
+
+struct PageReply {
+    bool isOwner = false;
+    bool isFound = false;
+    std::string body;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(isOwner, isFound, body); }
+};
+
 //! A caller's request on its way to the owner of the fleet.
 struct ForwardedCall {
     CallKind kind = CallKind::State;
--- /dev/null
+++ b/tests/fleet/waiting_tests.cpp
@@ -0,0 +1,89 @@
+#include "agatevane/fleet/waiting.h"
+
+#include "simulation.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace agatevane;
+using namespace agatevane::fleet;
+
+namespace {
+
+//! An owner that has looked at two workers of eight accelerators each.
+struct WaitingFixture {
+    WaitingFixture()
+    {
+        fleet.tenure = 1;
+        fleet.tookOverAt = at;
+        for (int n = 1; n <= 2; ++n) {
+            WorkerListing listing;
+            listing.id = "w" + std::to_string(n);
+            listing.service = test::sampleQueue().service;
+            listing.rack = "r1";
+            listing.labels = { "kind-a", "r1" };
+            listing.capacity = { 64000, 65536, 8 };
+            listing.lifetime = 1;
+            applyListing(fleet, listing, at);
+            applyLookAnswer(fleet, listing.id, { 1, 1000, {}, {} }, unixMs, at);
+        }
+    }
+
+    const Job& submitJob(const JobSpec& spec)
+    {
+        applyCommitted(fleet, submit(fleet, spec, queue, unixMs, at));
+        return fleet.jobs.at(spec.id);
+    }
+
+    WaitReason reasonOf(const Job& job) const { return waitOf(fleet, job, unixMs, at).reason; }
+
+    Fleet fleet;
+    desired_state::Queue queue = test::sampleQueue();
+    std::int64_t unixMs = 1000000;
+    Instant at = Instant {} + Millis(100000);
+};
+
+} // namespace
+
+// Guards against operators who look for room where the fleet can't run the job at all.
+BOOST_FIXTURE_TEST_CASE(A_job_that_no_worker_can_hold_is_told_from_one_that_waits_for_room, WaitingFixture,
+    *boost::unit_test::label("fleet"))
+{
+    auto small = test::sampleJob("small", 1, 8, 1000);
+    BOOST_CHECK(reasonOf(submitJob(small)) == WaitReason::NoRoom);
+    auto large = test::sampleJob("large", 1, 9, 1000);
+    BOOST_CHECK(reasonOf(submitJob(large)) == WaitReason::NoSuitableWorker);
+    auto labelled = test::sampleJob("labelled", 1, 1, 1000);
+    labelled.steps[0].requiredLabel = "kind-b";
+    BOOST_CHECK(reasonOf(submitJob(labelled)) == WaitReason::NoSuitableWorker);
+    auto gang = test::sampleJob("gang", 3, 8, 1000);
+    gang.steps[0].isGang = true;
+    BOOST_CHECK(reasonOf(submitJob(gang)) == WaitReason::NoSuitableWorker);
+    gang = test::sampleJob("smaller-gang", 2, 8, 1000);
+    gang.steps[0].isGang = true;
+    BOOST_CHECK(reasonOf(submitJob(gang)) == WaitReason::NoRoom);
+}
+
+// Guards against a job whose time has not come, or whose queue needs tickets, that seems to wait for room.
+BOOST_FIXTURE_TEST_CASE(Times_and_tickets_are_reasons_of_their_own, WaitingFixture, *boost::unit_test::label("fleet"))
+{
+    auto timed = test::sampleJob("timed", 1, 1, 1000);
+    timed.occurrences = 1;
+    timed.firstDueUnixMs = unixMs + 5000;
+    BOOST_CHECK(reasonOf(submitJob(timed)) == WaitReason::NotDue);
+    queue.needsTickets = true;
+    BOOST_CHECK(reasonOf(submitJob(test::sampleJob("ticketed", 1, 1, 1000))) == WaitReason::NoTicket);
+}
+
+// Guards against a running job that is shown as waiting, and against a step that is taken for waiting before its turn.
+BOOST_FIXTURE_TEST_CASE(
+    A_job_whose_tasks_all_have_workers_waits_for_nothing, WaitingFixture, *boost::unit_test::label("fleet"))
+{
+    auto spec = test::sampleJob("two-steps", 2, 1, 1000);
+    spec.steps.push_back(spec.steps[0]);
+    spec.steps[1].after = { 0 };
+    const auto& job = submitJob(spec);
+    auto wait = waitOf(fleet, job, unixMs, at);
+    BOOST_CHECK_EQUAL(wait.tasks, 2);
+    BOOST_CHECK_EQUAL(wait.step, 0);
+    advance(fleet, unixMs, at);
+    BOOST_CHECK(reasonOf(job) == WaitReason::NotWaiting);
+}
--- /dev/null
+++ b/tests/node/operator_pages_tests.cpp
@@ -0,0 +1,84 @@
+#include "node/operator_pages.h"
+
+#include "agatevane/fleet/dispatch.h"
+#include "agatevane/fleet/jobs.h"
+#include "agatevane/fleet/workers.h"
+#include "fakes.h"
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace agatevane;
+
+namespace {
+
+//! A fleet of two workers with one job that runs and one that can't.
+struct PagesFixture {
+    PagesFixture()
+    {
+        fleet.tenure = 3;
+        fleet.tookOverAt = at;
+        fleet.desired.tenants = { { "crew", {}, 4 } };
+        for (int n = 1; n <= 2; ++n) {
+            auto listing = test::sampleWorker(n);
+            fleet::applyListing(fleet, listing, at);
+            fleet::applyLookAnswer(fleet, listing.id, { listing.lifetime, 1000, {}, {} }, unixMs, at);
+        }
+        submit("runs", 1);
+        submit("waits", 1000);
+        fleet::advance(fleet, unixMs, at);
+    }
+
+    void submit(const std::string& id, std::int64_t accelerators)
+    {
+        auto spec = test::sampleJob(id, 1000);
+        spec.tenant = "crew";
+        spec.steps[0].need.accelerators = accelerators;
+        fleet::applyCommitted(fleet, fleet::submit(fleet, spec, test::sampleQueue(), unixMs, at));
+    }
+
+    nlohmann::json page(std::string_view path) const
+    {
+        auto result = node::operatorPage({ fleet, nullptr, "n1", unixMs, at }, path);
+        BOOST_REQUIRE_MESSAGE(result, path);
+        return *result;
+    }
+
+    fleet::Fleet fleet;
+    std::int64_t unixMs = 1000000;
+    Instant at = Instant {} + Millis(100000);
+};
+
+} // namespace
+
+// Guards against a page from which an operator can't tell which job waits and why.
+BOOST_FIXTURE_TEST_CASE(The_page_of_jobs_says_why_each_one_waits, PagesFixture, *boost::unit_test::label("node"))
+{
+    auto jobs = page("/v1/jobs").at("jobs");
+    BOOST_REQUIRE_EQUAL(jobs.size(), 2);
+    BOOST_CHECK_EQUAL(jobs[0].at("id"), "runs");
+    BOOST_CHECK_EQUAL(jobs[0].at("reason"), "");
+    BOOST_CHECK_EQUAL(jobs[1].at("id"), "waits");
+    BOOST_CHECK_EQUAL(jobs[1].at("reason"), "no_suitable_worker");
+    auto job = page("/v1/jobs/runs");
+    BOOST_REQUIRE_EQUAL(job.at("runs").size(), 1);
+    BOOST_CHECK_EQUAL(job.at("runs")[0].at("state"), "ordered");
+    BOOST_CHECK(!node::operatorPage({ fleet, nullptr, "n1", unixMs, at }, "/v1/jobs/other"));
+}
+
+// Guards against sums that leave out a worker, and against use that is counted for no tenant.
+BOOST_FIXTURE_TEST_CASE(The_pages_of_fleet_and_tenants_add_up, PagesFixture, *boost::unit_test::label("node"))
+{
+    auto whole = page("/v1/fleet").at("dataCentres")[0];
+    std::int64_t accelerators = 0;
+    for (const auto& [id, worker] : fleet.workers)
+        accelerators += worker.capacity.accelerators;
+    BOOST_CHECK_EQUAL(whole.at("accelerators"), accelerators);
+    BOOST_CHECK_EQUAL(whole.at("acceleratorsFree"), accelerators - 1);
+    BOOST_CHECK_EQUAL(whole.at("epoch"), 3);
+    auto tenant = page("/v1/workspaces").at("workspaces")[0];
+    BOOST_CHECK_EQUAL(tenant.at("workspace"), "crew");
+    BOOST_CHECK_EQUAL(tenant.at("used"), 1);
+    BOOST_CHECK_EQUAL(tenant.at("guaranteed"), 4);
+    BOOST_CHECK_EQUAL(page("/v1/workers").at("workers").size(), 2);
+    BOOST_CHECK(page("/v1/waves").at("waves").empty());
+}
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -46,6 +46,7 @@
     //! What the node's processes have written since the beginning.
     std::string logOf(int index) const;
     int nodeCount() const { return static_cast<int>(nodes_.size()); }
+    int metricsPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).metricsPort; }
     int callersPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).callersPort; }
     std::vector<std::string> workers() const { return workers_; }
     bool await(Millis limit, const std::function<bool()>& condition);
