Take work off workers before they leave

Cause: since runs are kept until their lease has passed, a task on a worker that had left as announced waited for up to 6.1 s; and all it had done since its last checkpoint was lost. The least time that a draining worker stays was not read.

The stand-in's workers tell the time left.

Both tests in tests/fleet/worker_tests fail without the call of evacuate.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
@@ -386,6 +387,7 @@
 {
     Orders orders;
     expireRuns(fleet, at);
+    evacuate(fleet, at);
     if (fleet.isPlacementDue)
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.adviceDue, {});
--- a/src/agatevane/fleet/leases.cpp
+++ b/src/agatevane/fleet/leases.cpp
@@ -10,16 +10,17 @@
     return worker.clockMs + static_cast<std::int64_t>(std::max(0.0, passed) * (1 - maxClockLag));
 }
 
-Millis longestLease(const Fleet& fleet)
+Millis longestLease(Millis span)
 {
-    auto span = static_cast<double>(fleet.limits.leaseSpan.count());
-    return Millis(static_cast<std::int64_t>(span / (1 - maxClockLag))) + leaseMargin;
+    auto longest = static_cast<double>(span.count()) / (1 - maxClockLag);
+    return Millis(static_cast<std::int64_t>(longest)) + leaseMargin;
 }
 
 std::int64_t extendLease(const Fleet& fleet, Worker& worker, Instant at)
 {
-    worker.leaseBound = std::max(worker.leaseBound, at + longestLease(fleet));
-    return leastClockMs(worker, at) + fleet.limits.leaseSpan.count();
+    auto span = fleet.limits.leaseSpan;
+    worker.leaseBound = std::max(worker.leaseBound, at + longestLease(span));
+    return leastClockMs(worker, at) + span.count();
 }
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/leases.h
+++ b/src/agatevane/fleet/leases.h
@@ -13,8 +13,8 @@
 //! The least that the worker's clock shows at `at`.
 std::int64_t leastClockMs(const Worker& worker, Instant at);
 
-//! A lease that is asked for now has passed on every worker's clock after this.
-Millis longestLease(const Fleet& fleet);
+//! A lease over `span` that is asked for now has passed on every worker's clock after this.
+Millis longestLease(Millis span);
 
 //! The time on the worker's clock to ask a lease for, if the order is sent at `at`. Moves `leaseBound` on, since the
 //! order may be carried out whether or not an answer comes.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -124,6 +124,7 @@
     Capacity capacity;
     bool isListed = false; //!< in the platform's list
     bool isDraining = false;
+    Instant leavesAt; //!< of a draining worker: not before; the epoch: not known
     std::int64_t lifetime = 0; //!< identifies one life of the worker; 0: not known
 
     bool isLookedAt = false; //!< it has answered to our fencing token in this lifetime
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -205,7 +205,7 @@
     {
         if (at >= fleet.tookOverAt + fleet.limits.inheritedWait)
             return true;
-        auto leaseLeft = longestLease(fleet) - 2 * fleet.limits.reportInterval;
+        auto leaseLeft = longestLease(fleet.limits.leaseSpan) - 2 * fleet.limits.reportInterval;
         return !worker.isListed && worker.missedLooks >= missesToAvoid
             && at - worker.unlistedAt >= std::max(goneAfterUnlisted, leaseLeft);
     }
@@ -234,7 +234,8 @@
         Line("worker_listed")
             .with("worker", listing.id)
             .with("lifetime", listing.lifetime)
-            .with("draining", listing.isDraining);
+            .with("draining", listing.isDraining)
+            .with("time_left_ms", listing.timeLeft.value_or(Millis(0)).count());
     }
     worker.address = listing.address;
     worker.service = listing.service;
@@ -243,6 +244,7 @@
     worker.labels = listing.labels;
     worker.capacity = listing.capacity;
     worker.isDraining = listing.isDraining;
+    worker.leavesAt = listing.timeLeft ? at + *listing.timeLeft : Instant {};
     worker.isListed = true;
 }
 
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -2,6 +2,7 @@
 
 #include "agatevane/fleet/jobs.h"
 #include "agatevane/fleet/state.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,9 +20,11 @@
     Capacity capacity;
     bool isDraining = false;
     std::int64_t lifetime = 0;
+    std::optional<Millis> timeLeft; //!< of a draining worker: it stays at least so long
 
     bool operator==(const WorkerListing&) const = default;
 
+    //! Without the time left, which is old when it is read again.
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(id, address.address, address.port, service, zone, rack, labels, capacity, isDraining, lifetime);
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -15,6 +15,8 @@
 
     constexpr int statusConditionFailed = 412;
     constexpr auto beatInterval = Millis(200);
+    //! Entries are written anew when the time left has fallen by this much.
+    constexpr std::int64_t timeLeftStepMs = 500;
     constexpr auto pollInterval = Millis(10);
 
     std::string unescape(std::string_view text)
@@ -157,7 +159,7 @@
     if (faults_.isDown)
         return;
     std::map<fleet::WorkerId, std::string> current;
-    for (const auto& listing : workers_.listings()) {
+    for (const auto& listing : workers_.listings(modelMillis())) {
         const auto& published = endpoints_.at(listing.id).publishedAddress;
         json entry { { "service", listing.service },
             { "address",
@@ -168,6 +170,8 @@
                 { { "cpu", listing.capacity.milliCores }, { "taskMemoryMb", listing.capacity.memoryMiB },
                     { "gpu", listing.capacity.accelerators } } },
             { "labels", listing.labels } };
+        if (listing.timeLeft)
+            entry["remainingMs"] = listing.timeLeft->count() / timeLeftStepMs * timeLeftStepMs;
         current[listing.id] = entry.dump();
     }
     kv::Txn txn;
@@ -194,10 +198,17 @@
         else
             handleWrite(request, respond);
     };
+    if (faults_.lateMs > 0 && request.method != "GET")
+        return later(faults_.lateMs, [this, request] { handleWrite(request, [](const Response&) {}); });
     if (faults_.delayMs == 0)
         return carryOut();
+    later(faults_.delayMs, carryOut);
+}
+
+void PlatformServer::later(int delayMs, const std::function<void()>& action)
+{
     auto timer = std::make_shared<node::Timer>(context_);
-    timer->arm(Millis(faults_.delayMs), [timer, carryOut] { carryOut(); });
+    timer->arm(Millis(delayMs), [timer, action] { action(); });
 }
 
 void PlatformServer::handleRead(const Request& request, const Respond& respond)
@@ -287,26 +298,37 @@
         return respond(reply(platform::statusMisdirected));
     if (request.target == "/api/hold")
         return handleLook(worker, body, respond);
+    if (auto lateMs = endpoints_.at(worker).lateMs; lateMs > 0) {
+        return later(lateMs, [this, worker, target = request.target, body] {
+            if (workers_.isUp(worker))
+                carryOutOrder(worker, target, body);
+        });
+    }
+    respond(carryOutOrder(worker, request.target, body));
+}
+
+event_http::Response PlatformServer::carryOutOrder(
+    const fleet::WorkerId& worker, const std::string& target, const json& body)
+{
     auto task = platform::decodeTaskName(platform::textOr(body, "task"));
     if (!task)
-        return respond(reply(platform::statusBadRequest));
+        return reply(platform::statusBadRequest);
     auto run = static_cast<fleet::RunNumber>(platform::integerOr(body, "run", 0));
     auto token = static_cast<std::uint64_t>(platform::integerOr(body, "fencingToken", 0));
     StartOutcome outcome;
-    if (request.target == "/api/run-start")
+    if (target == "/api/run-start")
         outcome = workers_.start(
             { worker, {}, *task, run, platform::textOr(body, "specification"), platform::textOr(body, "checkpoint"), {},
                 platform::integerOr(body, "untilMs", 0), token },
             modelMillis());
-    else if (request.target == "/api/pace")
+    else if (target == "/api/pace")
         outcome = workers_.pace(
             { worker, {}, *task, run, static_cast<int>(platform::integerOr(body, "percent", 0)), token },
             modelMillis());
     else
         outcome = workers_.stop({ worker, {}, *task, run, token }, modelMillis());
     bool isRefused = outcome.isFenced || outcome.outcome != fleet::OrderOutcome::Done;
-    respond(
-        isRefused ? reply(platform::statusConflict, { { "reason", reasonOf(outcome) } }) : reply(platform::statusOk));
+    return isRefused ? reply(platform::statusConflict, { { "reason", reasonOf(outcome) } }) : reply(platform::statusOk);
 }
 
 void PlatformServer::handleLook(const fleet::WorkerId& worker, const json& body, const Respond& respond)
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -28,6 +28,7 @@
     bool isDown = false; //!< answers 503 and does nothing
     bool losesAnswers = false; //!< carries writes out and answers nothing
     int delayMs = 0;
+    int lateMs = 0; //!< carries writes out so much later and answers nothing
 };
 
 class PlatformServer {
@@ -49,6 +50,7 @@
         fleet::WorkerId worker;
         std::unique_ptr<event_http::Server> server;
         std::string publishedAddress; //!< shown in the store in place of its own; empty: its own
+        int lateMs = 0; //!< carries orders out so much later and answers nothing; looks are answered
     };
 
     //! A machine and the worker that runs on it, under a new id after each upkeep.
@@ -71,6 +73,8 @@
     void handleWrite(const event_http::Request& request, const Respond& respond);
     void waitForChanges(const std::string& prefix, kv::Revision after, std::int64_t untilMs, const Respond& respond);
     void handleWorker(const fleet::WorkerId& worker, const event_http::Request& request, const Respond& respond);
+    void later(int delayMs, const std::function<void()>& action);
+    event_http::Response carryOutOrder(const fleet::WorkerId& worker, const std::string& target, const Json& body);
     void handleLook(const fleet::WorkerId& worker, const Json& body, const Respond& respond);
     void answerLook(const fleet::WorkerId& worker, std::int64_t lifetime, const fleet::LookOrder& order,
         std::int64_t untilMs, const Respond& respond);
--- a/standins/platform/platform_server_control.cpp
+++ b/standins/platform/platform_server_control.cpp
@@ -13,6 +13,8 @@
 
     //! How long a machine is down for its upkeep.
     constexpr std::int64_t upkeepTimeMs = 2000;
+    //! How long a draining worker stays at least.
+    constexpr std::int64_t noticeMs = 2500;
 
 } // namespace
 
@@ -74,7 +76,8 @@
     return true;
 }
 
-//! POST /faults {down, losesAnswers, delayMs}, /desired, /waves, /workers/ID/(restart|crash|drain|fail|mend|publish).
+//! POST /faults {down, losesAnswers, delayMs, lateMs}, /compact, /desired, /waves,
+//! /workers/ID/(restart|crash|drain|fail|mend|publish|late).
 //! GET /runs, /workers, /status.
 void PlatformServer::handleControl(const Request& request, const Respond& respond)
 {
@@ -105,12 +108,17 @@
         putDesired(request.body);
         return respond(reply(platform::statusOk));
     }
+    if (request.target == "/compact") {
+        kv_.compact();
+        return respond(reply(platform::statusOk));
+    }
     if (request.target == "/faults") {
         auto body = json::parse(request.body, nullptr, false);
         if (!body.is_object())
             return respond(reply(platform::statusBadRequest));
         faults_ = { platform::flagOr(body, "down"), platform::flagOr(body, "losesAnswers"),
-            static_cast<int>(platform::integerOr(body, "delayMs", 0)) };
+            static_cast<int>(platform::integerOr(body, "delayMs", 0)),
+            static_cast<int>(platform::integerOr(body, "lateMs", 0)) };
         return respond(reply(platform::statusOk));
     }
     constexpr std::string_view workersPath = "/workers/";
@@ -127,11 +135,13 @@
     } else if (action == "crash")
         workers_.crash(worker, modelMillis());
     else if (action == "drain")
-        workers_.setDraining(worker, true);
+        workers_.drain(worker, modelMillis() + noticeMs);
     else if (action == "fail")
         workers_.setFailing(worker, true);
     else if (action == "mend")
         workers_.setFailing(worker, false);
+    else if (action == "late")
+        endpoints_.at(worker).lateMs = std::atoi(request.body.c_str());
     else if (action == "publish")
         endpoints_.at(worker).publishedAddress = request.body;
     else
--- a/standins/platform/worker_model.cpp
+++ b/standins/platform/worker_model.cpp
@@ -89,6 +89,7 @@
 {
     crash(id, nowMs);
     auto listing = workers_.at(id).listing;
+    listing.isDraining = false;
     workers_.at(id) = {};
     addWorker(listing, nowMs);
 }
@@ -98,9 +99,10 @@
     workers_.at(id).fails = fails;
 }
 
-void WorkerModel::setDraining(const fleet::WorkerId& id, bool drains)
+void WorkerModel::drain(const fleet::WorkerId& id, std::int64_t leavesAtMs)
 {
-    workers_.at(id).listing.isDraining = drains;
+    workers_.at(id).listing.isDraining = true;
+    workers_.at(id).leavesAtMs = leavesAtMs;
 }
 
 bool WorkerModel::isUp(const fleet::WorkerId& id) const
@@ -108,12 +110,15 @@
     return workers_.at(id).isUp;
 }
 
-std::vector<fleet::WorkerListing> WorkerModel::listings() const
+std::vector<fleet::WorkerListing> WorkerModel::listings(std::int64_t nowMs) const
 {
     std::vector<fleet::WorkerListing> all;
     for (const auto& [id, worker] : workers_) {
-        if (worker.isUp)
-            all.push_back(worker.listing);
+        if (!worker.isUp)
+            continue;
+        all.push_back(worker.listing);
+        if (worker.listing.isDraining)
+            all.back().timeLeft = Millis(std::max<std::int64_t>(0, worker.leavesAtMs - nowMs));
     }
     return all;
 }
--- a/standins/platform/worker_model.h
+++ b/standins/platform/worker_model.h
@@ -63,12 +63,13 @@
     //! A new life under the same id.
     void restart(const fleet::WorkerId& worker, std::int64_t nowMs);
     void setFailing(const fleet::WorkerId& worker, bool fails);
-    void setDraining(const fleet::WorkerId& worker, bool drains);
+    //! From now on the worker is shown as draining. It stays until it is taken away by `crash` or `restart`.
+    void drain(const fleet::WorkerId& worker, std::int64_t leavesAtMs);
 
     bool isUp(const fleet::WorkerId& worker) const;
     //! Of a worker that is up or was.
     const fleet::WorkerListing& listing(const fleet::WorkerId& worker) const { return workers_.at(worker).listing; }
-    std::vector<fleet::WorkerListing> listings() const;
+    std::vector<fleet::WorkerListing> listings(std::int64_t nowMs) const;
 
     StartOutcome start(const fleet::StartOrder& order, std::int64_t nowMs);
     StartOutcome stop(const fleet::StopOrder& order, std::int64_t nowMs);
@@ -104,6 +105,7 @@
         fleet::WorkerListing listing;
         bool isUp = true;
         bool fails = false;
+        std::int64_t leavesAtMs = 0; //!< of a draining worker
         std::int64_t bornMs = 0;
         std::uint64_t fencingToken = 0;
         std::int64_t leaseUntilMs = 0; //!< on its own clock
--- a/tests/fleet/pacing_tests.cpp
+++ b/tests/fleet/pacing_tests.cpp
@@ -43,7 +43,7 @@
     std::int64_t harmed = 0;
     while (simulation.nowMs() < endMs) {
         simulation.runUntil(simulation.nowMs() + 20);
-        for (const auto& listing : simulation.workers().listings()) {
+        for (const auto& listing : simulation.workers().listings(simulation.nowMs())) {
             const auto& id = listing.id;
             bool isHarmed = simulation.workers().worstTail(id) > targetMs && simulation.workers().fillerPace(id) > 0;
             auto begin = since.try_emplace(id, simulation.nowMs()).first;
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -126,7 +126,7 @@
             breach("a progress record can't be read");
         fleet::inherit(fleet, std::move(*job), nowMs_, at(nowMs_));
     }
-    fleet::applyFullList(fleet, workers_.listings(), at(nowMs_));
+    fleet::applyFullList(fleet, workers_.listings(nowMs_), at(nowMs_));
     // Callers send again what the earlier owner has not made durable.
     for (const auto& [id, spec] : specs_) {
         if (!store_.contains(fleet::acceptancePrefix + id))
@@ -200,7 +200,7 @@
     if (nowMs_ % 200 < tickMs)
         fleet.isPlacementDue = true;
     if (nowMs_ % 1000 < tickMs)
-        fleet::applyFullList(fleet, workers_.listings(), at(nowMs_));
+        fleet::applyFullList(fleet, workers_.listings(nowMs_), at(nowMs_));
     auto orders = fleet::advance(fleet, nowMs_, at(nowMs_));
     for (const auto& order : orders.starts)
         sendStart(owner, order);
--- a/tests/fleet/worker_tests.cpp
+++ b/tests/fleet/worker_tests.cpp
@@ -31,6 +31,47 @@
     BOOST_CHECK_EQUAL(simulation.workers().history().size(), 1U);
 }
 
+// Guards against work that is lost with a worker that had announced to leave, and against a task that waits for the
+// lease of such a worker before it goes on elsewhere.
+BOOST_AUTO_TEST_CASE(Work_that_saves_is_taken_off_a_leaving_worker, *boost::unit_test::label("workers"))
+{
+    FleetSimulation simulation({ .seed = 10, .workers = 4 });
+    simulation.runUntil(500);
+    auto saving = test::sampleJob("00000000000000a1", 1, 1, 9000);
+    saving.steps[0].savesCheckpoints = true;
+    saving.payload += " saves";
+    simulation.submit(saving, test::sampleQueue());
+    simulation.runUntil(1500);
+    auto leaving = simulation.workers().history().front().worker;
+    simulation.workers().drain(leaving, 4000);
+    simulation.runUntil(2500);
+    BOOST_CHECK_EQUAL(simulation.workers().history().size(), 1U);
+    simulation.runUntil(4000);
+    BOOST_REQUIRE_EQUAL(simulation.workers().history().size(), 2U);
+    const auto& history = simulation.workers().history();
+    BOOST_CHECK(history.front().end == fleet::EndKind::Stopped);
+    simulation.workers().crash(leaving, simulation.nowMs());
+    // 9 s of work that began at 0.5 s, with the time of the move: what was done before is kept.
+    BOOST_CHECK(simulation.runUntilEnded(11500));
+}
+
+// Guards against work that goes on, and is thrown away, on a worker that leaves before it can end; and against the loss
+// of a run that ends in time.
+BOOST_AUTO_TEST_CASE(A_run_that_cannot_end_in_time_begins_elsewhere_at_once, *boost::unit_test::label("workers"))
+{
+    for (bool canEnd : { false, true }) {
+        FleetSimulation simulation({ .seed = 10, .workers = 4 });
+        simulation.runUntil(500);
+        simulation.submit(test::sampleJob("00000000000000a2", 1, 1, 4000), test::sampleQueue());
+        simulation.runUntil(2000);
+        auto leaving = simulation.workers().history().front().worker;
+        simulation.workers().drain(leaving, canEnd ? 5500 : 4000);
+        simulation.runUntil(3000);
+        BOOST_CHECK_EQUAL(simulation.workers().history().size(), canEnd ? 1U : 2U);
+        BOOST_CHECK(simulation.runUntilEnded(7500));
+    }
+}
+
 // Guards against a task that runs twice because its worker's entry has lapsed: a worker that is cut off from the store
 // and from the nodes works on until its lease has passed (TWICE in workers_taken_away_while_cut --vary --seed
 // 495977562564 of ipfrr-agatevane).
--- a/tests/node/fleet_owner_tests.cpp
+++ b/tests/node/fleet_owner_tests.cpp
@@ -16,7 +16,7 @@
     {
         for (int n = 1; n <= 2; ++n) {
             workerModel.addWorker(test::sampleWorker(n), modelMillisNow());
-            auto listing = workerModel.listings().back();
+            auto listing = workerModel.listings(test::modelMillis()).back();
             kvModel.commit({ {}, { { "workers/" + listing.id, net::encode(listing), 0 } }, {} }, modelMillisNow());
         }
         seat(1);
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -24,7 +24,7 @@
     {
         for (int n = 1; n <= 2; ++n) {
             workerModel.addWorker(test::sampleWorker(n), test::modelMillis());
-            auto listing = workerModel.listings().back();
+            auto listing = workerModel.listings(test::modelMillis()).back();
             kvModel.commit({ {}, { { "workers/" + listing.id, net::encode(listing), 0 } }, {} }, test::modelMillis());
         }
         putDesired("1");
@@ -45,7 +45,7 @@
         settings.name = name;
         settings.callers = { "127.0.0.1", test::freePort() };
         settings.readiness = { "127.0.0.1", test::freePort() };
-        settings.peers = { "127.0.0.1", test::freePort() };
+        settings.peersListen = settings.peers = { "127.0.0.1", test::freePort() };
         settings.metrics = { "127.0.0.1", test::freePort() };
         for (const auto& [other, known] : members)
             settings.seeds.push_back(known.settings.peers);
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -105,6 +105,22 @@
     BOOST_CHECK_EQUAL(listing->lifetime, 1700000000000);
 }
 
+// Guards against a worker that leaves without its tasks being moved, because its time left is not read.
+BOOST_AUTO_TEST_CASE(The_time_left_of_a_draining_worker_is_decoded, *boost::unit_test::label("platform"))
+{
+    auto timeLeftOf = [](const char* state, std::int64_t remainingMs) {
+        auto entry = nlohmann::json::parse(workerText);
+        entry["state"] = state;
+        entry["remainingMs"] = remainingMs;
+        Findings findings;
+        auto listing = decodeListing(itemOf("servers/i-1", entry.dump()), findings);
+        return listing ? listing->timeLeft : std::nullopt;
+    };
+    BOOST_CHECK(timeLeftOf("draining", 2500) == Millis(2500));
+    BOOST_CHECK(!timeLeftOf("ready", 2500));
+    BOOST_CHECK(!timeLeftOf("draining", std::numeric_limits<std::int64_t>::max()));
+}
+
 // Guards against entries of other writers, which name no worker to use.
 BOOST_AUTO_TEST_CASE(Foreign_worker_entries_are_findings, *boost::unit_test::label("platform"))
 {
