--- /dev/null
+++ b/src/agatevane/net/peer_address.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace agatevane::net {
+
+//! Address of a peer; `address` is an IP number.
+struct PeerAddress {
+    std::string address;
+    int port = 0;
+
+    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const PeerAddress&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+//! Returns what is wrong with `text`, or an empty string. Addresses are IP numbers, since VMs have no name service;
+//! IPv6 numbers stand in brackets. Port 0 stands for any free one.
+std::string readAddress(std::string_view text, PeerAddress& result);
+
+} // namespace agatevane::net
--- a/src/agatevane/net/rpc.h
+++ b/src/agatevane/net/rpc.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/base/instant.h"
+#include "agatevane/net/peer_address.h"
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
@@ -16,15 +17,6 @@
 constexpr std::size_t maxFrameBytes = 1 << 20;
 constexpr std::size_t maxDatagramBytes = 1200;
 
-//! Address of a peer; `address` is an IP number.
-struct PeerAddress {
-    std::string address;
-    int port = 0;
-
-    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
-    auto operator<=>(const PeerAddress&) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 //! Sends the reply to one request; may be called later, from any thread, at most once.
 using Reply = std::function<void(std::string payload)>;
 using RequestHandler = std::function<void(std::uint16_t kind, std::string_view payload, Reply reply)>;
--- a/src/agatevane/settings/addresses.cpp
+++ b/src/agatevane/settings/addresses.cpp
@@ -1,8 +1,6 @@
 #include "agatevane/settings/addresses.h"
 
 #include <algorithm>
-#include <asio/ip/address.hpp>
-#include <charconv>
 
 namespace agatevane::settings {
 
@@ -21,30 +19,6 @@
     return parts;
 }
 
-std::string readAddress(std::string_view text, net::PeerAddress& result)
-{
-    auto quoted = "\"" + std::string(text) + "\"";
-    auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return quoted + " is not ip:port";
-    auto digits = text.substr(colon + 1);
-    net::PeerAddress parsed;
-    auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), parsed.port);
-    if (error != std::errc() || end != digits.data() + digits.size() || parsed.port < 0 || parsed.port > 65535)
-        return quoted + " has no port from 0 to 65535";
-    auto host = text.substr(0, colon);
-    bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
-    if (isBracketed)
-        host = host.substr(1, host.size() - 2);
-    std::error_code notAnAddress;
-    auto ip = asio::ip::make_address(std::string(host), notAnAddress);
-    if (notAnAddress || ip.is_v6() != isBracketed)
-        return quoted + " does not start with an IP number";
-    parsed.address = std::string(host);
-    result = std::move(parsed);
-    return {};
-}
-
 std::string readNamedAddresses(std::string_view text, std::vector<NamedAddress>& result)
 {
     std::vector<NamedAddress> parsed;
@@ -53,7 +27,7 @@
         if (equals == std::string::npos || equals == 0)
             return "\"" + part + "\" is not name=ip:port";
         NamedAddress named { part.substr(0, equals), {} };
-        if (auto wrong = readAddress(part.substr(equals + 1), named.address); !wrong.empty())
+        if (auto wrong = net::readAddress(part.substr(equals + 1), named.address); !wrong.empty())
             return wrong;
         if (std::ranges::any_of(parsed, [&](const auto& other) { return other.name == named.name; }))
             return "the name \"" + named.name + "\" is listed twice";
@@ -69,7 +43,7 @@
     if (!http::parseEndpoint(text, parsed))
         return "\"" + std::string(text) + "\" is neither ip:port nor https://ip:port";
     net::PeerAddress address;
-    if (auto wrong = readAddress(parsed.address + ":" + std::to_string(parsed.port), address); !wrong.empty())
+    if (auto wrong = net::readAddress(parsed.address + ":" + std::to_string(parsed.port), address); !wrong.empty())
         return wrong;
     parsed.caFile = result.caFile;
     result = std::move(parsed);
--- a/src/agatevane/settings/addresses.h
+++ b/src/agatevane/settings/addresses.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "agatevane/http/client.h"
-#include "agatevane/net/rpc.h"
+#include "agatevane/net/peer_address.h"
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,9 +16,7 @@
     bool operator==(const NamedAddress&) const = default;
 };
 
-//! Each reader returns what is wrong with `text`, or an empty string. Addresses are IP numbers, since VMs have no name
-//! service; IPv6 numbers stand in brackets.
-std::string readAddress(std::string_view text, net::PeerAddress& result);
+//! Each reader returns what is wrong with `text`, or an empty string, as net::readAddress does.
 std::string readNamedAddresses(std::string_view text, std::vector<NamedAddress>& result);
 std::string readEndpoint(std::string_view text, http::Endpoint& result);
 std::string readEndpoints(std::string_view text, std::vector<http::Endpoint>& result);
--- a/src/agatevane/settings/settings.cpp
+++ b/src/agatevane/settings/settings.cpp
@@ -272,7 +272,7 @@
 void Settings::address(const std::string& flag, net::PeerAddress& target, const std::string& help, Presence presence)
 {
     custom(
-        flag, help, toText(target), [&target](const std::string& value) { return readAddress(value, target); },
+        flag, help, toText(target), [&target](const std::string& value) { return net::readAddress(value, target); },
         presence);
 }
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -137,6 +137,10 @@
     std::string path = platform::settingsPath();
     bool checkOnly = false;
     app.add_option("--settings", path, "Settings file of the platform")->capture_default_str();
+    std::string advertised;
+    app.add_option("--advertised-peers-address", advertised,
+           "IP:PORT at which other nodes reach this one, if a forwarder stands between them")
+        ->envname("AGATEVANE_ADVERTISED_PEERS_ADDRESS");
     app.add_flag("--check", checkOnly, "Only check the settings");
     CLI11_PARSE(app, argc, argv);
     Findings findings;
@@ -144,10 +148,17 @@
     if (!text)
         findings.push_back({ path, "can't be read" });
     auto settings = text ? platform::readSettings(*text, findings) : std::nullopt;
-    if (!settings) {
+    net::PeerAddress address;
+    if (!advertised.empty()) {
+        if (auto wrong = net::readAddress(advertised, address); !wrong.empty())
+            findings.push_back({ "--advertised-peers-address", wrong });
+    }
+    if (!findings.empty()) {
         std::cerr << format(findings);
         return badSettingsExit;
     }
+    if (!advertised.empty())
+        settings->peers = address;
     if (checkOnly)
         return 0;
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -133,7 +133,7 @@
     listen(*callers_, settings_.callers, "callers");
     listen(*readiness_, settings_.readiness, "readiness");
     listen(*metricsServer_, settings_.metrics, "metrics");
-    if (auto error = peerServer_->listen(settings_.peers))
+    if (auto error = peerServer_->listen(settings_.peersListen))
         findings.push_back({ "peers", error.message() });
     if (!findings.empty())
         return false;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -17,7 +17,8 @@
     std::string region;
     net::PeerAddress callers; //!< listens for jobs
     net::PeerAddress readiness; //!< listens for the balancer's checks
-    net::PeerAddress peers; //!< listens for the other nodes
+    net::PeerAddress peersListen; //!< listens for the other nodes
+    net::PeerAddress peers; //!< where other nodes reach this one; not the same behind a forwarder
     net::PeerAddress metrics; //!< listens for metrics
     std::vector<net::PeerAddress> seeds; //!< some nodes; may be stale
     net::PeerAddress store;
--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -43,10 +43,15 @@
         member.readinessPort = reservedPort();
         member.peersPort = reservedPort();
         member.metricsPort = reservedPort();
-        member.storePort = storePort_;
-        if (options.relay)
-            member.storePort = options.relay->add(
-                { "store-" + std::to_string(index), "tcp", reservedPort(), "127.0.0.1", storePort_ });
+        auto linkTo = [&](const std::string& name, int port) {
+            return options.relay
+                ? options.relay->add({ name + std::to_string(index), "tcp", reservedPort(), "127.0.0.1", port })
+                : port;
+        };
+        member.storePort = linkTo("store-", storePort_);
+        member.advertisedPort = linkTo("peer-", member.peersPort);
+        member.entryPort = linkTo("caller-", member.callersPort);
+        require(member.storePort > 0 && member.advertisedPort > 0 && member.entryPort > 0, "a link can't listen");
     }
     for (int index = 0; index < options.nodes; ++index) {
         writeSettings(nodes_[static_cast<std::size_t>(index)], index);
@@ -71,7 +76,7 @@
     member.settingsFile = "/tmp/agatevane_node_" + std::to_string(::getpid()) + "_" + std::to_string(member.peersPort);
     std::string seeds;
     for (const auto& other : nodes_)
-        seeds += (seeds.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(other.peersPort);
+        seeds += (seeds.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(other.advertisedPort);
     std::ofstream file(member.settingsFile);
     file << "nodeName=node-" << index << "\nipAddress=127.0.0.1\nzone=zone-a\nregion=region-a\n"
          << "listenAddresses.frontendAddress=127.0.0.1:" << member.callersPort << "\n"
@@ -88,8 +93,9 @@
     auto& member = nodes_.at(static_cast<std::size_t>(index));
     if (member.process)
         member.earlierOutput += member.process->output();
-    member.process
-        = std::make_unique<Process>("agatevane-node", std::vector<std::string> { "--settings", member.settingsFile });
+    member.process = std::make_unique<Process>("agatevane-node",
+        std::vector<std::string> { "--settings", member.settingsFile, "--advertised-peers-address",
+            "127.0.0.1:" + std::to_string(member.advertisedPort) });
 }
 
 void PlatformDeployment::addSetting(int index, const std::string& line)
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -16,8 +16,8 @@
 struct DeploymentOptions {
     int nodes = 3;
     int workers = 4;
-    //! Forwards what the nodes send to the store and to the workers over links named "store-N" and "worker-ID"; null:
-    //! they send it directly.
+    //! Forwards what the nodes send to the store, to the workers and to each other over links named "store-N",
+    //! "worker-ID" and "peer-N" (to node N), and what callers send over "caller-N"; null: they send it directly.
     standin::Relay* relay = nullptr;
 };
 
@@ -47,7 +47,7 @@
     std::string logOf(int index) const;
     int nodeCount() const { return static_cast<int>(nodes_.size()); }
     int metricsPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).metricsPort; }
-    int callersPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).callersPort; }
+    int entryPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).entryPort; }
     std::vector<std::string> workers() const { return workers_; }
     bool await(Millis limit, const std::function<bool()>& condition);
 
@@ -59,6 +59,8 @@
         int peersPort = 0;
         int metricsPort = 0;
         int storePort = 0; //!< of the store or of the link to it
+        int advertisedPort = 0; //!< at which other nodes reach this one
+        int entryPort = 0; //!< at which callers reach this one
         std::unique_ptr<Process> process;
         std::string earlierOutput; //!< of the processes before
     };
--- a/tests/settings/settings_tests.cpp
+++ b/tests/settings/settings_tests.cpp
@@ -105,7 +105,7 @@
     net::PeerAddress address;
     std::vector<settings::NamedAddress> named;
     http::Endpoint endpoint;
-    if (settings::readAddress(text, address).empty())
+    if (net::readAddress(text, address).empty())
         RC_ASSERT(address.port >= 0 && address.port <= 65535);
     settings::readNamedAddresses(text, named);
     settings::readEndpoint(text, endpoint);
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -8,6 +8,9 @@
 
     constexpr int storeDelayMs = 300;
     constexpr std::chrono::milliseconds linkDelay { 400 };
+    constexpr int storeLateMs = 2500;
+    //! Within the time after which a cancelled job's task may not begin any more.
+    constexpr int orderLateMs = 2000;
     //! A process is started again this long after it was killed or has exited.
     constexpr std::int64_t restartAfterMs = 300;
     //! The platform kills a process that has not exited this long after SIGTERM.
@@ -50,21 +53,19 @@
     case FaultKind::StoreDown:
     case FaultKind::StoreSlow:
     case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreWritesLate:
         return beginOnStore(fault, endMs);
-    case FaultKind::StoreLinkCut:
-    case FaultKind::StoreLinkSilent:
-    case FaultKind::StoreLinkOneWay:
-    case FaultKind::StoreLinkReset:
-    case FaultKind::WorkerLinkSilent:
-    case FaultKind::WorkerLinkOneWay:
-    case FaultKind::WorkerLinkDelayed:
-    case FaultKind::WorkerLinkReset:
-        return beginOnLink(fault, endMs);
+    case FaultKind::StoreForgetsHistory:
+        return deployment_.control("/compact", "");
     case FaultKind::WorkerRestarted:
     case FaultKind::WorkerFailing:
+    case FaultKind::WorkerOrdersLate:
+    case FaultKind::WorkerDraining:
         return beginOnWorker(fault, endMs);
     case FaultKind::KeysChanged:
         return changeKeys();
+    default:
+        return beginOnLink(fault, endMs);
     }
 }
 
@@ -133,31 +134,52 @@
         faults["down"] = true;
     else if (fault.kind == FaultKind::StoreLosesAnswers)
         faults["losesAnswers"] = true;
+    else if (fault.kind == FaultKind::StoreWritesLate)
+        faults["lateMs"] = storeLateMs;
     else
         faults["delayMs"] = storeDelayMs;
     deployment_.control("/faults", faults.dump());
     endAt(endMs, [this] { deployment_.control("/faults", "{}"); });
 }
 
-void Injector::beginOnLink(const Fault& fault, std::int64_t endMs)
+//! The link that a fault strikes: of a node to the store, of all to a worker, of the others to a node, or of callers.
+std::string Injector::linkOf(const Fault& fault) const
 {
+    auto node = std::to_string(fault.target % static_cast<std::uint64_t>(deployment_.nodeCount()));
+    auto kind = nameOf(fault.kind);
+    if (kind.starts_with("store_"))
+        return "store-" + node;
+    if (kind.starts_with("peer_"))
+        return "peer-" + node;
+    if (kind.starts_with("caller_"))
+        return "caller-" + node;
     auto workers = deployment_.workers();
-    auto isStore = fault.kind < FaultKind::WorkerLinkSilent;
-    auto name = isStore ? "store-" + std::to_string(fault.target % static_cast<std::uint64_t>(deployment_.nodeCount()))
-                        : "worker-" + workers[fault.target % workers.size()];
+    return "worker-" + workers[fault.target % workers.size()];
+}
+
+void Injector::beginOnLink(const Fault& fault, std::int64_t endMs)
+{
+    auto name = linkOf(fault);
     standin::LinkState state;
     switch (fault.kind) {
     case FaultKind::StoreLinkReset:
     case FaultKind::WorkerLinkReset:
+    case FaultKind::PeerLinkReset:
+    case FaultKind::CallerLinkReset:
         return relay_.reset(name);
     case FaultKind::StoreLinkCut:
+    case FaultKind::PeerLinkCut:
         state.isCut = true;
         break;
     case FaultKind::StoreLinkSilent:
     case FaultKind::WorkerLinkSilent:
+    case FaultKind::PeerLinkSilent:
+    case FaultKind::CallerLinkSilent:
         state.isStalled = true;
         break;
     case FaultKind::WorkerLinkDelayed:
+    case FaultKind::PeerLinkDelayed:
+    case FaultKind::CallerLinkDelayed:
         state.delay = linkDelay;
         break;
     default:
@@ -174,6 +196,14 @@
     auto path = "/workers/" + workers[fault.target % workers.size()];
     if (fault.kind == FaultKind::WorkerRestarted)
         return deployment_.control(path + "/restart", "");
+    if (fault.kind == FaultKind::WorkerDraining) {
+        deployment_.control(path + "/drain", "");
+        return endAt(endMs, [this, path] { deployment_.control(path + "/restart", ""); });
+    }
+    if (fault.kind == FaultKind::WorkerOrdersLate) {
+        deployment_.control(path + "/late", std::to_string(orderLateMs));
+        return endAt(endMs, [this, path] { deployment_.control(path + "/late", "0"); });
+    }
     deployment_.control(path + "/fail", "");
     endAt(endMs, [this, path] { deployment_.control(path + "/mend", ""); });
 }
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -30,6 +30,7 @@
     void beginOnNode(const Fault& fault, std::int64_t endMs);
     void beginOnStore(const Fault& fault, std::int64_t endMs);
     void beginOnLink(const Fault& fault, std::int64_t endMs);
+    std::string linkOf(const Fault& fault) const;
     void beginOnWorker(const Fault& fault, std::int64_t endMs);
     void changeKeys();
     void startAgain(Node node, std::int64_t endMs);
--- /dev/null
+++ b/tests/soak/plan_tests.cpp
@@ -0,0 +1,18 @@
+#include "tests/soak/plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace agatevane::soak;
+
+// Guards against recorded seeds that play other faults once kinds are added: each is played with the kinds of its time.
+BOOST_AUTO_TEST_CASE(Plans_of_old_seeds_have_no_newer_kinds)
+{
+    constexpr std::uint64_t seeds = 60;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        PlanOptions options;
+        options.seed = seed;
+        options.kinds = firstFaultKinds;
+        for (const auto& fault : makePlan(options))
+            BOOST_CHECK_MESSAGE(fault.kind < FaultKind::PeerLinkCut, agatevane::nameOf(fault.kind));
+    }
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -82,7 +82,7 @@
     Ledger ledger;
     std::vector<int> ports;
     for (int node = 0; node < deployment.nodeCount(); ++node)
-        ports.push_back(deployment.callersPort(node));
+        ports.push_back(deployment.entryPort(node));
     Callers callers(ledger, ports, options.plan.seed);
     std::string key = "key-1";
     Injector injector(deployment, relay, makePlan(options.plan), [&](const std::string& newest) {
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -22,7 +22,10 @@
     app.add_option("--longest-pause-ms", options.plan.longestPauseMs, "Between two faults")
         ->check(CLI::Range(110, 60000))
         ->capture_default_str();
-    app.add_option("--nodes", options.nodes, "Nodes")->check(CLI::Range(1, 50))->capture_default_str();
+    app.add_option("--fault-kinds", options.plan.kinds, "Draw from the first so many kinds, as recorded with old seeds")
+        ->check(CLI::Range(1, static_cast<int>(EnumNames<soak::FaultKind>::table.size())))
+        ->capture_default_str();
+    app.add_option("--nodes", options.nodes, "Nodes")->check(CLI::Range(1, 150))->capture_default_str();
     app.add_option("--workers", options.workers, "Workers")->check(CLI::Range(1, 300))->capture_default_str();
     app.add_option("--logs", options.logFolder, "Folder for the nodes' logs of a seed that breaks a promise")
         ->check(CLI::ExistingDirectory);
