--- a/src/agatevane/fleet/evacuation.cpp
+++ b/src/agatevane/fleet/evacuation.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-    //! From the order until the end is listed: a stop takes up to 200 ms, and a call to a worker may have to be
-    //! repeated.
-    constexpr Millis timeToStop { 700 };
+    //! Beside the stop itself, for the order and the look that shows the end; a call may have to be repeated.
+    constexpr Millis orderTime { 500 };
     constexpr int wholeWork = 100;
     //! From this percentage on the pace of a run is known better than its estimate.
     constexpr int measuredWork = 10;
@@ -26,9 +25,9 @@
         return Millis(step.estimatedMs) * (wholeWork - run.percent) / wholeWork;
     }
 
-    bool isDueToStop(const StepSpec& step, const Run& run, Instant at, Instant leavesAt)
+    bool isDueToStop(const Fleet& fleet, const StepSpec& step, const Run& run, Instant at, Instant leavesAt)
     {
-        bool isLastMoment = elapsed(at, leavesAt) <= timeToStop;
+        bool isLastMoment = elapsed(at, leavesAt) <= fleet.limits.stopTime + orderTime;
         // Members of a gang that lasts also work on workers that stay; how many of those may be away is bounded.
         if (step.isContinuous)
             return isLastMoment && !step.isGang;
@@ -49,7 +48,7 @@
             auto* job = findJob(fleet, key.first.job);
             if (run.state != RunState::Running || !run.isOurs || !job || job->phase != JobPhase::Open)
                 continue;
-            if (isDueToStop(stepOf(*job, key.first), run, at, worker.leavesAt))
+            if (isDueToStop(fleet, stepOf(*job, key.first), run, at, worker.leavesAt))
                 stopTaskRuns(fleet, *job, key.first, at, "worker_leaves");
         }
     }
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -154,6 +154,7 @@
 struct Limits {
     Millis leaseSpan { 6000 }; //!< that each order asks for
     Millis reportInterval { 1500 }; //!< of workers to the platform; an entry lapses after three of them
+    Millis stopTime { 200 }; //!< a worker takes to stop a run
     Millis gangAssembly { 3000 }; //!< a member waits that long for the others
     Millis reclaim { 2700 }; //!< within which guaranteed work must begin
     Millis statusRetention { 120000 }; //!< ended jobs are known for that long
