Show the logs of nodes as a time line

Cause: agatevane-timeline asks processes for their rings, which agatevane-node does not keep, so that the platform had no time line.

Node lines carry no Lamport clock: wall clocks order them, as the header says.

--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -22,7 +22,7 @@
         return {};
     }
 
-    std::string detailsOf(const LogLine& line, const std::string& job)
+    std::string detailsOf(const event_log::LogLine& line, const std::string& job)
     {
         std::string text;
         for (const auto& [name, value] : line.fields.items()) {
@@ -37,10 +37,10 @@
     nlohmann::json toJson(const Explanation& explanation, const std::string& job)
     {
         auto rows = nlohmann::json::array();
-        auto firstMs = explanation.lines.front().timeMs;
-        for (const auto& line : explanation.lines) {
+        auto firstMs = explanation.lines.front().line.timeMs;
+        for (const auto& [line, relation] : explanation.lines) {
             rows.push_back({ { "timeMs", line.timeMs }, { "afterMs", line.timeMs - firstMs },
-                { "process", line.process }, { "about", nameOfRelation(line.relation) }, { "event", line.event },
+                { "process", line.process }, { "about", nameOfRelation(relation) }, { "event", line.event },
                 { "details", detailsOf(line, job) } });
         }
         return { { "job", job }, { "lastAnswer", explanation.lastAnswer }, { "counts", explanation.counts },
@@ -76,14 +76,14 @@
 
 ExitCode explainJob(const Context& context, const std::string& job, const std::vector<std::string>& logs)
 {
-    std::vector<LogLine> lines;
+    std::vector<event_log::LogLine> lines;
     for (const auto& path : logs) {
         std::ifstream log(path, std::ios::binary);
         if (!log) {
             context.err << path << ": cannot be read\n";
             return BadUsage;
         }
-        if (auto unreadable = readLog(log, lines))
+        if (auto unreadable = event_log::readLog(log, lines))
             context.err << path << ": " << unreadable << " lines are no structured log lines\n";
     }
     auto explanation = explain(lines, job);
--- a/src/timeline_tool/main.cpp
+++ b/src/timeline_tool/main.cpp
@@ -1,5 +1,7 @@
+#include "agatevane/settings/addresses.h"
 #include "agatevane/settings/settings.h"
 #include "timeline_tool/collect.h"
+#include "timeline_tool/logs.h"
 #include <fstream>
 #include <iostream>
 
@@ -22,10 +24,11 @@
 
 namespace {
 
-enum ExitCode { AllAnswered = 0, CannotWrite = 1, SomeUnanswered = 3, NoneAnswered = 4 };
+enum ExitCode { AllAnswered = 0, CannotWrite = 1, WrongSettings = 2, SomeUnanswered = 3, NoneAnswered = 4 };
 
 struct Options {
     std::vector<http::Endpoint> processes;
+    std::string logs;
     Millis timeout { 5000 };
     timeline::Filter filter;
     timeline_tool::OutputFormat format = timeline_tool::OutputFormat::Table;
@@ -36,13 +39,14 @@
 std::optional<int> readOptions(int argc, char** argv, Options& options)
 {
     settings::Settings settings("agatevane-timeline",
-        "Asks processes for their latest events, merges them in causal order and prints them.\n"
+        "Asks processes for their latest events, or reads the logs of nodes, merges them in causal order and prints "
+        "them.\n"
         "Exit codes: 0 all processes answered, 1 the output cannot be written, 2 wrong settings, 3 some processes did "
         "not answer (the rest is printed), 4 none answered.",
         "agatevane-timeline --processes 10.0.0.1:8080,10.0.0.1:8090 --job tartu.1f2e --format html --output-file "
         "job.html");
-    settings.endpoints(
-        "--processes", options.processes, "HTTP addresses of entries and schedulers", settings::Presence::Required);
+    settings.endpoints("--processes", options.processes, "HTTP addresses of entries and schedulers");
+    settings.text("--logs", options.logs, "log files of agatevane-node, separated by commas");
     settings.duration("--timeout-ms", options.timeout, Millis(100), Millis(60000), "time for all answers");
     settings.text("--job", options.filter.job.value, "keep events of this job");
     settings.text("--request", options.filter.request, "keep events of this request or idempotency key");
@@ -52,11 +56,30 @@
     settings.text("--output-file", options.outputFile, "instead of standard output");
     settings.text("--ca-file", options.caFile, "PEM file that certificates of https processes must chain to");
     auto exitCode = settings.parseOrPrint(argc, argv, std::cout, std::cerr);
+    if (!exitCode && options.processes.empty() && options.logs.empty()) {
+        std::cerr << "neither --processes nor --logs is given\n";
+        return WrongSettings;
+    }
     for (auto& process : options.processes)
         process.caFile = options.caFile;
     return exitCode;
 }
 
+//! Adds the pages of the log files; files that can't be read are findings.
+void readLogs(const std::string& files, timeline_tool::Collected& collected)
+{
+    std::vector<event_log::LogLine> lines;
+    for (const auto& path : settings::splitList(files)) {
+        std::ifstream log(path, std::ios::binary);
+        if (!log)
+            collected.unanswered.push_back({ path, "cannot be read" });
+        else if (auto unreadable = event_log::readLog(log, lines))
+            std::cerr << path << ": " << unreadable << " lines are no structured log lines\n";
+    }
+    for (auto& page : timeline_tool::pagesOf(lines))
+        collected.pages.push_back(std::move(page));
+}
+
 std::string render(const Options& options, const std::vector<timeline::Event>& events)
 {
     switch (options.format) {
@@ -78,9 +101,10 @@
     if (auto exitCode = readOptions(argc, argv, options))
         return *exitCode;
     auto collected = timeline_tool::collect(options.processes, options.timeout);
+    readLogs(options.logs, collected);
     for (const auto& finding : collected.unanswered)
         std::cerr << "no timeline from " << finding.place << ": " << finding.text << "\n";
-    if (collected.unanswered.size() == options.processes.size())
+    if (collected.pages.empty() && !collected.unanswered.empty())
         return NoneAnswered;
     for (const auto& page : collected.pages) {
         if (page.dropped > 0)
--- a/tests/ctl/explain_tests.cpp
+++ b/tests/ctl/explain_tests.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-std::vector<ctl::LogLine> sampleLines()
+std::vector<event_log::LogLine> sampleLines()
 {
     std::istringstream log(
         R"({"time_ms":9000,"event":"ownership_gained","process":"n2","tenure":3})"
@@ -29,8 +29,8 @@
         "\n"
         R"({"time_ms":30000,"event":"ownership_lost","process":"n2"})"
         "\n");
-    std::vector<ctl::LogLine> lines;
-    BOOST_CHECK_EQUAL(ctl::readLog(log, lines), 1);
+    std::vector<event_log::LogLine> lines;
+    BOOST_CHECK_EQUAL(event_log::readLog(log, lines), 1);
     return lines;
 }
 
@@ -43,7 +43,7 @@
     auto explanation = ctl::explain(sampleLines(), "a");
     std::vector<std::string> events;
     for (const auto& line : explanation.lines)
-        events.push_back(line.event);
+        events.push_back(line.line.event);
     const std::vector<std::string> expected { "ownership_gained", "call_answered", "start_ordered", "worker_silent",
         "run_ended" };
     BOOST_CHECK_EQUAL_COLLECTIONS(events.begin(), events.end(), expected.begin(), expected.end());
