Sum up the workers that a new owner reads in one line

Cause: a new owner wrote two lines for each worker of its predecessor's record and of the list.

Change: known_workers_read and workers_read stand for those lines; a worker that this owner has looked at keeps its own line. The new test fails on the code before (lines dropped, no fleet_loaded).

Found on the way: PlatformDeployment::owner() searched the metrics for "agatevane_is_owner 1", which the help text contains, and so named the first running node. It matches the sample's whole line now, so that the tests that kill the owner do kill it.

--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -217,35 +217,46 @@
         return !worker.runs.empty() || hasReadyEnd(fleet, worker);
     }
 
-} // namespace
+    //! False if the listing says nothing new of the worker's state.
+    bool enterListing(Fleet& fleet, const WorkerListing& listing, Instant at)
+    {
+        auto [found, isNew] = fleet.workers.try_emplace(listing.id);
+        auto& worker = found->second;
+        // An older life's entry may be read late.
+        if (!isNew && listing.lifetime < worker.lifetime)
+            return false;
+        worker.id = listing.id;
+        if (isNew || listing.lifetime != worker.lifetime)
+            beginLifetime(fleet, worker, listing.lifetime, at);
+        bool isNews = isNew || worker.isDraining != listing.isDraining || !worker.isListed;
+        fleet.isPlacementDue = fleet.isPlacementDue || isNews;
+        worker.address = listing.address;
+        worker.service = listing.service;
+        worker.zone = listing.zone;
+        worker.rack = listing.rack;
+        worker.labels = listing.labels;
+        worker.capacity = listing.capacity;
+        worker.isDraining = listing.isDraining;
+        worker.leavesAt = listing.timeLeft ? at + *listing.timeLeft : Instant {};
+        worker.isListed = true;
+        return isNews;
+    }
 
-void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at)
-{
-    auto [found, isNew] = fleet.workers.try_emplace(listing.id);
-    auto& worker = found->second;
-    // An older life's entry may be read late.
-    if (!isNew && listing.lifetime < worker.lifetime)
-        return;
-    worker.id = listing.id;
-    if (isNew || listing.lifetime != worker.lifetime)
-        beginLifetime(fleet, worker, listing.lifetime, at);
-    if (isNew || worker.isDraining != listing.isDraining || !worker.isListed) {
-        fleet.isPlacementDue = true;
+    void logListing(const WorkerListing& listing)
+    {
         Line("worker_listed")
             .with("worker", listing.id)
             .with("lifetime", listing.lifetime)
             .with("draining", listing.isDraining)
             .with("time_left_ms", listing.timeLeft.value_or(Millis(0)).count());
     }
-    worker.address = listing.address;
-    worker.service = listing.service;
-    worker.zone = listing.zone;
-    worker.rack = listing.rack;
-    worker.labels = listing.labels;
-    worker.capacity = listing.capacity;
-    worker.isDraining = listing.isDraining;
-    worker.leavesAt = listing.timeLeft ? at + *listing.timeLeft : Instant {};
-    worker.isListed = true;
+
+} // namespace
+
+void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at)
+{
+    if (enterListing(fleet, listing, at))
+        logListing(listing);
 }
 
 void applyUnlisted(Fleet& fleet, const WorkerId& id, Instant at)
@@ -260,14 +271,35 @@
 void applyFullList(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at)
 {
     std::set<WorkerId> listed;
+    std::size_t news = 0;
     for (const auto& listing : listings) {
         listed.insert(listing.id);
-        applyListing(fleet, listing, at);
+        const auto* known = findWorker(fleet, listing.id);
+        bool isFamiliar = known && known->isLookedAt;
+        if (!enterListing(fleet, listing, at))
+            continue;
+        ++news;
+        // A new owner reads thousands at once, whose lines would push out all others.
+        if (isFamiliar)
+            logListing(listing);
     }
     for (auto& [id, worker] : fleet.workers) {
         if (!listed.contains(id))
             applyUnlisted(fleet, id, at);
     }
+    if (news > 0)
+        Line("workers_read").with("listed", listings.size()).with("news", news).with("known", fleet.workers.size());
+}
+
+void enterKnownWorkers(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at)
+{
+    for (const auto& listing : listings) {
+        enterListing(fleet, listing, at);
+        auto& worker = fleet.workers.at(listing.id);
+        worker.isListed = false;
+        worker.unlistedAt = at;
+    }
+    Line("known_workers_read").with("workers", listings.size());
 }
 
 void applyLookAnswer(Fleet& fleet, const WorkerId& id, const LookAnswer& answer, std::int64_t unixMs, Instant at)
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -59,6 +59,9 @@
 //! Every worker that is missing in `ids` is unlisted.
 void applyFullList(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at);
 
+//! Enters workers that an earlier owner knew; whether they are still listed shows later. They may run its tasks.
+void enterKnownWorkers(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at);
+
 void applyLookAnswer(Fleet& fleet, const WorkerId& id, const LookAnswer& answer, std::int64_t unixMs, Instant at);
 void applyLookFailure(Fleet& fleet, const WorkerId& id, Instant at);
 
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -91,10 +91,7 @@
             Line("record_unreadable").with("key", item.key).with("revision", item.revision);
             continue;
         }
-        for (const auto& listing : listings) {
-            fleet::applyListing(fleet_, listing, at);
-            fleet::applyUnlisted(fleet_, listing.id, at);
-        }
+        fleet::enterKnownWorkers(fleet_, listings, at);
         committer_.setKnownWorkers(item.value);
     }
 }
--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -202,7 +202,7 @@
         std::string text;
         if (nodes_[index].process && nodes_[index].process->isRunning()
             && send(nodes_[index].metricsPort, { "GET", "/metrics", {}, {} }, &text) == 200
-            && text.find("agatevane_is_owner 1") != std::string::npos)
+            && text.find("\nagatevane_is_owner 1\n") != std::string::npos)
             return static_cast<int>(index);
     }
     return -1;
--- a/tests/platform_system/operations_tests.cpp
+++ b/tests/platform_system/operations_tests.cpp
@@ -123,3 +123,23 @@
     checkContains(output, "status=unknown_key");
     checkContains(output, "desired_revision=");
 }
+
+// Guards against the lines of a takeover that are dropped because the new owner writes one for each worker that it
+// reads.
+BOOST_AUTO_TEST_CASE(The_log_of_a_takeover_is_whole_with_many_workers, *boost::unit_test::label("operations"))
+{
+    constexpr int workers = 450; // more than the lines that a process writes in a second
+    PlatformDeployment deployment({ .nodes = 2, .workers = workers });
+    auto before = deployment.owner();
+    BOOST_REQUIRE_GE(before, 0);
+    deployment.node(before).kill();
+    auto after = 1 - before;
+    BOOST_REQUIRE(deployment.await(Millis(8000), [&] { return deployment.owner() == after; }));
+    auto status = deployment.submit(after, jobId, 200);
+    BOOST_REQUIRE_MESSAGE(status == 200, status << "\n" << deployment.logOf(after));
+    BOOST_REQUIRE(deployment.awaitState(after, jobId, "completed", Millis(8000)));
+    auto log = deployment.logOf(after);
+    checkContains(log, R"("event":"fleet_loaded")");
+    checkContains(log, R"("event":"job_completed")");
+    BOOST_CHECK(log.find("log_lines_dropped") == std::string::npos);
+}
