--- a/src/capacity/measure.h
+++ b/src/capacity/measure.h
@@ -56,6 +56,11 @@
 Series journalBytes(); //!< bytes, over records
 Series shardDecide(); //!< us for one decision with one changed job, over workers
 Series shardMemory(); //!< bytes, over workers with 11 tasks each
+Series fleetRound(); //!< us for a round of agatevane-node's owner in which nothing starts, over workers
+Series fleetJob(); //!< us to accept, start and end a job of one task, over workers
+Series fleetLook(); //!< us to take the answer of a look, over tasks
+Series fleetMemory(); //!< bytes, over workers with 11 tasks each
+Series fleetRecordBytes(); //!< bytes of the store's records, over accepted jobs
 
 //! The whole page.
 std::string report();
--- a/src/capacity/report.cpp
+++ b/src/capacity/report.cpp
@@ -47,12 +47,18 @@
         Series journalBytes = capacity::journalBytes();
         Series shardDecide = capacity::shardDecide();
         Series shardMemory = capacity::shardMemory();
+        Series fleetRound = capacity::fleetRound();
+        Series fleetJob = capacity::fleetJob();
+        Series fleetLook = capacity::fleetLook();
+        Series fleetMemory = capacity::fleetMemory();
+        Series fleetRecordBytes = capacity::fleetRecordBytes();
 
         std::vector<const Series*> all() const
         {
             return { &membershipBytes, &membershipTick, &catalogueApply, &catalogueMemory, &dataCentreBytes,
                 &timelineMemory, &timelineRecord, &metricsRender, &rpcCall, &httpPoll, &reportBytes, &reportDecode,
-                &renewEncode, &journalEncode, &journalBytes, &shardDecide, &shardMemory };
+                &renewEncode, &journalEncode, &journalBytes, &shardDecide, &shardMemory, &fleetRound, &fleetJob,
+                &fleetLook, &fleetMemory, &fleetRecordBytes };
         }
     };
 
@@ -193,6 +199,31 @@
         return text;
     }
 
+    //! The decisions of one owner of the fleet in agatevane-node, without its calls to workers and store.
+    std::string nodeOwner(const Measured& measured)
+    {
+        struct Size {
+            const char* name;
+            double workers;
+        };
+        auto tasksPerWorker = tasks / workers;
+        std::string text
+            = "| one owner for | a round | rounds a second in 2.1 % of a core | answers of looks, one a worker "
+              "and second | jobs | memory | 32 MB |\n|---|---|---|---|---|---|---|\n";
+        for (const auto& size :
+            { Size { "a data centre", workers / dataCentres }, Size { "the whole fleet", workers } }) {
+            auto round = measured.fleetRound.line().at(size.workers);
+            auto looks = size.workers * measured.fleetLook.line().at(tasksPerWorker) / 1e6;
+            auto jobs = measured.fleetJob.line().at(size.workers) * jobsPerSecond * size.workers / workers / 1e6;
+            auto memory = measured.fleetMemory.line().at(size.workers);
+            text += std::string("| ") + size.name + ": " + number(size.workers) + " workers | " + number(round)
+                + " us | " + number(coreBudget * 1e6 / round) + " | " + number(looks * 100) + " % of a core | "
+                + number(jobs * 100) + " % of a core | " + number(memory / 1e6) + " MB | "
+                + verdict(memory, memoryBudget) + " |\n";
+        }
+        return text;
+    }
+
 } // namespace
 
 std::string report()
@@ -221,6 +252,11 @@
           "With up to "
         + number(storeReadingVms)
         + " VMs, each reads the store by itself; beyond, most freshness proofs come from peers.\n";
+    text += "\n## agatevane-node\n\n" + nodeOwner(measured) + "\nRecords of accepted jobs take "
+        + number(measured.fleetRecordBytes.line().slope * jobsPerSecond)
+        + " B/s of the store. The calls to workers, with HTTP and JSON, come on top;\nthe sweep in MEASUREMENTS.md "
+          "measures "
+          "them with whole processes, and docs/platform.md says what breaks first.\n";
     return text;
 }
 
--- a/src/timeline_tool/logs.cpp
+++ b/src/timeline_tool/logs.cpp
@@ -88,6 +88,7 @@
         page.events.push_back(std::move(event));
     }
     std::vector<timeline::Page> result;
+    result.reserve(pages.size());
     for (auto& [process, page] : pages)
         result.push_back(std::move(page));
     return result;
