Reserve the ports of a test process for as long as it lives

Cause: freePort() looked for a port that nobody listened on at that moment; two test processes at once could take the same one, and a program then could not listen (1 of 600 runs of A_terminated_entry_finishes_its_requests on, 20 at a time: "Address already in use" for three programs). reservedPort() held a UDP socket, which programs with UDP can't share.

Change: freePort() takes a name in the kernel's table of local sockets for each port and keeps it; reservedPort() goes.

--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -39,13 +39,13 @@
         relayWorkers(*options.relay);
     for (int index = 0; index < options.nodes; ++index) {
         auto& member = nodes_.emplace_back();
-        member.callersPort = reservedPort();
-        member.readinessPort = reservedPort();
-        member.peersPort = reservedPort();
-        member.metricsPort = reservedPort();
+        member.callersPort = freePort();
+        member.readinessPort = freePort();
+        member.peersPort = freePort();
+        member.metricsPort = freePort();
         auto linkTo = [&](const std::string& name, int port) {
             return options.relay
-                ? options.relay->add({ name + std::to_string(index), "tcp", reservedPort(), "127.0.0.1", port })
+                ? options.relay->add({ name + std::to_string(index), "tcp", freePort(), "127.0.0.1", port })
                 : port;
         };
         member.storePort = linkTo("store-", storePort_);
@@ -65,7 +65,7 @@
 {
     auto ports = controlGet("/workers");
     for (const auto& [id, port] : ports.items()) {
-        auto link = relay.add({ "worker-" + id, "tcp", reservedPort(), "127.0.0.1", port.get<int>() });
+        auto link = relay.add({ "worker-" + id, "tcp", freePort(), "127.0.0.1", port.get<int>() });
         require(link > 0, "a link to worker " + id + " can't listen");
         control("/workers/" + id + "/publish", "127.0.0.1:" + std::to_string(link));
     }
--- a/tests/support/free_port.cpp
+++ b/tests/support/free_port.cpp
@@ -1,8 +1,11 @@
 #include "tests/support/free_port.h"
 
+#include <cstddef>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <string>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 namespace agatevane::test {
@@ -38,6 +41,23 @@
         return true;
     }
 
+    //! Takes the port for this process among all test processes by a name in the kernel's table of local sockets. The
+    //! socket is never closed, so that the name is free again once the process has ended.
+    bool reserve(int port)
+    {
+        int socket = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        sockaddr_un name {};
+        name.sun_family = AF_UNIX;
+        // A name that begins with a zero byte is no file.
+        auto text = "agatevane-test-port-" + std::to_string(port);
+        text.copy(name.sun_path + 1, sizeof name.sun_path - 1);
+        auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + text.size());
+        if (::bind(socket, reinterpret_cast<sockaddr*>(&name), size) == 0)
+            return true;
+        ::close(socket);
+        return false;
+    }
+
 } // namespace
 
 int freePort()
@@ -46,22 +66,10 @@
     static int next = static_cast<int>(static_cast<long>(::getpid()) * portsPerProcess % count);
     for (int tried = 0; tried < count; ++tried) {
         int port = firstPort + next++ % count;
-        if (isFree(SOCK_STREAM, port) && isFree(SOCK_DGRAM, port))
+        if (reserve(port) && isFree(SOCK_STREAM, port) && isFree(SOCK_DGRAM, port))
             return port;
     }
     throw std::runtime_error("no free port below the range of outgoing connections");
 }
 
-int reservedPort()
-{
-    constexpr int maxTries = 100;
-    for (int tried = 0; tried < maxTries; ++tried) {
-        int port = freePort();
-        // The socket is never closed; the kernel closes it with the process.
-        if (bindPort(SOCK_DGRAM, port) >= 0)
-            return port;
-    }
-    throw std::runtime_error("no port could be reserved");
-}
-
 } // namespace agatevane::test
