Handle termination signals of all programs in one place

Cause: six programs blocked SIGINT and SIGTERM, ignored SIGPIPE and waited with the same ten lines, two of them in another order. Change: base/termination_signal blocks and waits; the programs call it. No behaviour changes; callers see nothing. Evidence: the new case of test_base receives a SIGTERM that was raised before the wait. test_base, test_standins, test_entry and test_scheduler pass.

--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,6 @@
+#include "agatevane/base/termination_signal.h"
 #include "entry/entry_server.h"
 
-#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
 
@@ -12,13 +12,7 @@
     if (auto exitCode = entry::readSettings(argc, argv, settings, std::cout, std::cerr))
         return *exitCode;
     settings::setUpLogging(argv[0]);
-    std::signal(SIGPIPE, SIG_IGN);
-    // The signals are blocked before any thread starts, so that only sigwait below receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    blockTerminationSignals();
 
     auto drainWait = settings.drainWait;
     auto addresses = settings.listen.address + ":" + std::to_string(settings.listen.port) + " or "
@@ -29,8 +23,7 @@
         return 1;
     }
     LOG(INFO) << "serving on port " << server.port();
-    int signal = 0;
-    sigwait(&signals, &signal);
+    auto signal = waitForTerminationSignal();
     LOG(INFO) << "signal " << signal << ": draining";
     server.drain();
     std::this_thread::sleep_for(drainWait);
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -1,6 +1,6 @@
+#include "agatevane/base/termination_signal.h"
 #include "scheduler/scheduler.h"
 
-#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
 
@@ -12,13 +12,7 @@
     if (auto exitCode = scheduler::readSettings(argc, argv, settings, std::cout, std::cerr))
         return *exitCode;
     settings::setUpLogging(argv[0]);
-    std::signal(SIGPIPE, SIG_IGN);
-    // The signals are blocked before any thread starts, so that only sigwait receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    blockTerminationSignals();
 
     scheduler::Scheduler process(settings);
     if (auto error = process.start()) {
@@ -28,8 +22,7 @@
     }
     LOG(INFO) << "serving on " << settings.listen.address << ":" << settings.listen.port << ", HTTP port "
               << process.httpPort();
-    int signal = 0;
-    sigwait(&signals, &signal);
+    auto signal = waitForTerminationSignal();
     LOG(INFO) << "signal " << signal << ": handing the owned data centres over";
     process.handOver();
     process.stop();
--- a/standins/relay/main.cpp
+++ b/standins/relay/main.cpp
@@ -1,19 +1,14 @@
+#include "agatevane/base/termination_signal.h"
 #include "standins/relay/relay.h"
 
 #include <CLI/CLI.hpp>
-#include <csignal>
 #include <iostream>
 
 using namespace agatevane;
 
 int main(int argc, char** argv)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
+    blockTerminationSignals();
 
     std::string address = "127.0.0.1";
     int controlPort = 0;
@@ -41,8 +36,7 @@
         return 1;
     }
     std::cout << relay.describe().dump() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForTerminationSignal();
     relay.stop();
     return 0;
 }
--- a/standins/store/main.cpp
+++ b/standins/store/main.cpp
@@ -1,19 +1,14 @@
+#include "agatevane/base/termination_signal.h"
 #include "standins/store/store_server.h"
 
 #include <CLI/CLI.hpp>
-#include <csignal>
 #include <iostream>
 
 using namespace agatevane;
 
 int main(int argc, char** argv)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
+    blockTerminationSignals();
 
     standin::StoreSettings settings;
     CLI::App app { "Stand-in for the platform's key-value store, for tests and the demo" };
@@ -36,8 +31,7 @@
         return 1;
     }
     std::cout << standin::Json { { "port", server.port() }, { "control", server.controlPort() } }.dump() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForTerminationSignal();
     server.stop();
     return 0;
 }
--- a/standins/vmlist/main.cpp
+++ b/standins/vmlist/main.cpp
@@ -1,19 +1,14 @@
+#include "agatevane/base/termination_signal.h"
 #include "standins/vmlist/vm_list.h"
 
 #include <CLI/CLI.hpp>
-#include <csignal>
 #include <iostream>
 
 using namespace agatevane;
 
 int main(int argc, char** argv)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
+    blockTerminationSignals();
 
     standin::VmListSettings settings;
     std::string vms = "[]";
@@ -37,8 +32,7 @@
         return 1;
     }
     std::cout << nlohmann::json { { "port", server.port() }, { "control", server.controlPort() } }.dump() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForTerminationSignal();
     server.stop();
     return 0;
 }
--- a/standins/worker/main.cpp
+++ b/standins/worker/main.cpp
@@ -1,19 +1,14 @@
+#include "agatevane/base/termination_signal.h"
 #include "standins/worker/worker_fleet.h"
 
 #include <CLI/CLI.hpp>
-#include <csignal>
 #include <iostream>
 
 using namespace agatevane;
 
 int main(int argc, char** argv)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
+    blockTerminationSignals();
 
     standin::FleetSettings settings;
     auto& worker = settings.worker;
@@ -47,8 +42,7 @@
         return 1;
     }
     std::cout << fleet.describe().dump() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForTerminationSignal();
     fleet.stop();
     return 0;
 }
--- a/tests/base/base_tests.cpp
+++ b/tests/base/base_tests.cpp
@@ -4,9 +4,12 @@
 #include "agatevane/base/job.h"
 #include "agatevane/base/outcome.h"
 #include "agatevane/base/random.h"
+#include "agatevane/base/termination_signal.h"
 #include "agatevane/base/token.h"
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <rapidcheck/boost_test.h>
+#include <thread>
 
 using namespace agatevane;
 
@@ -49,3 +52,16 @@
     changed[changed.size() / 2] = static_cast<char>(changed[changed.size() / 2] ^ flip);
     RC_ASSERT(digestOf(text) != digestOf(changed));
 }
+
+// Guards against a program that ends at once on a signal instead of shutting down.
+BOOST_AUTO_TEST_CASE(
+    A_blocked_termination_signal_is_received_by_the_thread_that_waits, *boost::unit_test::label("signals"))
+{
+    int received = 0;
+    std::thread([&received] {
+        blockTerminationSignals();
+        pthread_kill(pthread_self(), SIGTERM);
+        received = waitForTerminationSignal();
+    }).join();
+    BOOST_TEST(received == SIGTERM);
+}
