Look up the task of a command in one place in the stand-in worker

Cause: five commands accepted the epoch and looked their task up with the same five lines. Change: targetOf does both and says which status refuses the command. No behaviour changes. Evidence: test_standins, test_shard_owner and test_scheduler pass.

--- a/standins/worker/task_table.cpp
+++ b/standins/worker/task_table.cpp
@@ -88,6 +88,20 @@
         return &found->second;
     }
 
+    //! The task that a command is for, or the status that refuses the command.
+    struct CommandTarget {
+        Task* task = nullptr;
+        CommandStatus refusal = CommandStatus::Unknown; //!< meaningful only without a task
+    };
+
+    //! Accepts the command's epoch and finds its task.
+    CommandTarget targetOf(TaskTable& table, const AttemptId& attempt, Epoch epoch, std::int64_t clockMs)
+    {
+        if (!acceptEpoch(table, epoch, clockMs))
+            return { nullptr, CommandStatus::StaleEpoch };
+        return { find(table, attempt, epoch), CommandStatus::Unknown };
+    }
+
     int freeAccelerators(const TaskTable& table)
     {
         return table.accelerators - acceleratorsUsed(table);
@@ -145,11 +159,9 @@
 
 CommandStatus start(TaskTable& table, const StartCommand& command, std::int64_t clockMs)
 {
-    if (!acceptEpoch(table, command.epoch, clockMs))
-        return CommandStatus::StaleEpoch;
-    auto* task = find(table, command.attempt, command.epoch);
+    auto [task, refusal] = targetOf(table, command.attempt, command.epoch, clockMs);
     if (!task)
-        return CommandStatus::Unknown;
+        return refusal;
     auto state = task->report.state;
     if (state == TaskState::Running || state == TaskState::Finished)
         return CommandStatus::Done;
@@ -186,11 +198,9 @@
 
 CommandStatus checkpoint(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
 {
-    if (!acceptEpoch(table, command.epoch, clockMs))
-        return CommandStatus::StaleEpoch;
-    auto* task = find(table, command.attempt, command.epoch);
+    auto [task, refusal] = targetOf(table, command.attempt, command.epoch, clockMs);
     if (!task)
-        return CommandStatus::Unknown;
+        return refusal;
     if (task->report.state == TaskState::Finished)
         return CommandStatus::Done;
     if (!task->canCheckpoint || task->report.state != TaskState::Running)
@@ -202,11 +212,9 @@
 
 CommandStatus stop(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
 {
-    if (!acceptEpoch(table, command.epoch, clockMs))
-        return CommandStatus::StaleEpoch;
-    auto* task = find(table, command.attempt, command.epoch);
+    auto [task, refusal] = targetOf(table, command.attempt, command.epoch, clockMs);
     if (!task)
-        return CommandStatus::Unknown;
+        return refusal;
     if (isActive(*task))
         endTask(table, *task, TaskState::Stopped, clockMs);
     return CommandStatus::Done;
@@ -214,22 +222,18 @@
 
 CommandStatus throttle(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
 {
-    if (!acceptEpoch(table, command.epoch, clockMs))
-        return CommandStatus::StaleEpoch;
-    auto* task = find(table, command.attempt, command.epoch);
+    auto [task, refusal] = targetOf(table, command.attempt, command.epoch, clockMs);
     if (!task)
-        return CommandStatus::Unknown;
+        return refusal;
     task->throttlePercent = command.throttlePercent;
     return CommandStatus::Done;
 }
 
 CommandStatus forget(TaskTable& table, const AttemptCommand& command, std::int64_t clockMs)
 {
-    if (!acceptEpoch(table, command.epoch, clockMs))
-        return CommandStatus::StaleEpoch;
-    auto* task = find(table, command.attempt, command.epoch);
+    auto [task, refusal] = targetOf(table, command.attempt, command.epoch, clockMs);
     if (!task)
-        return CommandStatus::Unknown;
+        return refusal;
     if (isActive(*task))
         return CommandStatus::NotPossible;
     table.tasks.erase(command.attempt);
