Deny a job only after asking the store for a later owner

What callers saw: a cancellation of an accepted job could be answered with "no such job", which counts as acknowledged, while the job ran on.

Cause: an owner denied jobs while its lease, reckoned from its last renewal, had not run out. That takes for granted that the store ends no lease early. Where it does (the platform's leases may run out while the store is down), another node is elected within that time and accepts jobs that the earlier owner denies.

Change: TenureCheck reads the commit key after the question has arrived. Each owner writes it when it is elected, so the read proves that no later owner had accepted a job by then, whatever becomes of leases. Questions that arrive during a read share the next one. Without an answer within 0.5 s, or with a later owner's record, the call is routed again, as it is for an unconfirmed owner, and a replaced owner steps down at once.

Evidence: An_owner_whose_lease_ended_early_denies_no_job on the code before: node_tests.cpp(244): error: check sendRequest(*earlierOwner, "DELETE", jobId) != noSuchJob has failed [501 == 501] It passes now, with all of test_node (27 cases; the machine's load was 18).

Changes of existing tests: the fakes' translation decodes DELETE as a cancellation, where it was a query, so that No_node_denies_a_job_while_the_store_is_unavailable tests what it says. An_owner_that_the_store_does_not_confirm_denies_no_job waits for the answer, which is no longer given within the call; the answers that it demands are the same.

Ruled out: reading the job's own record proves the same for one job, but takes a read for each question, which a flood of unknown ids would multiply.

--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -32,6 +32,7 @@
     : environment_(environment)
     , committer_(environment.context, environment.store, fleet_, commitRevision,
           { [this] { handleCommit(); }, environment.ownershipLost, [this] { return hasWaitingCaller(); } })
+    , tenureCheck_(environment.context, environment.store, tenure)
     , tickTimer_(environment.context)
     , advanceTimer_(environment.context)
     , storeTimer_(environment.context)
@@ -62,6 +63,7 @@
     for (auto& [sequence, waiter] : waiters)
         timeOut(waiter);
     waiters_.clear();
+    tenureCheck_.stop();
 }
 
 void FleetOwner::applyDesiredState(const desired_state::DesiredState& desired)
@@ -247,12 +249,14 @@
         return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobCount(fleet_, queue.name), {} });
     case CallKind::QueryState: {
         auto state = fleet::visibleState(fleet_, request.job, queue.name);
-        return answer(state ? CallerAnswer { CallStatus::Ok, state, std::nullopt, {} } : unknownJob());
+        if (!state)
+            return denyIfProven(deadline, std::move(answer));
+        return answer({ CallStatus::Ok, state, std::nullopt, {} });
     }
     case CallKind::Cancel: {
         auto sequence = fleet::cancel(fleet_, request.job, queue.name, unixMillis(), bootNow());
         if (!sequence)
-            return answer(unknownJob());
+            return denyIfProven(deadline, std::move(answer));
         awaitCommit(*sequence, request, deadline, std::move(answer));
         break;
     }
@@ -268,13 +272,19 @@
     scheduleAdvance();
 }
 
-//! The answer about a job that this owner does not know. A later owner may have accepted it, so that only an owner that
-//! the store confirms can say that there is no such job.
-CallerAnswer FleetOwner::unknownJob() const
+//! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
+//! no such job only if the store says, after the question, that there is no later owner.
+void FleetOwner::denyIfProven(Instant deadline, Answer answer)
 {
-    if (environment_.isOwnershipConfirmed())
-        return { CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} };
-    return { CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" };
+    if (!environment_.isOwnershipConfirmed())
+        return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+    tenureCheck_.ask(deadline, liveness_.guard([this, answer = std::move(answer)](TenureState state) {
+        if (state == TenureState::Current)
+            return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
+        answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+        if (state == TenureState::Replaced && !isStopped_)
+            environment_.ownershipLost("store_knows_later_owner");
+    }));
 }
 
 void FleetOwner::awaitCommit(
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -6,6 +6,7 @@
 #include "node/invariant_reporter.h"
 #include "node/ports.h"
 #include "node/records.h"
+#include "node/tenure_check.h"
 #include "node/timer.h"
 #include "node/upkeep_controller.h"
 #include <asio/io_context.hpp>
@@ -83,7 +84,7 @@
     void sendPoll(const fleet::PollOrder& order);
     void handleFencedAnswer();
 
-    CallerAnswer unknownJob() const;
+    void denyIfProven(Instant deadline, Answer answer);
 
     bool hasWaitingCaller() const;
     void handleCommit();
@@ -96,6 +97,7 @@
     fleet::Fleet fleet_;
     InvariantReporter invariantReporter_;
     Committer committer_;
+    TenureCheck tenureCheck_;
     std::unique_ptr<UpkeepController> upkeepController_; //!< null: machines take no orders
     bool isReady_ = false;
     bool isStopped_ = false;
--- a/tests/node/fakes.cpp
+++ b/tests/node/fakes.cpp
@@ -53,7 +53,9 @@
     translation.decodeCall = [](const event_http::Request& request, std::string_view path, Findings&) {
         node::CallerRequest call;
         call.job = path;
-        call.kind = request.method == "POST" ? node::CallKind::Submit : node::CallKind::QueryState;
+        call.kind = request.method == "POST" ? node::CallKind::Submit
+            : request.method == "DELETE"     ? node::CallKind::Cancel
+                                             : node::CallKind::QueryState;
         call.spec = sampleJob(call.job, request.body.empty() ? 100 : std::stoll(request.body));
         return std::optional(call);
     };
--- a/tests/node/fleet_owner_tests.cpp
+++ b/tests/node/fleet_owner_tests.cpp
@@ -181,7 +181,7 @@
         std::optional<node::CallerAnswer> answer;
         owner->call({ kind, jobId, {} }, test::sampleQueue(), {}, now() + Millis(1000),
             [&answer](node::CallerAnswer received) { answer = std::move(received); });
-        BOOST_REQUIRE(answer);
+        BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return answer.has_value(); }));
         return answer->status;
     };
     for (auto kind : { node::CallKind::Cancel, node::CallKind::QueryState }) {
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -65,6 +65,23 @@
         return nullptr;
     }
 
+    //! The store ends the owner's lease before its time.
+    void endOwnerLease()
+    {
+        auto at = test::modelTimeMs();
+        BOOST_REQUIRE(kvModel.endLease(kvModel.get(node::ownerKey, at).items.front().lease, at));
+    }
+
+    //! An owner other than `excluded`, which may not know that it was replaced.
+    Member* ownerBeside(const Member& excluded)
+    {
+        for (auto& [name, member] : members) {
+            if (&member != &excluded && member.node && member.node->isOwner())
+                return &member;
+        }
+        return nullptr;
+    }
+
     Member* follower()
     {
         for (auto& [name, member] : members) {
@@ -213,6 +230,22 @@
     }
 }
 
+// Guards against an owner that relies on the duration of its lease: the store ended the lease early, another node
+// became the owner and accepted a job, and the earlier owner answered a cancellation of it with "no such job".
+BOOST_AUTO_TEST_CASE(An_owner_whose_lease_ended_early_denies_no_job, *boost::unit_test::label("node"))
+{
+    auto* earlierOwner = owner();
+    earlierOwner->store->setFault(StoreFault::Unresponsive);
+    endOwnerLease();
+    BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return ownerBeside(*earlierOwner) != nullptr; }));
+    BOOST_REQUIRE_EQUAL(sendRequest(*ownerBeside(*earlierOwner), "POST", jobId, nullptr, "20000"), 200);
+    auto noSuchJob = 500 + static_cast<int>(node::CallStatus::NoSuchJob);
+    BOOST_REQUIRE(earlierOwner->node->isOwner());
+    BOOST_CHECK_NE(sendRequest(*earlierOwner, "DELETE", jobId), noSuchJob);
+    earlierOwner->store->setFault(StoreFault::None);
+    BOOST_CHECK(waitUntil(Millis(3000), [&] { return sendRequest(*earlierOwner, "GET", jobId) == 200; }));
+}
+
 // Guards against a node that keeps an old desired state, or a removed API key, because the store refuses its calls.
 BOOST_AUTO_TEST_CASE(
     A_node_without_the_store_receives_the_desired_state_from_other_nodes, *boost::unit_test::label("node"))
