Don't count an owner as confirmed that knows its key is gone

What callers saw: an owner that the store had told of the end of its lease, or of the removal of its key, went on sending upkeep orders and denying jobs for up to one lease (1.5 s), although another node might be the owner.

Cause: the ownership counted as confirmed for one lease after the last renewal, whatever the store said in between.

Change: an owner whose key is known to be gone, or whose key's lease has ended, is not confirmed until it has restored its key.

Evidence: An_owner_that_knows_of_the_end_of_its_lease_is_not_confirmed on the code before: owner_election_tests.cpp(187): error: check runUntil(Millis(600), [this] { return !isConfirmed(); }) has failed It passes now. The election's tests have a second candidate and a store that leaves out single kinds of answers.

--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -242,7 +242,7 @@
 
 bool OwnerElection::isOwnershipUnconfirmed() const
 {
-    return bootNow() - confirmedAt_ > ttl_;
+    return isOwnerKeyAbsent_ || ownerKeyLease_ == 0 || bootNow() - confirmedAt_ > ttl_;
 }
 
 Instant OwnerElection::ownershipEndsBy() const
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -39,8 +39,8 @@
     Instant confirmedAt() const { return confirmedAt_; }
     //! Time at which this node steps down unless the store confirms the ownership again.
     Instant ownershipEndsBy() const;
-    //! True if the store has not confirmed the ownership within one lease: another node may be the owner without this
-    //! one knowing it.
+    //! True if the owner key is known to be gone, or the store has not confirmed the ownership within one lease:
+    //! another node may be the owner without this one knowing it.
     bool isOwnershipUnconfirmed() const;
     //! True if the store has answered nothing for longer than a watch takes.
     bool isStoreUnresponsive() const;
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -1,5 +1,6 @@
 #include "fakes.h"
 
+#include "agatevane/fleet/leases.h"
 #include "node/owner_election.h"
 #include "node/records.h"
 #include <boost/test/unit_test.hpp>
@@ -8,40 +9,86 @@
 
 namespace {
 
-//! A store that does not answer reads of single keys while `losesReads` is set.
-class StoreWithoutReads : public test::FakeStore {
+//! A store that does not answer some kinds of calls.
+class PartialStore : public test::FakeStore {
 public:
-    StoreWithoutReads(asio::io_context& context, standin::KvModel& model)
+    PartialStore(asio::io_context& context, standin::KvModel& model)
         : FakeStore(context, model)
         , context_(context)
     {
     }
 
     void loseReads() { losesReads_ = true; }
+    void refuseLeases() { refusesLeases_ = true; }
+    //! Does not answer the next commit that is applied, and calls `executed` after it.
+    void loseNextCommitAnswer(std::function<void()> executed)
+    {
+        losesCommitAnswer_ = true;
+        commitExecuted_ = std::move(executed);
+    }
 
     void get(const std::string& key, Instant deadline, std::function<void(kv::ReadResult)> done) override
     {
         if (!losesReads_)
             return FakeStore::get(key, deadline, std::move(done));
+        answerLater<kv::ReadResult>(elapsed(now(), deadline), Errc::Timeout, std::move(done));
+    }
+    void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
+    {
+        if (!refusesLeases_)
+            return FakeStore::grantLease(ttl, deadline, std::move(done));
+        answerLater<kv::LeaseResult>(Millis(2), Errc::Refused, std::move(done));
+    }
+    void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
+    {
+        FakeStore::commit(txn, deadline, [this, deadline, done = std::move(done)](const kv::TxnResult& result) {
+            if (result.error || !std::exchange(losesCommitAnswer_, false))
+                return done(result);
+            commitExecuted_();
+            answerLater<kv::TxnResult>(elapsed(now(), deadline), Errc::Timeout, done);
+        });
+    }
+
+private:
+    template <typename Result> void answerLater(Millis delay, Errc error, std::function<void(Result)> done)
+    {
         auto timer = std::make_shared<node::Timer>(context_);
-        timer->arm(elapsed(now(), deadline), [timer, done = std::move(done)] {
-            kv::ReadResult result;
-            result.error = Errc::Timeout;
+        timer->arm(delay, [timer, error, done = std::move(done)] {
+            Result result;
+            result.error = error;
             done(result);
         });
     }
 
-private:
     asio::io_context& context_;
     bool losesReads_ = false;
+    bool refusesLeases_ = false;
+    bool losesCommitAnswer_ = false;
+    std::function<void()> commitExecuted_;
 };
 
-struct ElectionFixture {
-    ElectionFixture()
+//! One node's part in the election, with its own access to the store.
+struct Candidate {
+    Candidate(asio::io_context& context, standin::KvModel& model, const std::string& name, int port)
         : store(context, model)
-        , election(context, store, node::OwnerRecord { "a", { "127.0.0.1", 1 }, 0, {} }, Millis(1000), Millis(0),
+        , election(context, store, node::OwnerRecord { name, { "127.0.0.1", port }, 0, {} }, Millis(1000), Millis(0),
               { [this](std::uint32_t, kv::Revision revision) { commitRevision = revision; }, [](std::string_view) {},
                   [] {}, [this] { return commitRevision; } })
+    {
+    }
+
+    bool isConfirmed() const { return election.isOwner() && !election.isOwnershipUnconfirmed(); }
+
+    PartialStore store;
+    kv::Revision commitRevision = 0;
+    node::OwnerElection election;
+};
+
+struct ElectionFixture {
+    ElectionFixture()
+        : first(context, model, "a", 1)
+        , store(first.store)
+        , election(first.election)
     {
         election.start();
         BOOST_REQUIRE(runUntil(Millis(3000), [this] { return election.isOwner(); }));
@@ -52,7 +99,16 @@
         return test::runUntil(context, limit, condition);
     }
 
-    bool isConfirmed() { return election.isOwner() && !election.isOwnershipUnconfirmed(); }
+    bool isConfirmed() { return first.isConfirmed(); }
+
+    bool hasOwnerKey() { return !model.get(node::ownerKey, test::modelTimeMs()).items.empty(); }
+
+    //! The store ends the lease of the owner key before its time.
+    void endOwnerLease()
+    {
+        auto at = test::modelTimeMs();
+        BOOST_REQUIRE(model.endLease(model.get(node::ownerKey, at).items.front().lease, at));
+    }
 
     //! Another node becomes the owner, once the owner's key has been removed.
     void electOther()
@@ -69,9 +125,9 @@
 
     asio::io_context context;
     standin::KvModel model;
-    StoreWithoutReads store;
-    kv::Revision commitRevision = 0;
-    node::OwnerElection election;
+    Candidate first;
+    PartialStore& store;
+    node::OwnerElection& election;
 };
 
 } // namespace
@@ -102,4 +158,14 @@
     BOOST_CHECK(election.ownershipEndsBy() <= endsBy);
 }
 
+// Guards against an owner that sends orders to machines, or denies jobs, although the store has told it that its lease
+// has ended, and that another node may be the owner.
+BOOST_AUTO_TEST_CASE(An_owner_that_knows_of_the_end_of_its_lease_is_not_confirmed, *boost::unit_test::label("node"))
+{
+    store.refuseLeases();
+    BOOST_REQUIRE(isConfirmed());
+    endOwnerLease();
+    BOOST_CHECK(runUntil(Millis(600), [this] { return !isConfirmed(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
