Recognise an owner key that was restored without an answer

What callers saw: after the store had ended the owner's lease, the owner wrote its key again, but the answer was lost. It then held the key and renewed its lease, yet counted as unconfirmed: it denied no job, sent no upkeep orders, gave ever shorter leases and stepped down after 8 s, which ended all runs of the fleet.

Cause: renewals count as confirmation only of the lease that holds the key, and only the answer to the commit said which one does. The repeated commit fails with a conflict, and the record that is then read was not looked at for its lease.

Change: the owner's own record at the key, bound to the lease that it renews, names that lease as the one that holds the key.

Evidence: An_owner_whose_key_was_restored_without_an_answer_is_confirmed on the code before: owner_election_tests.cpp(200): error: check runUntil(Millis(3000), [&] { return isConfirmed() && election.ownershipEndsBy() > endsBy; }) has failed It passes now.

Ruled out: a record that was read before the lease ended confirms nothing, since its lease is no longer the one that is renewed.

--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -216,6 +216,9 @@
     if (item->revision > owner_.revision)
         isOwnerKeyAbsent_ = false;
     endLeaseOfPreviousProcess(*item, *record);
+    // The answer to the commit that wrote the key may have been lost.
+    if (isOwner_ && record->token == self_.token && item->lease == lease_)
+        ownerKeyLease_ = lease_;
     applyOwnerView({ item->revision, *record });
 }
 
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -168,4 +168,18 @@
     BOOST_CHECK(runUntil(Millis(600), [this] { return !isConfirmed(); }));
 }
 
+// Guards against an owner that ends all runs although it holds the owner key: the answer to the commit that restored
+// the key was lost, and renewals of the key's lease did not count as confirmation.
+BOOST_AUTO_TEST_CASE(An_owner_whose_key_was_restored_without_an_answer_is_confirmed, *boost::unit_test::label("node"))
+{
+    bool isRestored = false;
+    store.loseNextCommitAnswer([&] { isRestored = true; });
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [&] { return isRestored; }));
+    BOOST_CHECK(hasOwnerKey());
+    auto endsBy = election.ownershipEndsBy();
+    BOOST_CHECK(runUntil(Millis(3000), [&] { return isConfirmed() && election.ownershipEndsBy() > endsBy; }));
+    BOOST_CHECK(!runUntil(Millis(2000), [this] { return !isConfirmed(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
