Don't win an election with a key that is gone again

What callers saw: a node took itself for the confirmed owner although its key had been removed and another node might be elected beside it. It noticed nothing until it stepped down 8 s later: it did not restore the key, and its renewals confirmed nothing.

Cause: the answer to a campaign was lost, and the lease of the key ended before the campaign was repeated. The repeated campaign's conflict shows the node's own commit record, which was taken for a victory, and the time of the last renewal of a later lease, which held no key, for its confirmation.

Change: a repeated campaign is won only if the conflict also shows the node's own owner record, and the ownership counts as confirmed from the last renewal of the lease that holds the key. Otherwise the node campaigns again.

Evidence: A_campaign_whose_lease_ended_before_its_answer_wins_nothing on the code before: owner_election_tests.cpp(214): error: check hasOwnerKey() has failed owner_election_tests.cpp(215): error: check !runUntil(Millis(3000), [&] { return second.isConfirmed() && !hasOwnerKey(); }) has failed It passes now.

--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -31,6 +31,25 @@
         return error == Errc::Timeout || error == Errc::Disconnected || error == Errc::OutcomeUnknown;
     }
 
+    //! The revision of a campaign that failed with a conflict because an earlier attempt had been applied, although its
+    //! answer was lost. Nothing if another node has campaigned since, or the owner key has been removed again.
+    std::optional<kv::Revision> revisionOfEarlierAttempt(const kv::TxnResult& result, const std::string& token)
+    {
+        bool holdsOwnerKey = false;
+        std::optional<kv::Revision> revision;
+        for (const auto& item : result.current) {
+            if (item.key == ownerKey) {
+                auto record = decodeRecord<OwnerRecord>(item.value);
+                holdsOwnerKey = record && record->token == token;
+            } else if (item.key == commitKey) {
+                auto record = decodeRecord<CommitRecord>(item.value);
+                if (record && record->token == token)
+                    revision = item.revision;
+            }
+        }
+        return holdsOwnerKey ? revision : std::nullopt;
+    }
+
 } // namespace
 
 OwnerElection::OwnerElection(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis minLeaseTtl,
@@ -308,57 +327,50 @@
             else
                 Line("record_unreadable").with("key", commitKey).with("revision", revision);
         }
-        auto token = randomToken(random_);
         self_.tenure = last.tenure + 1;
-        self_.token = token;
-        kv::Txn txn;
-        txn.conditions = { { ownerKey, damagedOwnerRevision_ }, { commitKey, revision } };
-        txn.puts = { { ownerKey, net::encode(self_), lease_ },
-            { commitKey, net::encode(CommitRecord { self_.tenure, token }) } };
-        commitCampaign(txn, self_.tenure, token);
+        self_.token = randomToken(random_);
+        Campaign campaign { {}, self_.tenure, self_.token, lease_, leaseRenewedAt_ };
+        campaign.txn.conditions = { { ownerKey, damagedOwnerRevision_ }, { commitKey, revision } };
+        campaign.txn.puts = { { ownerKey, net::encode(self_), lease_ },
+            { commitKey, net::encode(CommitRecord { self_.tenure, self_.token }) } };
+        commitCampaign(campaign);
     }));
 }
 
-void OwnerElection::commitCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token)
+void OwnerElection::commitCampaign(const Campaign& campaign)
 {
-    store_.commit(txn, now() + callTimeout, liveness_.guard([this, txn, tenure, token](const kv::TxnResult& result) {
+    store_.commit(campaign.txn, now() + callTimeout, liveness_.guard([this, campaign](const kv::TxnResult& result) {
         noteStoreAnswer(result.error);
-        handleCampaignResult(txn, tenure, token, result);
+        handleCampaignResult(campaign, result);
     }));
 }
 
-void OwnerElection::handleCampaignResult(
-    const kv::Txn& txn, std::uint32_t tenure, const std::string& token, kv::TxnResult result)
+void OwnerElection::handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result)
 {
-    kv::Revision commitRevision = result.revision;
-    bool hasWon = !result.error;
-    if (result.error == Errc::Conflict) {
-        // An earlier attempt of this transaction may have been applied although its answer was lost.
-        for (const auto& item : result.current) {
-            auto record = item.key == commitKey ? decodeRecord<CommitRecord>(item.value) : std::nullopt;
-            if (record && record->token == token) {
-                hasWon = true;
-                commitRevision = item.revision;
-            }
-        }
-    } else if (isOutcomeUnknown(result.error) || result.error == Errc::Malformed) {
-        if (lease_ != 0 && !isResigned_)
-            return commitCampaign(txn, tenure, token);
-    }
+    if ((isOutcomeUnknown(result.error) || result.error == Errc::Malformed) && lease_ != 0 && !isResigned_)
+        return commitCampaign(campaign);
     isClaimInProgress_ = false;
     nextCampaignAt_ = bootNow() + retryPause;
     if (result.hasLeaseEnded)
         lease_ = 0;
-    if (!hasWon || isResigned_)
+    if (isResigned_)
         return;
-    tenure_ = tenure;
+    if (!result.error)
+        beginOwnership(campaign, result.revision);
+    else if (auto revision = revisionOfEarlierAttempt(result, campaign.token))
+        beginOwnership(campaign, *revision);
+}
+
+void OwnerElection::beginOwnership(const Campaign& campaign, kv::Revision commitRevision)
+{
+    tenure_ = campaign.tenure;
     isOwner_ = true;
     isOwnerKeyAbsent_ = false;
-    ownerKeyLease_ = txn.puts.front().lease;
-    confirmedAt_ = leaseRenewedAt_;
+    ownerKeyLease_ = campaign.lease;
+    confirmedAt_ = lease_ == ownerKeyLease_ ? leaseRenewedAt_ : campaign.leaseRenewedAt;
     owner_ = { commitRevision, self_ };
-    Line("ownership_gained").with("tenure", tenure).with("revision", commitRevision);
-    callbacks_.elected(tenure, commitRevision);
+    Line("ownership_gained").with("tenure", tenure_).with("revision", commitRevision);
+    callbacks_.elected(tenure_, commitRevision);
     callbacks_.ownerChanged();
 }
 
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -46,6 +46,15 @@
     bool isStoreUnresponsive() const;
 
 private:
+    //! An attempt to become the owner.
+    struct Campaign {
+        kv::Txn txn;
+        std::uint32_t tenure = 0;
+        std::string token;
+        kv::LeaseId lease = 0; //!< holds the owner key if the transaction is applied
+        Instant leaseRenewedAt; //!< when the last renewal of the lease before the transaction was sent
+    };
+
     void tick();
     void claimOwnerKey();
     void requestLease();
@@ -56,8 +65,9 @@
     void applyOwnerItem(const kv::Item* item, kv::Revision asOf);
     void endLeaseOfPreviousProcess(const kv::Item& item, const OwnerRecord& record);
     void startCampaign();
-    void commitCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token);
-    void handleCampaignResult(const kv::Txn& txn, std::uint32_t tenure, const std::string& token, kv::TxnResult result);
+    void commitCampaign(const Campaign& campaign);
+    void handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result);
+    void beginOwnership(const Campaign& campaign, kv::Revision commitRevision);
     void restoreOwnerKey();
     void noteStoreAnswer(std::error_code error);
     void loseOwnership(std::string_view reason);
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -182,4 +182,19 @@
     BOOST_CHECK(!runUntil(Millis(2000), [this] { return !isConfirmed(); }));
 }
 
+// Guards against an owner that takes itself for confirmed, and does not take part in further elections, although its
+// key is gone: the answer to its campaign was lost, and the lease of the key ended before the campaign was repeated.
+BOOST_AUTO_TEST_CASE(A_campaign_whose_lease_ended_before_its_answer_wins_nothing, *boost::unit_test::label("node"))
+{
+    election.resign();
+    BOOST_REQUIRE(runUntil(Millis(1000), [this] { return !hasOwnerKey(); }));
+    Candidate second(context, model, "b", 2);
+    second.store.loseNextCommitAnswer([this] { endOwnerLease(); });
+    second.election.start();
+    BOOST_REQUIRE(runUntil(Millis(5000), [&] { return second.election.isOwner(); }));
+    BOOST_CHECK(hasOwnerKey());
+    BOOST_CHECK(!runUntil(Millis(3000), [&] { return second.isConfirmed() && !hasOwnerKey(); }));
+    BOOST_CHECK(second.isConfirmed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
