Bound an owner's leases by the time for which a successor waits

What callers saw: a task could run twice. An owner cut off from the store renewed leases until 8 s after its last confirmation, while a successor that can't reach the workers waits 7 s after its election where workers grant leases of 6 s.

Cause: the sum took for granted that a successor is elected 1.5 s after the last confirmation at the earliest, when the lease runs out. A store that ends leases early can elect it at once. Leases then end up to 8.22 s after the confirmation (a worker's clock may be 2 % slow, margin 0.1 s), 1.22 s after the successor's wait.

Change: the bound of the earlier owner is derived from the wait of its successor, less that overrun: 6.78 s where workers grant leases of 6 s; 8 s as before where they grant 10 s, since a successor waits 10.3 s there.

Evidence: A_successor_waits_for_all_leases_of_an_owner_whose_lease_ended_early on the code before: owner_election_tests.cpp(175): error: check election.ownershipEndsBy() + clockLag <= tookOverAt + limits.earlierLeaseTimeout has failed It passes now; test_node and test_fleet pass.

Cost: where workers grant 6 s, a store that answers nobody for 6.8 to 8 s ends all runs, which it did from 8 s on.

Ruled out: a longer wait of the successor (8.3 s) would hold back inherited tasks after each takeover with an unreachable worker, and exceed the bound for tasks that last.

Not covered: the simulation's owners still reckon with 8 s (tests/fleet/simulation_owners.cpp); they are never elected early.

--- a/src/agatevane/fleet/leases.cpp
+++ b/src/agatevane/fleet/leases.cpp
@@ -4,6 +4,13 @@
 
 namespace agatevane::fleet {
 
+namespace {
+
+    //! Long enough that runs outlast most outages of the store.
+    constexpr Millis preferredUnconfirmedOwnership { 8000 };
+
+} // namespace
+
 std::int64_t minClockMs(const Worker& worker, Instant at)
 {
     auto passed = static_cast<double>(elapsed(worker.clockAt, at).count());
@@ -16,6 +23,13 @@
     return Millis(static_cast<std::int64_t>(longest)) + leaseMargin;
 }
 
+Millis maxUnconfirmedOwnership(const Limits& limits)
+{
+    auto successorWaits = std::max(limits.earlierLeaseTimeout, maxLeaseDuration(limits.maxLease));
+    auto overrun = maxLeaseDuration(limits.leaseDuration) - limits.leaseDuration;
+    return std::min(preferredUnconfirmedOwnership, successorWaits - overrun);
+}
+
 void assumeLongestLease(const Fleet& fleet, Worker& worker, Instant latest)
 {
     worker.leaseExpiryBound = std::max(worker.leaseExpiryBound, latest + maxLeaseDuration(fleet.limits.maxLease));
--- a/src/agatevane/fleet/leases.h
+++ b/src/agatevane/fleet/leases.h
@@ -16,6 +16,10 @@
 //! Longest time until a lease of `span` has expired on any worker's clock.
 Millis maxLeaseDuration(Millis span);
 
+//! Longest time after the store's last confirmation of the ownership for which an owner gives leases. The store may
+//! elect a later owner right after that confirmation, which then waits until the leases of earlier owners have ended.
+Millis maxUnconfirmedOwnership(const Limits& limits);
+
 //! Postpones `leaseExpiryBound` because of orders that may have reached the worker by `latest` and that may have given
 //! it the longest lease: they were made out for the clock of another incarnation, or by an earlier owner.
 void assumeLongestLease(const Fleet& fleet, Worker& worker, Instant latest);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/leases.h"
 #include "agatevane/metrics/process.h"
 #include <asio/post.hpp>
 
@@ -101,7 +102,7 @@
           },
           [this] { return fleetOwner_ != nullptr || bootNow() - ownerAnsweredAt_ > ownerTimeout; })
     , election_(context, store, OwnerRecord { settings.name, settings.peerAddress, 0, {} }, settings.minLeaseTtl,
-          candidacyDelayOf(settings.cpuShare),
+          candidacyDelayOf(settings.cpuShare), fleet::maxUnconfirmedOwnership(settings.fleetLimits),
           { [this](std::uint32_t tenure, kv::Revision revision) { beginOwnership(tenure, revision); },
               [this](std::string_view reason) { endOwnership(reason); }, [this] { ownerAnsweredAt_ = bootNow(); },
               [this] { return fleetOwner_ ? fleetOwner_->commitRevision() : kv::Revision(0); } })
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -22,9 +22,6 @@
     constexpr Millis watchMargin { 800 };
     //! Candidates spread their attempts over this time. An owner whose lease has expired makes its attempt at once.
     constexpr std::int64_t candidacySpreadMs = 150;
-    //! An owner steps down if the store has not confirmed its ownership for this long: it may have been replaced. No
-    //! lease that it gives ends later, so that a later owner knows how long to wait for workers that it can't reach.
-    constexpr Millis maxUnconfirmedOwnership { 8000 };
 
     bool isOutcomeUnknown(std::error_code error)
     {
@@ -53,11 +50,12 @@
 } // namespace
 
 OwnerElection::OwnerElection(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis minLeaseTtl,
-    Millis candidacyDelay, Callbacks callbacks)
+    Millis candidacyDelay, Millis maxUnconfirmedOwnership, Callbacks callbacks)
     : store_(store)
     , self_(self)
     , ttl_(std::max(preferredLeaseTtl, minLeaseTtl))
     , candidacyDelay_(candidacyDelay)
+    , maxUnconfirmedOwnership_(maxUnconfirmedOwnership)
     , callbacks_(std::move(callbacks))
     , tickTimer_(context)
     , watchTimer_(context)
@@ -269,7 +267,7 @@
 
 Instant OwnerElection::ownershipEndsBy() const
 {
-    return confirmedAt_ + maxUnconfirmedOwnership;
+    return confirmedAt_ + maxUnconfirmedOwnership_;
 }
 
 bool OwnerElection::isStoreUnresponsive() const
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -21,9 +21,12 @@
         std::function<kv::Revision()> commitRevision;
     };
 
-    //! The node waits `candidacyDelay` before each attempt to become the owner, so that better suited nodes win.
+    //! The node waits `candidacyDelay` before each attempt to become the owner, so that better suited nodes win. As the
+    //! owner, it steps down if the store has not confirmed its ownership for `maxUnconfirmedOwnership`: it may have
+    //! been replaced. No lease that it gives ends later, so that a later owner knows how long to wait for workers that
+    //! it can't reach.
     OwnerElection(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis minLeaseTtl,
-        Millis candidacyDelay, Callbacks callbacks);
+        Millis candidacyDelay, Millis maxUnconfirmedOwnership, Callbacks callbacks);
 
     void start();
     //! Gives up the ownership so that another node can take over at once, and never becomes a candidate again.
@@ -76,6 +79,7 @@
     OwnerRecord self_;
     Millis ttl_;
     Millis candidacyDelay_;
+    Millis maxUnconfirmedOwnership_;
     Callbacks callbacks_;
     Random random_ = makeRandom();
     Timer tickTimer_;
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -72,6 +72,7 @@
     Candidate(asio::io_context& context, standin::KvModel& model, const std::string& name, int port)
         : store(context, model)
         , election(context, store, node::OwnerRecord { name, { "127.0.0.1", port }, 0, {} }, Millis(1000), Millis(0),
+              fleet::maxUnconfirmedOwnership({}),
               { [this](std::uint32_t, kv::Revision revision) { commitRevision = revision; }, [](std::string_view) {},
                   [] {}, [this] { return commitRevision; } })
     {
@@ -158,6 +159,25 @@
     BOOST_CHECK(election.ownershipEndsBy() <= endsBy);
 }
 
+// Guards against a task that runs twice: the store ended the owner's lease early, and the earlier owner might give
+// leases for longer than its successor waits for workers that it can't reach.
+BOOST_AUTO_TEST_CASE(
+    A_successor_waits_for_all_leases_of_an_owner_whose_lease_ended_early, *boost::unit_test::label("node"))
+{
+    fleet::Limits limits;
+    auto clockLag = fleet::maxLeaseDuration(limits.leaseDuration) - limits.leaseDuration;
+    Candidate second(context, model, "b", 2);
+    second.election.start();
+    store.setFault(test::StoreFault::Unresponsive);
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [&] { return second.election.isOwner(); }));
+    auto tookOverAt = bootNow();
+    BOOST_CHECK(election.isOwner());
+    BOOST_CHECK(election.ownershipEndsBy() + clockLag <= tookOverAt + limits.earlierLeaseTimeout);
+    // The store may elect the successor at once.
+    BOOST_CHECK(election.ownershipEndsBy() + clockLag <= election.confirmedAt() + limits.earlierLeaseTimeout);
+}
+
 // Guards against an owner that sends orders to machines, or denies jobs, although the store has told it that its lease
 // has ended, and that another node may be the owner.
 BOOST_AUTO_TEST_CASE(An_owner_that_knows_of_the_end_of_its_lease_is_not_confirmed, *boost::unit_test::label("node"))
