Answer callers that have closed their sending side

Cause: the server took the end of the caller's stream for the end of the connection.

Change: the requests that were read are answered first, then the connection is closed. A caller that is gone ends the connection by a reset at the first answer.

Evidence: A_caller_that_has_closed_its_sending_side_is_answered on the code before: event_http_tests.cpp(147): error: check answer.ends_with("whole") has failed It passes now, with all of test_event_http.

Cost: the descriptor of a caller that leaves early stays until its request ends, by the caller's own timeout at the latest.

--- a/src/agatevane/event_http/server.cpp
+++ b/src/agatevane/event_http/server.cpp
@@ -72,7 +72,7 @@
 
     void closeIfIdle()
     {
-        if (!isBusy_ && queue_.empty() && !parser_.isInMessage())
+        if (!isHandlingRequests() && !parser_.isInMessage())
             close();
     }
 
@@ -82,14 +82,19 @@
         bool isKeepAlive = false;
     };
 
+    bool isHandlingRequests() const { return isBusy_ || !queue_.empty(); }
+
     void read()
     {
-        if (isReading_ || queue_.size() >= maxPipelinedRequests || !socket_.is_open())
+        if (isReading_ || hasPeerFinished_ || queue_.size() >= maxPipelinedRequests || !socket_.is_open())
             return;
         isReading_ = true;
         socket_.async_read_some(
             asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, std::size_t size) {
                 self->isReading_ = false;
+                self->hasPeerFinished_ = error == asio::error::eof;
+                if (self->hasPeerFinished_ && self->isHandlingRequests())
+                    return;
                 if (error)
                     return self->close();
                 if (!self->parser_.feed({ self->chunk_.data(), size }))
@@ -126,7 +131,7 @@
     {
         if (!socket_.is_open())
             return endCurrentRequest();
-        bool isKeptOpen = isKeepAlive_ && !server_->isDraining;
+        bool isKeptOpen = isKeepAlive_ && !server_->isDraining && !hasPeerFinished_;
         out_ = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
         for (const auto& [name, value] : response.headers)
             out_ += name + ": " + value + "\r\n";
@@ -154,7 +159,7 @@
 
     void reject()
     {
-        if (isBusy_ || !queue_.empty())
+        if (isHandlingRequests())
             return close();
         isBusy_ = true;
         ++server_->requestsInProgress;
@@ -169,6 +174,7 @@
     std::deque<QueuedRequest> queue_;
     std::string out_;
     bool isReading_ = false;
+    bool hasPeerFinished_ = false; //!< the peer sends nothing more, but may still wait for answers
     bool isBusy_ = false; //!< a request is being handled or its response is being written
     bool isKeepAlive_ = false;
 };
--- a/tests/event_http/event_http_tests.cpp
+++ b/tests/event_http/event_http_tests.cpp
@@ -4,6 +4,7 @@
 #include "agatevane/event_http/server.h"
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
@@ -124,6 +125,29 @@
     BOOST_CHECK_EQUAL(server.requestsInProgress(), 0);
 }
 
+// Guards against a request that ends without an answer: a caller that has sent its request completely may close its
+// sending side, and still waits for the answer.
+BOOST_AUTO_TEST_CASE(A_caller_that_has_closed_its_sending_side_is_answered, *boost::unit_test::label("event_http"))
+{
+    EventLoop loop;
+    asio::steady_timer timer(loop.context);
+    Server server(loop.context, [&](const Request&, Respond respond) {
+        timer.expires_after(Millis(100));
+        timer.async_wait([respond = std::move(respond)](std::error_code) { respond({ 200, {}, "whole" }); });
+    });
+    BOOST_REQUIRE(!server.listen("127.0.0.1", 0));
+    asio::ip::tcp::socket caller(loop.context);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server.port()) });
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nhost: a\r\n\r\n")));
+    caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+    loop.runFor(Millis(500));
+    std::string answer(1024, '\0');
+    std::error_code error;
+    answer.resize(caller.read_some(asio::buffer(answer), error));
+    BOOST_CHECK(answer.ends_with("whole"));
+    BOOST_CHECK_EQUAL(server.requestsInProgress(), 0);
+}
+
 // Guards against a request that is carried out after its caller has given it up: after an orderly close, the bytes that
 // a network partition has held back are still delivered; after a reset they are not. In a soak run, a poll that was
 // delivered late in this way acknowledged the first ended runs of a worker's next incarnation.
