Close a draining connection only with its last answer

What callers saw: at a shutdown, a caller that had sent several requests at once over one connection got the first answer with "connection: close", after which HTTP callers read nothing more: the others, which had been read whole, ended without an answer.

Cause: a draining server marked each answer as the connection's last, also while further requests of it waited.

Change: only the answer after which no request waits closes the connection.

Evidence: A_draining_server_closes_a_connection_only_with_its_last_answer on the code before: event_http_tests.cpp(174): error: check answers.find("connection: close") > second has failed It passes now, with all of test_event_http.

--- a/src/agatevane/event_http/server.cpp
+++ b/src/agatevane/event_http/server.cpp
@@ -131,7 +131,8 @@
     {
         if (!socket_.is_open())
             return endCurrentRequest();
-        bool isKeptOpen = isKeepAlive_ && !server_->isDraining && !hasPeerFinished_;
+        bool isLastAnswer = queue_.empty() && (server_->isDraining || hasPeerFinished_);
+        bool isKeptOpen = isKeepAlive_ && !isLastAnswer;
         out_ = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
         for (const auto& [name, value] : response.headers)
             out_ += name + ": " + value + "\r\n";
--- a/tests/event_http/event_http_tests.cpp
+++ b/tests/event_http/event_http_tests.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_http/parser.h"
 #include "agatevane/event_http/server.h"
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -148,6 +149,32 @@
     BOOST_CHECK_EQUAL(server.requestsInProgress(), 0);
 }
 
+// Guards against requests that end without an answer at a shutdown: a caller that has sent several at once reads no
+// further answer after one that closes the connection.
+BOOST_AUTO_TEST_CASE(
+    A_draining_server_closes_a_connection_only_with_its_last_answer, *boost::unit_test::label("event_http"))
+{
+    EventLoop loop;
+    Server server(loop.context, [&](const Request& request, const Respond& respond) {
+        server.startDraining();
+        respond({ 200, {}, request.target });
+    });
+    BOOST_REQUIRE(!server.listen("127.0.0.1", 0));
+    asio::ip::tcp::socket caller(loop.context);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server.port()) });
+    const std::string request = "GET /a HTTP/1.1\r\nhost: a\r\n\r\n";
+    asio::write(caller, asio::buffer(request + request));
+    loop.runFor(Millis(300));
+    std::string answers(4096, '\0');
+    std::error_code error;
+    answers.resize(asio::read(caller, asio::buffer(answers), error));
+    BOOST_CHECK(error == asio::error::eof);
+    auto second = answers.find("HTTP/1.1", 1);
+    BOOST_REQUIRE(second != std::string::npos);
+    BOOST_CHECK(answers.find("connection: close") > second);
+    BOOST_CHECK(answers.find("connection: close") != std::string::npos);
+}
+
 // Guards against a request that is carried out after its caller has given it up: after an orderly close, the bytes that
 // a network partition has held back are still delivered; after a reset they are not. In a soak run, a poll that was
 // delivered late in this way acknowledged the first ended runs of a worker's next incarnation.
