--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -72,6 +72,7 @@
     Candidate(asio::io_context& context, standin::KvModel& model, const std::string& name, int port)
         : store(context, model)
         , election(context, store, node::OwnerRecord { name, { "127.0.0.1", port }, 0, {} }, Millis(1000), Millis(0),
+              fleet::maxUnconfirmedOwnership({}),
               { [this](std::uint32_t, kv::Revision revision) { commitRevision = revision; }, [](std::string_view) {},
                   [] {}, [this] { return commitRevision; } })
     {
@@ -158,6 +159,25 @@
     BOOST_CHECK(election.ownershipEndsBy() <= endsBy);
 }
 
+// Guards against a task that runs twice: the store ended the owner's lease early, and the earlier owner might give
+// leases for longer than its successor waits for workers that it can't reach.
+BOOST_AUTO_TEST_CASE(
+    A_successor_waits_for_all_leases_of_an_owner_whose_lease_ended_early, *boost::unit_test::label("node"))
+{
+    fleet::Limits limits;
+    auto clockLag = fleet::maxLeaseDuration(limits.leaseDuration) - limits.leaseDuration;
+    Candidate second(context, model, "b", 2);
+    second.election.start();
+    store.setFault(test::StoreFault::Unresponsive);
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [&] { return second.election.isOwner(); }));
+    auto tookOverAt = bootNow();
+    BOOST_CHECK(election.isOwner());
+    BOOST_CHECK(election.ownershipEndsBy() + clockLag <= tookOverAt + limits.earlierLeaseTimeout);
+    // The store may elect the successor at once.
+    BOOST_CHECK(election.ownershipEndsBy() + clockLag <= election.confirmedAt() + limits.earlierLeaseTimeout);
+}
+
 // Guards against an owner that sends orders to machines, or denies jobs, although the store has told it that its lease
 // has ended, and that another node may be the owner.
 BOOST_AUTO_TEST_CASE(An_owner_that_knows_of_the_end_of_its_lease_is_not_confirmed, *boost::unit_test::label("node"))
@@ -168,4 +188,33 @@
     BOOST_CHECK(runUntil(Millis(600), [this] { return !isConfirmed(); }));
 }
 
+// Guards against an owner that ends all runs although it holds the owner key: the answer to the commit that restored
+// the key was lost, and renewals of the key's lease did not count as confirmation.
+BOOST_AUTO_TEST_CASE(An_owner_whose_key_was_restored_without_an_answer_is_confirmed, *boost::unit_test::label("node"))
+{
+    bool isRestored = false;
+    store.loseNextCommitAnswer([&] { isRestored = true; });
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [&] { return isRestored; }));
+    BOOST_CHECK(hasOwnerKey());
+    auto endsBy = election.ownershipEndsBy();
+    BOOST_CHECK(runUntil(Millis(3000), [&] { return isConfirmed() && election.ownershipEndsBy() > endsBy; }));
+    BOOST_CHECK(!runUntil(Millis(2000), [this] { return !isConfirmed(); }));
+}
+
+// Guards against an owner that takes itself for confirmed, and does not take part in further elections, although its
+// key is gone: the answer to its campaign was lost, and the lease of the key ended before the campaign was repeated.
+BOOST_AUTO_TEST_CASE(A_campaign_whose_lease_ended_before_its_answer_wins_nothing, *boost::unit_test::label("node"))
+{
+    election.resign();
+    BOOST_REQUIRE(runUntil(Millis(1000), [this] { return !hasOwnerKey(); }));
+    Candidate second(context, model, "b", 2);
+    second.store.loseNextCommitAnswer([this] { endOwnerLease(); });
+    second.election.start();
+    BOOST_REQUIRE(runUntil(Millis(5000), [&] { return second.election.isOwner(); }));
+    BOOST_CHECK(hasOwnerKey());
+    BOOST_CHECK(!runUntil(Millis(3000), [&] { return second.isConfirmed() && !hasOwnerKey(); }));
+    BOOST_CHECK(second.isConfirmed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
