Log which lifetime answered an acknowledgement, and when writes became durable

The logs could not tell which incarnation of a worker an acknowledgement was meant for and which one carried it out, nor which write made an end durable, nor at which revision of the store. Change: run_ended has the end's number, the worker's lifetime and the sequence of its write; ends_acknowledged and acknowledgement_unanswered say what became of each acknowledgement; committed says up to which sequence writes are durable, at which revision. run_ended is now written after the end was applied, so after job_completed.

--- a/src/agatevane/fleet/decision_log.cpp
+++ b/src/agatevane/fleet/decision_log.cpp
@@ -70,6 +70,30 @@
         line.with("job_age_ms", elapsed(job->second.acceptedAt, at).count());
 }
 
+void logEnd(const Worker& worker, const EndReport& end, CommitSequence sequence)
+{
+    const auto& [id, number] = end.key;
+    Line("run_ended")
+        .with("job", id.job)
+        .with("task", toString(id))
+        .with("run", number)
+        .with("worker", worker.id)
+        .with("how", nameOf(end.kind))
+        .with("number", end.number)
+        .with("lifetime", worker.incarnation)
+        .with("sequence", sequence);
+}
+
+void logAcknowledgement(const Worker& worker, std::optional<std::int64_t> answeredBy)
+{
+    if (worker.pollAcknowledges == 0)
+        return;
+    Line line(answeredBy ? "ends_acknowledged" : "acknowledgement_unanswered");
+    line.with("worker", worker.id).with("up_to", worker.pollAcknowledges).with("lifetime", worker.pollIncarnation);
+    if (answeredBy)
+        line.with("answered_by", *answeredBy);
+}
+
 void logEndOfOtherRun(Fleet& fleet, const Worker& worker, const EndReport& end)
 {
     const auto& [id, number] = end.key;
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -236,12 +236,6 @@
     const auto& id = key.first;
     auto* job = findJob(fleet, id.job);
     auto* task = findTask(fleet, id);
-    Line("run_ended")
-        .with("job", id.job)
-        .with("task", toString(id))
-        .with("run", key.second)
-        .with("worker", worker.id)
-        .with("how", nameOf(kind));
     if (kind == EndKind::Done)
         worker.failuresInRow = 0;
     if (!task)
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -155,6 +155,7 @@
     //! it.
     bool isAcknowledgementReceived = false;
     std::int64_t pollAcknowledges = 0; //!< end up to which the poll in flight acknowledges; 0: none
+    std::int64_t pollIncarnation = 0; //!< incarnation that the poll in flight was made out for
 
     std::map<RunKey, Run> runs;
     Capacity used; //!< sum over `runs`
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -54,6 +54,7 @@
             auto sequence = applyEnd(fleet, worker, end.key, end.kind, end.checkpoint, unixMs, at);
             checkEndWasTaken(fleet, worker, end);
             worker.unacknowledgedEnds.push_back({ end.number, sequence });
+            logEnd(worker, end, sequence);
         }
     }
 
@@ -191,6 +192,7 @@
     if (!worker)
         return;
     worker->isPollInFlight = false;
+    logAcknowledgement(*worker, answer.incarnation);
     if (answer.incarnation != 0 && answer.incarnation < worker->incarnation) {
         worker->nextPollAt = at + pollRetryDelay;
         return;
@@ -230,6 +232,7 @@
     if (!worker)
         return;
     worker->isPollInFlight = false;
+    logAcknowledgement(*worker, std::nullopt);
     worker->pollAcknowledges = 0;
     worker->nextPollAt = at + pollRetryDelay;
     if (++worker->missedPolls == missedPollLimit)
@@ -298,6 +301,7 @@
         if (worker.hasAnsweredPoll && isIncarnationCertain && worker.unacknowledgedEnds.empty() && !worker.runs.empty())
             poll.wait = pollWaitOf(fleet, worker, at);
         worker.isPollInFlight = true;
+        worker.pollIncarnation = worker.incarnation;
         worker.pollSentAt = at;
         orders.polls.push_back(std::move(poll));
     }
--- a/src/node/committer.cpp
+++ b/src/node/committer.cpp
@@ -129,6 +129,10 @@
     isInFlight_ = false;
     lastCommitAt_ = bootNow();
     revision_ = revision;
+    Line("committed")
+        .with("sequence", batch_.lastSequence())
+        .with("revision", revision)
+        .with("records", txn_.puts.size());
     fleet::applyCommitted(fleet_, batch_.lastSequence());
     callbacks_.committed();
 }
