Hold a job whose records can't be read instead of forgetting it

A new owner left out each job whose acceptance or progress record it could not decode, logged it and went on, confirmed by the store. Callers saw: "no such job" for an accepted job; a cancellation answered the same way, which counts as acknowledged, while the job's runs went on; the id accepted a second time, over the old record. Runs found by polls were stopped as runs of an unknown job, and ends acknowledged. A progress record alone lost the whole job. An unreadable record of workers forgot all of them, so that their tasks were started again elsewhere.

The key of a record proves that the job exists, and nothing more. Such a job is now held: calls for it are refused at once (503; a submission, which may have been accepted before, 504); its records are neither replaced nor deleted; its runs are left alone, and go on; nothing of it is started. The same holds for a record under another job's key, for counts that don't fit the specification, for counts or step order that no accepted job has (an owner could exhaust its memory on them, and each later one after it), and for progress without an acceptance. A cancellation is refused: the job may have ended, and a stored "cancelled" would replace what can't be read. A record whose first byte is a higher version is told from a damaged one (fault=newer_version); the ends of such a job are not acknowledged, so that a node of the later build finds them. An owner does not step down for it: it can't know whether any node can read the record, and where none can the ownership would go round; docs/platform.md has the rule for new versions. Ends of damaged records are acknowledged: no build can use them, and they would block the ends behind them.

A record of workers that can't be read, or is missing beside jobs, leaves any worker in question: until all earlier leases have ended (7 s, or the longest lease) nothing is started and the record is not replaced. New work waits as well then.

Ruled out: a checksum for records, which would tell damage that still decodes, but changes their encoding.

--- a/src/agatevane/fleet/decision_log.cpp
+++ b/src/agatevane/fleet/decision_log.cpp
@@ -70,6 +70,17 @@
         line.with("job_age_ms", elapsed(job->second.acceptedAt, at).count());
 }
 
+void logHeldRun(const Fleet& fleet, const Worker& worker, const RunningReport& report)
+{
+    const auto& [task, number] = report.key;
+    Line("run_held")
+        .with("job", task.job)
+        .with("task", toString(task))
+        .with("run", number)
+        .with("worker", worker.id)
+        .with("fault", nameOf(fleet.unreadableJobs.at(task.job)));
+}
+
 void logEndOfOtherRun(Fleet& fleet, const Worker& worker, const EndReport& end)
 {
     const auto& [id, number] = end.key;
--- a/src/agatevane/fleet/decision_log.h
+++ b/src/agatevane/fleet/decision_log.h
@@ -12,6 +12,8 @@
 void logRemoved(const Worker& worker, Instant at);
 //! A run that a worker has reported and that this owner has not ordered there.
 void logUnknownRun(const Fleet& fleet, const Worker& worker, const RunningReport& report, bool isWanted, Instant at);
+//! A run that is left alone, because its job's records can't be read.
+void logHeldRun(const Fleet& fleet, const Worker& worker, const RunningReport& report);
 //! The end of a run whose task has another run. Nothing if the run is its task's, or the task is idle or unknown.
 void logEndOfOtherRun(Fleet& fleet, const Worker& worker, const EndReport& end);
 
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -54,6 +54,15 @@
             ++fleet.waitingJobCounts[job.spec.queue];
     }
 
+    //! The end of a task that this owner does not know is acknowledged at once, unless a later build has written the
+    //! job's records: the end is then kept for an owner that can read them.
+    CommitSequence sequenceOfUnknownTask(const Fleet& fleet, const JobId& id)
+    {
+        auto unreadable = fleet.unreadableJobs.find(id);
+        bool isKept = unreadable != fleet.unreadableJobs.end() && unreadable->second == RecordFault::NewerVersion;
+        return isKept ? neverCommitted : 0;
+    }
+
     void markDone(Step& step, Task& task)
     {
         if (std::exchange(task.isDone, true))
@@ -245,7 +254,7 @@
     if (kind == EndKind::Done)
         worker.failuresInRow = 0;
     if (!task)
-        return 0;
+        return sequenceOfUnknownTask(fleet, id.job);
     // The change after which the task needs no further run may not be durable yet.
     if (hasEnded(job->phase) || task->isDone)
         return job->lastSequence;
--- a/src/agatevane/fleet/jobs.h
+++ b/src/agatevane/fleet/jobs.h
@@ -50,7 +50,8 @@
 void inherit(Fleet& fleet, Job job, std::int64_t unixMs, Instant at);
 
 //! Applies the end of a run, which is already removed from the worker's runs. Returns the write that has to be
-//! committed before the end is acknowledged to the worker, or 0 if nothing has to be stored.
+//! committed before the end is acknowledged to the worker; 0 if nothing has to be stored, `neverCommitted` if this
+//! owner must not acknowledge the end.
 CommitSequence applyEnd(Fleet& fleet, Worker& worker, const RunKey& key, EndKind kind, const std::string& checkpoint,
     std::int64_t unixMs, Instant at);
 
--- a/src/agatevane/fleet/record.cpp
+++ b/src/agatevane/fleet/record.cpp
@@ -1,12 +1,16 @@
 #include "agatevane/fleet/record.h"
 
 #include "agatevane/net/archive.h"
+#include <algorithm>
 
 namespace agatevane::fleet {
 
 namespace {
 
+    //! First byte of each record. A build may write a new version only once all nodes run a build that reads it.
     constexpr std::uint8_t recordVersion = 1;
+    //! More tasks than any accepted job has.
+    constexpr std::uint64_t maxTasks = 1U << 20U;
 
     struct TaskRecord {
         bool isDone = false;
@@ -41,6 +45,23 @@
         }
     };
 
+    //! False if the specification can't be that of an accepted job: its counts would exhaust the memory, or a step
+    //! waits for one that does not come before it.
+    bool isPlausible(const JobSpec& spec)
+    {
+        std::uint64_t tasks = 0;
+        for (std::size_t stepIndex = 0; stepIndex < spec.steps.size(); ++stepIndex) {
+            const auto& step = spec.steps[stepIndex];
+            tasks += step.count;
+            bool isOrdered = std::all_of(step.after.begin(), step.after.end(),
+                [stepIndex](std::uint32_t earlier) { return earlier < stepIndex; });
+            if (!isOrdered)
+                return false;
+        }
+        auto occurrences = std::max<std::uint64_t>(1, spec.occurrences);
+        return occurrences <= maxTasks && tasks <= maxTasks && tasks * occurrences <= maxTasks;
+    }
+
     bool isOpen(JobPhase phase)
     {
         return phase == JobPhase::Open || phase == JobPhase::Accepting;
@@ -140,7 +161,7 @@
 std::optional<Job> decodeAcceptance(std::string_view bytes)
 {
     AcceptanceRecord record;
-    if (!net::decode(bytes, record) || record.version != recordVersion)
+    if (!net::decode(bytes, record) || record.version != recordVersion || !isPlausible(record.spec))
         return std::nullopt;
     auto job = makeJob(std::move(record.spec), record.acceptedUnixMs);
     job.phase = JobPhase::Open;
@@ -148,6 +169,12 @@
     return job;
 }
 
+RecordFault faultOf(std::string_view bytes)
+{
+    bool isNewer = !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) > recordVersion;
+    return isNewer ? RecordFault::NewerVersion : RecordFault::Damaged;
+}
+
 bool decodeProgress(std::string_view bytes, Job& job)
 {
     ProgressRecord record;
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -129,6 +129,14 @@
     worker.runs.emplace(key, run);
 }
 
+void holdRun(Fleet& fleet, Worker& worker, const RunKey& key, Instant at)
+{
+    adoptRun(fleet, worker, key, false, at);
+    auto& run = worker.runs.at(key);
+    run.state = RunState::Running;
+    run.isHeld = run.isConfirmed = run.isReported = true;
+}
+
 void removeRun(Fleet& fleet, Worker& worker, const RunKey& key)
 {
     auto found = worker.runs.find(key);
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -60,6 +60,8 @@
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at);
 //! Adds a run that a worker has reported. If `isWanted`, it becomes the task's run; else it is to be stopped.
 void adoptRun(Fleet& fleet, Worker& worker, const RunKey& key, bool isWanted, Instant at);
+//! Adds a run that a worker has reported, of a job whose records can't be read.
+void holdRun(Fleet& fleet, Worker& worker, const RunKey& key, Instant at);
 //! Frees the capacity of a run; its task becomes idle.
 void removeRun(Fleet& fleet, Worker& worker, const RunKey& key);
 //! Removes a run that has ended without a report of its end, and stops the other members of its gang.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -6,6 +6,7 @@
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,9 +20,17 @@
 
 //! Position of a write in the order in which writes become durable.
 using CommitSequence = std::uint64_t;
+//! The position of a write that this owner never makes.
+constexpr CommitSequence neverCommitted = std::numeric_limits<CommitSequence>::max();
 
 enum class JobPhase { Accepting, Open, Completed, Failed, Cancelled };
 
+//! Why a stored record can't be used.
+enum class RecordFault {
+    Damaged, //!< no build can read it
+    NewerVersion //!< a later build has written it
+};
+
 //! A task's run on a worker: ordered, running or being stopped.
 struct TaskRun {
     WorkerId worker;
@@ -75,6 +84,13 @@
 
 } // namespace agatevane::fleet
 
+template <> struct agatevane::EnumNames<agatevane::fleet::RecordFault> {
+    static constexpr std::array<std::pair<agatevane::fleet::RecordFault, std::string_view>, 2> table { {
+        { agatevane::fleet::RecordFault::Damaged, "damaged" },
+        { agatevane::fleet::RecordFault::NewerVersion, "newer_version" },
+    } };
+};
+
 template <> struct agatevane::EnumNames<agatevane::fleet::RunState> {
     static constexpr std::array<std::pair<agatevane::fleet::RunState, std::string_view>, 3> table { {
         { agatevane::fleet::RunState::Ordered, "ordered" },
@@ -92,6 +108,7 @@
     Capacity need;
     RunState state = RunState::Ordered;
     bool isWanted = true; //!< false: the worker reported the run, but it belongs to no task that needs it
+    bool isHeld = false; //!< the run belongs to a job whose records can't be read, and is neither wanted nor stopped
     int priority = 0;
     Instant orderedAt;
     Instant nextSendAt; //!< earliest time at which the start or stop order is sent, or sent again
@@ -249,6 +266,9 @@
     std::map<JobId, Job> jobs;
     std::map<WorkerId, Worker> workers;
     std::set<JobId> openJobs; //!< jobs in phase Open
+    //! Jobs that were accepted and whose records can't be read. What became of them is unknown: they are neither run
+    //! nor stopped, and their records stay as they are.
+    std::map<JobId, RecordFault> unreadableJobs;
     //! Number of open jobs, except scheduled ones, that have not started, by queue.
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -96,6 +96,11 @@
     void handleUnknownRun(Fleet& fleet, Worker& worker, const RunningReport& report, Instant at)
     {
         const auto& key = report.key;
+        if (fleet.unreadableJobs.contains(key.first.job)) {
+            holdRun(fleet, worker, key, at);
+            assumeLongestLease(fleet, worker, at);
+            return logHeldRun(fleet, worker, report);
+        }
         auto* job = findJob(fleet, key.first.job);
         auto* task = findTask(fleet, key.first);
         bool isWanted = task && job->phase == JobPhase::Open && !task->isDone && !task->run
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -242,6 +242,8 @@
 {
     if (!isReady_ || isStopped_)
         return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the owner is loading" });
+    if (request.kind != CallKind::CountWaiting && fleet_.unreadableJobs.contains(request.job))
+        return answer(unreadableJob(request.kind));
     switch (request.kind) {
     case CallKind::CountWaiting:
         return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobCount(fleet_, queue.name), {} });
@@ -277,6 +279,14 @@
     return { CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" };
 }
 
+//! The answer about a job whose records this owner can't read. It exists, so that it is not denied; it may have ended,
+//! so that neither its state is told nor a cancellation stored; and an earlier submission may have been accepted.
+CallerAnswer FleetOwner::unreadableJob(CallKind kind)
+{
+    auto status = kind == CallKind::Submit ? CallStatus::OutcomeUnknown : CallStatus::NotAccepted;
+    return { status, std::nullopt, std::nullopt, "the job's record can't be read" };
+}
+
 void FleetOwner::awaitCommit(
     fleet::CommitSequence sequence, const CallerRequest& request, Instant deadline, Answer answer)
 {
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -65,6 +65,7 @@
 
     void load();
     void loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress);
+    void holdJob(const kv::Item& item, const fleet::JobId& id);
     void listWorkers();
     std::optional<fleet::WorkerListing> decodeEntry(const kv::Item& item);
     void applyListings(const kv::ReadResult& listed);
@@ -84,6 +85,7 @@
     void handleFencedAnswer();
 
     CallerAnswer unknownJob() const;
+    static CallerAnswer unreadableJob(CallKind kind);
 
     bool hasWaitingCaller() const;
     void handleCommit();
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -2,6 +2,8 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/record.h"
 #include "node/fleet_owner.h"
+#include "node/unreadable_records.h"
+#include <algorithm>
 
 namespace agatevane::node {
 
@@ -17,6 +19,11 @@
     //! Each worker reports about once a second. The pause between watches collects changes and so saves calls.
     constexpr Millis watchPause { 400 };
 
+    std::string_view idOf(const kv::Item& item, std::string_view prefix)
+    {
+        return std::string_view(item.key).substr(prefix.size());
+    }
+
 } // namespace
 
 void FleetOwner::load()
@@ -64,38 +71,49 @@
 {
     std::map<std::string_view, const kv::Item*> progressOf;
     for (const auto& item : progress.items)
-        progressOf.emplace(std::string_view(item.key).substr(std::string_view(fleet::progressPrefix).size()), &item);
+        progressOf.emplace(idOf(item, fleet::progressPrefix), &item);
     auto unixMs = unixMillis();
     auto at = bootNow();
     for (const auto& item : acceptances.items) {
+        auto id = idOf(item, fleet::acceptancePrefix);
+        auto ownProgress = progressOf.extract(id);
         auto job = fleet::decodeAcceptance(item.value);
-        if (!job) {
-            Line("record_unreadable").with("key", item.key).with("revision", item.revision);
-            continue;
-        }
-        auto found = progressOf.find(job->spec.id);
-        if (found != progressOf.end() && !fleet::decodeProgress(found->second->value, *job)) {
-            Line("record_unreadable").with("key", found->second->key).with("revision", found->second->revision);
-            continue;
-        }
-        fleet::inherit(fleet_, std::move(*job), unixMs, at);
+        if (!job || job->spec.id != id)
+            holdJob(item, fleet::JobId(id));
+        else if (ownProgress && !fleet::decodeProgress(ownProgress.mapped()->value, *job))
+            holdJob(*ownProgress.mapped(), fleet::JobId(id));
+        else
+            fleet::inherit(fleet_, std::move(*job), unixMs, at);
     }
+    // A job's two records are deleted together.
+    for (const auto& [id, item] : progressOf)
+        holdJob(*item, fleet::JobId(id));
 }
 
-//! Enters the workers that an earlier owner knew. They may still run its tasks even if the platform no longer lists
-//! them.
+//! The item belongs to a job that was accepted, and can't be read.
+void FleetOwner::holdJob(const kv::Item& item, const fleet::JobId& id)
+{
+    auto fault = fleet::faultOf(item.value);
+    reportUnreadableRecord(item, fault);
+    fleet_.unreadableJobs.emplace(id, fault);
+}
+
+//! Enters the workers that the inherited record names. They may still run tasks of earlier owners even if the platform
+//! no longer lists them. Each owner writes the record before it starts anything, so that it is missing only where
+//! nothing was started.
 void FleetOwner::loadKnownWorkers(const kv::ReadResult& known)
 {
-    auto at = bootNow();
-    for (const auto& item : known.items) {
-        std::vector<fleet::WorkerListing> listings;
-        if (!net::decode(item.value, listings)) {
-            Line("record_unreadable").with("key", item.key).with("revision", item.revision);
-            continue;
-        }
-        fleet::addKnownWorkers(fleet_, listings, at);
-        committer_.setStoredWorkerRecord(item.value);
+    auto item = std::find_if(
+        known.items.begin(), known.items.end(), [](const kv::Item& each) { return each.key == knownWorkersKey; });
+    if (item == known.items.end() && fleet_.jobs.empty() && fleet_.unreadableJobs.empty())
+        return fleet::addKnownWorkers(fleet_, {}, bootNow());
+    std::vector<fleet::WorkerListing> listings;
+    if (item != known.items.end() && net::decode(item->value, listings)) {
+        committer_.setStoredWorkerRecord(item->value);
+        return fleet::addKnownWorkers(fleet_, listings, bootNow());
     }
+    fleet_.earlierWorkers = fleet::EarlierWorkers::Unreadable;
+    reportUnreadableRecord(item == known.items.end() ? kv::Item { knownWorkersKey, {} } : *item);
 }
 
 //! No value if the entry names no worker to use. Its findings are logged once, however often it is written again.
--- a/src/node/upkeep_controller.cpp
+++ b/src/node/upkeep_controller.cpp
@@ -1,6 +1,7 @@
 #include "node/upkeep_controller.h"
 
 #include "agatevane/event_log/event_log.h"
+#include "node/unreadable_records.h"
 
 namespace agatevane::node {
 
@@ -45,7 +46,7 @@
         }
         for (const auto& item : result.items) {
             if (!upkeep::decodeRecord(state_, item.value))
-                Line("record_unreadable").with("key", item.key).with("revision", item.revision);
+                reportUnreadableRecord(item);
         }
         listWaves();
     }));
