Never elect an owner whose tenure is not certain

A candidate that could not decode the commit record, or found none, took tenure 1: a lower fencing token and lower run numbers than earlier owners had. Workers that know a later token refuse such an owner's orders, and it steps down, to be elected again; one that has restarted takes them beside those of a slower, higher owner.

Each election now also writes a copy of its tenure, under a key that no other transaction touches. It is read only if the commit record is missing or can't be read, so that an election costs one read more only at the very first time. If the copy can't be read either, or is missing beside a damaged record, the node doesn't become the owner and asks again after 5 s: no owner is better than two. Nodes of a build before this one write no copy; the newest owner that a node has heard of raises the tenure too.

Ruled out: the store's revision as tenure (run numbers are 10000 for each tenure, in 32 bits).

--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -2,6 +2,8 @@
 
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
+#include "node/unreadable_records.h"
+#include <algorithm>
 
 namespace agatevane::node {
 
@@ -17,6 +19,8 @@
     //! Shorter than the remaining time of the lease, so that there is time for another renewal if an answer is lost.
     constexpr Millis renewalTimeout { 500 };
     constexpr Millis retryPause { 200 };
+    //! Until an operator has restored the records, no attempt can succeed.
+    constexpr Millis uncertainTenurePause { 5000 };
     constexpr Millis watchWait { 3000 };
     //! Time beyond the wait in which a slow store may answer a watch. After that the watch is sent again.
     constexpr Millis watchMargin { 800 };
@@ -204,7 +208,7 @@
     }
     auto record = decodeRecord<OwnerRecord>(item->value);
     if (!record) {
-        Line("record_unreadable").with("key", ownerKey).with("revision", item->revision);
+        reportUnreadableRecord(*item);
         // An owner binds its record to its lease. No lease ends this one, so the next owner replaces it.
         if (item->lease == 0) {
             damagedOwnerRevision_ = item->revision;
@@ -291,31 +295,60 @@
     isClaimInProgress_ = true;
     store_.get(commitKey, now() + callTimeout, liveness_.guard([this](const kv::ReadResult& result) {
         noteStoreAnswer(result.error);
-        if (result.error || lease_ == 0 || isResigned_) {
-            isClaimInProgress_ = false;
-            nextCampaignAt_ = bootNow() + retryPause;
-            return;
-        }
-        CommitRecord last;
-        kv::Revision revision = 0;
-        if (!result.items.empty()) {
-            revision = result.items.front().revision;
-            if (auto record = decodeRecord<CommitRecord>(result.items.front().value))
-                last = *record;
-            else
-                Line("record_unreadable").with("key", commitKey).with("revision", revision);
+        if (result.error)
+            return abandonCampaign(retryPause);
+        if (result.items.empty())
+            return readTenure(0);
+        const auto& item = result.items.front();
+        if (auto record = decodeRecord<CommitRecord>(item.value))
+            return campaign(record->tenure, item.revision);
+        reportUnreadableRecord(item);
+        readTenure(item.revision);
+    }));
+}
+
+//! Takes the last tenure from its copy. Without a certain tenure there is no campaign: a lower fencing token than that
+//! of an earlier owner would be worse than no owner.
+void OwnerElection::readTenure(kv::Revision commitRevision)
+{
+    store_.get(tenureKey, now() + callTimeout, liveness_.guard([this, commitRevision](const kv::ReadResult& result) {
+        noteStoreAnswer(result.error);
+        if (result.error)
+            return abandonCampaign(retryPause);
+        if (result.items.empty()) {
+            if (commitRevision != 0)
+                return abandonCampaign(uncertainTenurePause);
+            return campaign(0, commitRevision);
         }
-        auto token = randomToken(random_);
-        self_.tenure = last.tenure + 1;
-        self_.token = token;
-        kv::Txn txn;
-        txn.conditions = { { ownerKey, damagedOwnerRevision_ }, { commitKey, revision } };
-        txn.puts = { { ownerKey, net::encode(self_), lease_ },
-            { commitKey, net::encode(CommitRecord { self_.tenure, token }) } };
-        commitCampaign(txn, self_.tenure, token);
+        const auto& item = result.items.front();
+        if (auto record = decodeRecord<TenureRecord>(item.value))
+            return campaign(record->tenure, commitRevision);
+        reportUnreadableRecord(item);
+        abandonCampaign(uncertainTenurePause);
     }));
 }
 
+void OwnerElection::abandonCampaign(Millis pause)
+{
+    isClaimInProgress_ = false;
+    nextCampaignAt_ = bootNow() + pause;
+}
+
+void OwnerElection::campaign(std::uint32_t lastTenure, kv::Revision commitRevision)
+{
+    if (lease_ == 0 || isResigned_)
+        return abandonCampaign(retryPause);
+    auto token = randomToken(random_);
+    self_.tenure = std::max(lastTenure, owner_.record.tenure) + 1;
+    self_.token = token;
+    kv::Txn txn;
+    txn.conditions = { { ownerKey, damagedOwnerRevision_ }, { commitKey, commitRevision } };
+    txn.puts
+        = { { ownerKey, net::encode(self_), lease_ }, { commitKey, net::encode(CommitRecord { self_.tenure, token }) },
+              { tenureKey, net::encode(TenureRecord { self_.tenure }) } };
+    commitCampaign(txn, self_.tenure, token);
+}
+
 void OwnerElection::commitCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token)
 {
     store_.commit(txn, now() + callTimeout, liveness_.guard([this, txn, tenure, token](const kv::TxnResult& result) {
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -56,6 +56,9 @@
     void applyOwnerItem(const kv::Item* item, kv::Revision asOf);
     void endLeaseOfPreviousProcess(const kv::Item& item, const OwnerRecord& record);
     void startCampaign();
+    void readTenure(kv::Revision commitRevision);
+    void campaign(std::uint32_t lastTenure, kv::Revision commitRevision);
+    void abandonCampaign(Millis pause);
     void commitCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token);
     void handleCampaignResult(const kv::Txn& txn, std::uint32_t tenure, const std::string& token, kv::TxnResult result);
     void restoreOwnerKey();
--- a/src/node/records.h
+++ b/src/node/records.h
@@ -15,6 +15,8 @@
 //! earlier owner, is therefore never applied.
 constexpr const char* commitKey = "agatevane/commit";
 
+constexpr const char* tenureKey = "agatevane/tenure";
+
 //! Value of the owner key, which is bound to the owner's lease.
 struct OwnerRecord {
     std::string name;
@@ -44,6 +46,13 @@
     template <typename Archive> void serialize(Archive& archive) { archive(tenure, token); }
 };
 
+//! Value of the tenure key: the tenure of the last election. It is read where the commit record can't be.
+struct TenureRecord {
+    std::uint32_t tenure = 0;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(tenure); }
+};
+
 //! Returns nothing if `bytes` can't be decoded.
 template <typename Record> std::optional<Record> decodeRecord(const std::string& bytes)
 {
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -102,4 +102,32 @@
     BOOST_CHECK(election.ownershipEndsBy() <= endsBy);
 }
 
+// Guards against an owner with a lower fencing token than an earlier one, because the commit record can't be read.
+BOOST_AUTO_TEST_CASE(A_damaged_commit_record_does_not_restart_the_tenures, *boost::unit_test::label("node"))
+{
+    auto damage = [this](const char* key) { model.commit({ {}, { { key, "x", 0 } }, {} }, test::modelTimeMs()); };
+    std::uint32_t electedTenure = 0;
+    test::FakeStore otherStore(context, model);
+    node::OwnerElection other(context, otherStore, node::OwnerRecord { "b", { "127.0.0.1", 2 }, 0, {} }, Millis(1000),
+        Millis(0),
+        { [&](std::uint32_t tenure, kv::Revision) { electedTenure = tenure; }, [](std::string_view) {}, [] {},
+            [] { return kv::Revision(0); } });
+    election.resign();
+    runUntil(Millis(100), [] { return false; });
+    damage(node::commitKey);
+    other.start();
+    BOOST_REQUIRE(runUntil(Millis(3000), [&] { return other.isOwner(); }));
+    BOOST_CHECK_EQUAL(electedTenure, 2U);
+    // Without any certain tenure nobody becomes the owner.
+    other.resign();
+    runUntil(Millis(100), [] { return false; });
+    damage(node::commitKey);
+    damage(node::tenureKey);
+    node::OwnerElection third(context, otherStore, node::OwnerRecord { "c", { "127.0.0.1", 3 }, 0, {} }, Millis(1000),
+        Millis(0),
+        { [](std::uint32_t, kv::Revision) {}, [](std::string_view) {}, [] {}, [] { return kv::Revision(0); } });
+    third.start();
+    BOOST_CHECK(!runUntil(Millis(2000), [&] { return third.isOwner(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
