--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/leases.h"
+#include "agatevane/fleet/worker_record.h"
 
 namespace agatevane::fleet {
 
@@ -128,6 +129,14 @@
     worker.runs.emplace(key, run);
 }
 
+void holdRun(Fleet& fleet, Worker& worker, const RunKey& key, Instant at)
+{
+    adoptRun(fleet, worker, key, false, at);
+    auto& run = worker.runs.at(key);
+    run.state = RunState::Running;
+    run.isHeld = run.isConfirmed = run.isReported = true;
+}
+
 void removeRun(Fleet& fleet, Worker& worker, const RunKey& key)
 {
     auto found = worker.runs.find(key);
@@ -310,6 +319,7 @@
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
             if (!job || !worker.hasAnsweredPoll)
                 continue;
+            checkStartIsNamed(fleet, worker, key);
             run.isOrderInFlight = true;
             ++run.ordersSent;
             auto until = extendLease(fleet, worker, at);
