Say in the simulation who ordered a run and what was known of its worker

A violation in which a task ran twice named run, worker and times only, so that it could not be told whether the second run was a copy of one order, whose order it was, and whether the owner could have known.

Each run in the report now has the owner that ordered it, when, and what the present owner knew of the worker (answering, silent, unlisted, restarted unseen). No check is changed.

--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -90,6 +90,7 @@
     entered.queue = queue.name;
     specs_[spec.id] = entered;
     queues_[spec.id] = queue;
+    submittedMs_[spec.id] = nowMs_;
     fleet().desired.queues.push_back(queue);
     fleet::submit(fleet(), entered, queue, nowMs_, at(nowMs_));
     if (options_.cancelShare > 0 && occurs(options_.cancelShare))
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -70,6 +70,10 @@
     const std::vector<std::string>& violations() const { return violations_; }
     //! Checks invariants that can only be checked at the end.
     void checkHistory();
+    //! Runs that began after the owner knew that their task was done, whether or not the end was acknowledged.
+    std::int64_t countRunsAfterDone() const;
+    //! Mean time from the submission of a job to the end of its last task, over the jobs that were not cancelled.
+    double meanJobMs() const;
 
 private:
     struct Owner {
@@ -96,6 +100,14 @@
         bool reachesEvenOwners = true;
     };
 
+    //! What was known of a run when it began.
+    struct StartNote {
+        std::int64_t sentMs = 0;
+        std::uint32_t tenure = 0; //!< of the owner that sent the order
+        const char* workerState = ""; //!< what the present owner knew of the worker
+        bool isTaskDone = false; //!< the present owner knew that the task was done
+    };
+
     Instant at(std::int64_t ms) const;
     void schedule(std::int64_t delayMs, std::function<void()> action);
     std::int64_t delay();
@@ -107,6 +119,8 @@
     void step();
     void stepOwner(const OwnerPointer& owner);
     void sendStart(const OwnerPointer& owner, const fleet::StartOrder& order);
+    //! The worker carries out a start that was sent at `sentMs`.
+    standin::StartOutcome carryOutStart(const Owner& owner, const fleet::StartOrder& order, std::int64_t sentMs);
     void sendStop(const OwnerPointer& owner, const fleet::StopOrder& order);
     void sendPace(const OwnerPointer& owner, const fleet::PaceOrder& order);
     void sendPoll(const OwnerPointer& owner, const fleet::PollOrder& order);
@@ -127,12 +141,15 @@
     //! True if a late order is carried out, by whatever incarnation is there.
     bool takesLateOrder(const Owner& owner, const fleet::WorkerId& worker) const;
 
+    std::string describe(std::size_t run) const;
+    const char* knownState(const fleet::WorkerId& worker);
+    bool isKnownDone(const fleet::TaskId& task);
     void noteRuns();
     void noteReach();
     void checkCapacity();
     void checkStart(const fleet::StartOrder& order);
-    void checkTracking(const standin::RunRecord& record);
-    void checkCancelled(const standin::RunRecord& record);
+    void checkTracking(std::size_t run);
+    void checkCancelled(std::size_t run);
     void checkActiveCounts();
     void reportViolation(const std::string& text);
 
@@ -157,6 +174,8 @@
     std::int64_t nextCutMs_ = 0;
     std::map<fleet::JobId, std::int64_t> cancelledMs_; //!< when the cancellation was acknowledged
     std::size_t checkedHistory_ = 0;
+    std::map<std::size_t, StartNote> startNotes_; //!< by the run's position in the history of the modelled workers
+    std::map<fleet::JobId, std::int64_t> submittedMs_;
     std::vector<std::size_t> liveRuns_; //!< positions in the history of the modelled workers
     std::vector<std::string> violations_;
     std::set<std::string> reportedTexts_;
--- a/tests/fleet/simulation_checks.cpp
+++ b/tests/fleet/simulation_checks.cpp
@@ -13,12 +13,6 @@
     constexpr std::int64_t lateStartAllowanceMs = 4000;
     constexpr std::int64_t countIntervalMs = 200;
 
-    std::string describe(const standin::RunRecord& record)
-    {
-        return "run " + std::to_string(record.key.second) + " of " + toString(record.key.first) + " on " + record.worker
-            + ", begun at " + std::to_string(record.beganMs) + " ms";
-    }
-
 } // namespace
 
 void FleetSimulation::reportViolation(const std::string& text)
@@ -29,6 +23,37 @@
             "seed " + std::to_string(options_.seed) + " at " + std::to_string(nowMs_) + " ms: " + text);
 }
 
+std::string FleetSimulation::describe(std::size_t run) const
+{
+    const auto& record = workers_.history()[run];
+    auto found = startNotes_.find(run);
+    auto note = found == startNotes_.end() ? StartNote {} : found->second;
+    return "run " + std::to_string(record.key.second) + " of " + toString(record.key.first) + " on " + record.worker
+        + " (" + note.workerState + "), ordered at " + std::to_string(note.sentMs) + " ms by owner "
+        + std::to_string(note.tenure) + ", begun at " + std::to_string(record.beganMs) + " ms";
+}
+
+//! What the present owner knows of a worker.
+const char* FleetSimulation::knownState(const fleet::WorkerId& id)
+{
+    const auto* worker = fleet::findWorker(fleet(), id);
+    if (!worker)
+        return "unknown";
+    if (!worker->isListed)
+        return worker->missedPolls > 0 ? "unlisted, silent" : "unlisted, answering";
+    if (worker->missedPolls > 0)
+        return "silent";
+    if (worker->incarnation != workers_.listing(id).incarnation)
+        return "restarted unseen";
+    return worker->hasAnsweredPoll ? "answering" : "not polled yet";
+}
+
+bool FleetSimulation::isKnownDone(const fleet::TaskId& id)
+{
+    const auto* task = fleet::findTask(fleet(), id);
+    return task && task->isDone;
+}
+
 void FleetSimulation::noteReach()
 {
     for (const auto& [id, listing] : listings_) {
@@ -46,31 +71,33 @@
         liveRuns_.push_back(checkedHistory_);
     std::erase_if(liveRuns_, [&history](std::size_t position) { return history[position].endedMs >= 0; });
     for (auto position : liveRuns_) {
-        checkTracking(history[position]);
-        checkCancelled(history[position]);
+        checkTracking(position);
+        checkCancelled(position);
     }
 }
 
 //! Once its worker has answered the owner, a run is its task's run, or is to be stopped.
-void FleetSimulation::checkTracking(const standin::RunRecord& record)
+void FleetSimulation::checkTracking(std::size_t position)
 {
+    const auto& record = workers_.history()[position];
     auto answered = current_->answeredMs.find(record.worker);
     if (answered == current_->answeredMs.end() || answered->second <= record.beganMs)
         return;
     const auto* worker = fleet::findWorker(fleet(), record.worker);
     if (!worker)
-        return reportViolation("the owner has forgotten the worker of " + describe(record));
+        return reportViolation("the owner has forgotten the worker of " + describe(position));
     auto run = worker->runs.find(record.key);
     if (run == worker->runs.end())
-        return reportViolation("the owner does not know of " + describe(record));
+        return reportViolation("the owner does not know of " + describe(position));
     const auto* task = fleet::findTask(fleet(), record.key.first);
     fleet::TaskRun expected { record.worker, record.key.second };
     if (run->second.isWanted && task && task->run != expected)
-        reportViolation("the task does not lead to " + describe(record));
+        reportViolation("the task does not lead to " + describe(position));
 }
 
-void FleetSimulation::checkCancelled(const standin::RunRecord& record)
+void FleetSimulation::checkCancelled(std::size_t position)
 {
+    const auto& record = workers_.history()[position];
     auto cancelled = cancelledMs_.find(record.key.first.job);
     auto reached = current_->reachedSinceMs.find(record.worker);
     if (cancelled == cancelledMs_.end() || reached == current_->reachedSinceMs.end())
@@ -79,7 +106,7 @@
     if (record.beganMs > cancelled->second)
         since = std::max(since, record.beganMs + lateStartAllowanceMs);
     if (nowMs_ > since + cancelBoundMs)
-        reportViolation("cancelled at " + std::to_string(cancelled->second) + " ms, goes on: " + describe(record));
+        reportViolation("cancelled at " + std::to_string(cancelled->second) + " ms, goes on: " + describe(position));
 }
 
 void FleetSimulation::checkActiveCounts()
@@ -134,15 +161,15 @@
 void FleetSimulation::checkCapacity()
 {
     std::map<fleet::WorkerId, fleet::Capacity> used;
-    std::map<fleet::TaskId, const standin::RunRecord*> copies;
+    std::map<fleet::TaskId, std::size_t> copies;
     std::map<std::pair<fleet::WorkerId, std::pair<fleet::JobId, std::uint32_t>>, std::uint32_t> spread;
     for (auto position : liveRuns_) {
         const auto& record = workers_.history()[position];
         const auto& id = record.key.first;
         const auto& step = specs_.at(id.job).steps[id.step];
         used[record.worker] += step.need;
-        if (auto [other, isFirst] = copies.emplace(id, &record); !isFirst)
-            reportViolation("at the same time: " + describe(*other->second) + "; " + describe(record));
+        if (auto [other, isFirst] = copies.emplace(id, position); !isFirst)
+            reportViolation("at the same time: " + describe(other->second) + "; " + describe(position));
         auto tasksOnWorker = ++spread[{ record.worker, { id.job, id.step } }];
         if (step.maxPerWorker > 0 && tasksOnWorker > step.maxPerWorker)
             reportViolation("more tasks of a step on one worker than allowed");
@@ -161,11 +188,13 @@
     std::map<fleet::TaskId, std::int64_t> doneAt;
     std::map<fleet::TaskId, std::int64_t> acknowledgedAt;
     std::map<fleet::TaskId, int> failures;
-    for (const auto& record : workers_.history()) {
+    const auto& history = workers_.history();
+    for (std::size_t position = 0; position < history.size(); ++position) {
+        const auto& record = history[position];
         const auto& id = record.key.first;
         // An end counts as acknowledged only if this happened before the worker's lease expired.
         if (acknowledgedAt.contains(id) && record.beganMs > acknowledgedAt[id])
-            reportViolation(describe(record) + ", starts after its end at " + std::to_string(acknowledgedAt[id])
+            reportViolation(describe(position) + ", starts after its end at " + std::to_string(acknowledgedAt[id])
                 + " ms was acknowledged");
         if (record.end == fleet::EndKind::Done) {
             doneAt[id] = record.endedMs;
@@ -188,4 +217,24 @@
     }
 }
 
+std::int64_t FleetSimulation::countRunsAfterDone() const
+{
+    return std::count_if(
+        startNotes_.begin(), startNotes_.end(), [](const auto& each) { return each.second.isTaskDone; });
+}
+
+double FleetSimulation::meanJobMs() const
+{
+    std::map<fleet::JobId, std::int64_t> lastEndMs;
+    for (const auto& record : workers_.history()) {
+        const auto& job = record.key.first.job;
+        if (record.end == fleet::EndKind::Done && !cancelledMs_.contains(job))
+            lastEndMs[job] = std::max(lastEndMs[job], record.endedMs);
+    }
+    double sum = 0;
+    for (const auto& [job, endMs] : lastEndMs)
+        sum += static_cast<double>(endMs - submittedMs_.at(job));
+    return lastEndMs.empty() ? 0 : sum / static_cast<double>(lastEndMs.size());
+}
+
 } // namespace agatevane::test
--- a/tests/fleet/simulation_owners.cpp
+++ b/tests/fleet/simulation_owners.cpp
@@ -133,17 +133,17 @@
     if (occurs(options_.lostOrderShare))
         return unanswered();
     if (occurs(options_.lateOrderShare)) {
-        schedule(uniform(random_, 1000, options_.maxLateMs), [this, owner, order] {
+        schedule(uniform(random_, 1000, options_.maxLateMs), [this, owner, order, sentMs = nowMs_] {
             if (takesLateOrder(*owner, order.worker))
-                workers_.start(order, nowMs_);
+                carryOutStart(*owner, order, sentMs);
         });
         return unanswered();
     }
-    schedule(delay(), [this, owner, order, answer, unanswered] {
+    schedule(delay(), [this, owner, order, answer, unanswered, sentMs = nowMs_] {
         if (!isReachable(*owner, order.worker))
             return unanswered();
         checkStart(order);
-        auto outcome = workers_.start(order, nowMs_);
+        auto outcome = carryOutStart(*owner, order, sentMs);
         schedule(delay(), [owner, answer, outcome] {
             applyFence(*owner, outcome.isFenced);
             answer(outcome.outcome);
@@ -151,6 +151,16 @@
     });
 }
 
+standin::StartOutcome FleetSimulation::carryOutStart(
+    const Owner& owner, const fleet::StartOrder& order, std::int64_t sentMs)
+{
+    auto position = workers_.history().size();
+    auto outcome = workers_.start(order, nowMs_);
+    if (workers_.history().size() > position)
+        startNotes_[position] = { sentMs, owner.fleet.tenure, knownState(order.worker), isKnownDone(order.task) };
+    return outcome;
+}
+
 void FleetSimulation::sendStop(const OwnerPointer& owner, const fleet::StopOrder& order)
 {
     fleet::RunKey key { order.task, order.run };
--- a/tests/fleet/workload.cpp
+++ b/tests/fleet/workload.cpp
@@ -61,6 +61,9 @@
     if (options.cancelShare > 0)
         simulation.runUntil(simulation.nowMs() + lastRunsMs);
     simulation.checkHistory();
+    BOOST_TEST_MESSAGE("seed " << options.seed << ": " << simulation.countRunsAfterDone()
+                               << " runs after their task was known to be done, mean job time "
+                               << simulation.meanJobMs() << " ms");
     for (const auto& violation : simulation.violations())
         BOOST_ERROR(violation);
     BOOST_CHECK_MESSAGE(haveAllEnded,
