Don't start a task while an unwanted run of it is being stopped

Cause: a run that a worker reports and that is not its task's run (a late start, a run of an earlier owner) is adopted as unwanted and stopped. The task itself stayed idle, so that a round could start it elsewhere while the unwanted run still went on.

Change: placement leaves out tasks of which a worker has, or may have, an unwanted run; of a gang all members. It waits until the worker has listed the end, usually stopDuration, or until its lease has passed. What callers saw: a task that ran twice at the same time (TWICE).

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -57,6 +57,7 @@
             , unixMs_(unixMs)
             , at_(at)
             , areInheritedJobsBlocked_(mayHaveUnreportedRuns(fleet, at))
+            , tasksWithOpenRun_(tasksWithOpenRun(fleet))
         {
         }
 
@@ -177,9 +178,15 @@
             if (job.isInherited && areInheritedJobsBlocked_)
                 return;
             for (std::uint32_t taskIndex = 0; taskIndex < step.tasks.size(); ++taskIndex) {
-                if (!step.tasks[taskIndex].isDone && !step.tasks[taskIndex].run)
+                if (step.tasks[taskIndex].isDone || step.tasks[taskIndex].run)
+                    continue;
+                if (!tasksWithOpenRun_.contains(pending.task(taskIndex)))
                     pending.taskIndexes.push_back(taskIndex);
+                else if (pending.isGang)
+                    return;
             }
+            if (pending.taskIndexes.empty())
+                return;
             rank(fleet_, pending, ageMs);
             pendingSteps_.push_back(std::move(pending));
         }
@@ -370,6 +377,7 @@
         std::int64_t unixMs_;
         Instant at_;
         bool areInheritedJobsBlocked_;
+        std::set<TaskId> tasksWithOpenRun_; //!< not started before their earlier runs have ended
         std::vector<WorkerHeadroom> headrooms_;
         std::vector<PendingStep> pendingSteps_;
         double utilization_ = 0;
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -74,6 +74,18 @@
     return std::max(last + 1, (fleet.tenure - 1) * runsPerTenure + 1);
 }
 
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet)
+{
+    std::set<TaskId> tasks;
+    for (const auto& [id, worker] : fleet.workers) {
+        for (const auto& [key, run] : worker.runs) {
+            if (!run.isWanted)
+                tasks.insert(key.first);
+        }
+    }
+    return tasks;
+}
+
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at)
 {
     auto& step = job.occurrences[id.occurrence].steps[id.step];
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -56,6 +56,9 @@
 //! The next run number of a task, or of all tasks of its gang; higher than the numbers of all earlier owners.
 RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id);
 
+//! Tasks of which a run that nobody wants is not known to have ended, so that another run could go on at the same time.
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet);
+
 //! Starts a run of an idle task on `worker`; its start order is emitted later.
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at);
 //! Adds a run that a worker has reported. If `isWanted`, it becomes the task's run; else it is to be stopped.
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -161,6 +161,18 @@
     BOOST_CHECK_EQUAL(orders.stops.front().run, start.run);
 }
 
+// Guards against a task that runs twice: it was started again while a run of it that nobody wanted was being stopped.
+BOOST_AUTO_TEST_CASE(
+    A_task_is_not_started_again_before_its_unwanted_run_has_ended, *boost::unit_test::label("tracking"))
+{
+    answer("w1", 1010, { { { task, 2 }, "", 10 } });
+    answer("w2", 1020, { { { task, 1 }, "", 10 } });
+    answer("w1", 1100, {}, { { 1, { task, 2 }, fleet::EndKind::Stopped, "" } });
+    BOOST_CHECK(advance(1110).starts.empty());
+    answer("w2", 1300, {}, { { 1, { task, 1 }, fleet::EndKind::Stopped, "" } });
+    BOOST_CHECK_EQUAL(advance(1310).starts.size(), 1U);
+}
+
 // Guards against a late start that nobody sees: a new incarnation that the store does not list yet carried it out, and
 // the worker was not polled any more, because no run was known there.
 BOOST_AUTO_TEST_CASE(
