Don't start a task elsewhere while a silent worker may still start it

Cause: a run on a worker that doesn't answer was counted as lost when its lease had passed. If its start order was never answered, a new incarnation of the worker may still carry it out, up to 12.5 s after the order, beside the run that had been started elsewhere.

Change: placement leaves out tasks with an unanswered start on a worker that doesn't answer, or that has not answered since its restart. Workers that answer don't hold their tasks up: their starts are shut out by stops. What it costs: a task on a worker that goes silent for good, with a start without an answer, waits 12.5 s from that order instead of about 6.2 s. Other tasks don't wait.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -57,7 +57,7 @@
             , unixMs_(unixMs)
             , at_(at)
             , areInheritedJobsBlocked_(mayHaveUnreportedRuns(fleet, at))
-            , tasksWithOpenRun_(tasksWithOpenRun(fleet))
+            , tasksWithOpenRun_(tasksWithOpenRun(fleet, at))
         {
         }
 
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -74,7 +74,7 @@
     return std::max(last + 1, (fleet.tenure - 1) * runsPerTenure + 1);
 }
 
-std::set<TaskId> tasksWithOpenRun(const Fleet& fleet)
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at)
 {
     std::set<TaskId> tasks;
     for (const auto& [id, worker] : fleet.workers) {
@@ -82,6 +82,11 @@
             if (!run.isWanted)
                 tasks.insert(key.first);
         }
+        bool isAnswering = worker.missedPolls == 0 && worker.hasAnsweredPoll;
+        for (const auto& [key, until] : worker.unansweredStarts) {
+            if (!isAnswering && at < until)
+                tasks.insert(key.first);
+        }
     }
     return tasks;
 }
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -56,8 +56,9 @@
 //! The next run number of a task, or of all tasks of its gang; higher than the numbers of all earlier owners.
 RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id);
 
-//! Tasks of which a run that nobody wants is not known to have ended, so that another run could go on at the same time.
-std::set<TaskId> tasksWithOpenRun(const Fleet& fleet);
+//! Tasks of which a run that nobody wants is not known to have ended, or of which a start may still be carried out on a
+//! worker that does not answer. Another run could go on at the same time.
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at);
 
 //! Starts a run of an idle task on `worker`; its start order is emitted later.
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at);
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -173,6 +173,26 @@
     BOOST_CHECK_EQUAL(advance(1310).starts.size(), 1U);
 }
 
+// Guards against a task that runs twice: its lease had passed on a worker that did not answer, and a new incarnation of
+// that worker carried the start out after the task had been started elsewhere.
+BOOST_AUTO_TEST_CASE(
+    A_task_is_not_started_again_while_a_silent_worker_may_start_it, *boost::unit_test::label("tracking"))
+{
+    answer("w1", 1010, {});
+    answer("w2", 1020, {});
+    auto start = advance(1100).starts.at(0);
+    fleet::RunKey key { start.task, start.run };
+    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
+    for (int miss = 0; miss < 3; ++miss)
+        fleet::applyPollFailure(fleet, start.worker, instantAt(2000));
+    BOOST_CHECK(advance(8500).starts.empty());
+    BOOST_REQUIRE(fleet.workers.at(start.worker).runs.empty());
+    BOOST_CHECK(advance(1600 + fleet::lateOrderBound.count() - 10).starts.empty());
+    auto starts = advance(1600 + fleet::lateOrderBound.count()).starts;
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    BOOST_CHECK_NE(starts.front().worker, start.worker);
+}
+
 // Guards against a late start that nobody sees: a new incarnation that the store does not list yet carried it out, and
 // the worker was not polled any more, because no run was known there.
 BOOST_AUTO_TEST_CASE(
