Let an earlier run end before a start is repeated to a new incarnation

Cause: after a restart of a worker, unanswered starts that are out of date are stopped there, and starts of present runs are repeated. Both orders of one task were sent at once: where the new incarnation had carried out the outdated start, the present run began beside it.

Change: a start order waits while the worker has another run of the task; the stop of that run comes first. What callers saw: a task that ran twice at the same time on one worker, and more tasks of a step there than antiAffinity allows.

--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -27,6 +27,17 @@
             stopTaskRuns(fleet, *job, key.first, at, "member_not_started");
     }
 
+    //! True if the worker has, or may have, another run of the task, which is to end first.
+    bool hasOtherRun(const Worker& worker, const RunKey& key)
+    {
+        auto each = worker.runs.lower_bound({ key.first, 0 });
+        for (; each != worker.runs.end() && each->first.first == key.first; ++each) {
+            if (each->first != key)
+                return true;
+        }
+        return false;
+    }
+
 } // namespace
 
 Capacity reservedCapacity(const StepSpec& step)
@@ -325,7 +336,7 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll)
+            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key))
                 continue;
             run.isOrderInFlight = true;
             ++run.ordersSent;
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -193,6 +193,35 @@
     BOOST_CHECK_NE(starts.front().worker, start.worker);
 }
 
+// Guards against a task that runs twice on one worker: a new incarnation had carried out an earlier start of the task
+// late, and got the start of the present run before the earlier one had been stopped.
+BOOST_AUTO_TEST_CASE(
+    A_start_is_not_repeated_to_a_new_incarnation_that_has_an_earlier_run, *boost::unit_test::label("tracking"))
+{
+    fleet::applyUnlisted(fleet, "w2");
+    answer("w1", 1010, {});
+    answer("w2", 1020, {});
+    auto first = advance(1100).starts.at(0);
+    fleet::RunKey firstKey { first.task, first.run };
+    fleet::applyStartOutcome(fleet, "w1", firstKey, fleet::OrderOutcome::Unknown, instantAt(1600));
+    fleet::stopTaskRuns(fleet, *fleet::findJob(fleet, jobId), task, instantAt(1610), "test");
+    advance(1610);
+    fleet::applyStopOutcome(fleet, "w1", firstKey, fleet::OrderOutcome::Done, instantAt(1620));
+    answer("w1", 1800, {});
+    auto second = advance(1810).starts.at(0);
+    fleet::applyStartOutcome(fleet, "w1", { second.task, second.run }, fleet::OrderOutcome::Done, instantAt(1820));
+    fleet::applyListing(fleet, listing("w1", 2), instantAt(2000));
+    answer("w1", 2010, { { firstKey, "", 1 } });
+    auto orders = advance(2020);
+    BOOST_CHECK(orders.starts.empty());
+    BOOST_REQUIRE_EQUAL(orders.stops.size(), 1U);
+    BOOST_CHECK_EQUAL(orders.stops.front().run, first.run);
+    answer("w1", 2300, {}, { { 1, firstKey, fleet::EndKind::Stopped, "" } });
+    auto starts = advance(2310).starts;
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    BOOST_CHECK_EQUAL(starts.front().run, second.run);
+}
+
 // Guards against a late start that nobody sees: a new incarnation that the store does not list yet carried it out, and
 // the worker was not polled any more, because no run was known there.
 BOOST_AUTO_TEST_CASE(
