--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -28,6 +28,17 @@
             stopTaskRuns(fleet, *job, key.first, at, "member_not_started");
     }
 
+    //! True if the worker has, or may have, another run of the task, which is to end first.
+    bool hasOtherRun(const Worker& worker, const RunKey& key)
+    {
+        auto each = worker.runs.lower_bound({ key.first, 0 });
+        for (; each != worker.runs.end() && each->first.first == key.first; ++each) {
+            if (each->first != key)
+                return true;
+        }
+        return false;
+    }
+
 } // namespace
 
 Capacity reservedCapacity(const StepSpec& step)
@@ -75,6 +86,23 @@
     return std::max(last + 1, (fleet.tenure - 1) * runsPerTenure + 1);
 }
 
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at)
+{
+    std::set<TaskId> tasks;
+    for (const auto& [id, worker] : fleet.workers) {
+        for (const auto& [key, run] : worker.runs) {
+            if (!run.isWanted)
+                tasks.insert(key.first);
+        }
+        bool isAnswering = worker.missedPolls == 0 && worker.hasAnsweredPoll;
+        for (const auto& [key, until] : worker.unansweredStarts) {
+            if (!isAnswering && at < until)
+                tasks.insert(key.first);
+        }
+    }
+    return tasks;
+}
+
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at)
 {
     auto& step = job.occurrences[id.occurrence].steps[id.step];
@@ -317,7 +345,7 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll)
+            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key))
                 continue;
             checkStartIsNamed(fleet, worker, key);
             run.isOrderInFlight = true;
