Acknowledge ends only where no next incarnation can have ended a run

Cause: an acknowledgement is a number, and a restarted worker numbers its ends from 1 again; no call names the incarnation. A poll that acknowledged an end also waited at the worker for up to 1 s, together with starts that were sent at the same time. If the worker had restarted just before, the starts ran on the new incarnation, ended within the wait, and the number forgot their ends before the owner saw them. Also without the wait, a run could end there between the last answer and the acknowledgement, if the store was slow. Change: a poll that acknowledges does not wait; nothing is acknowledged while a run is unreported whose start was sent, so that the next poll shows first which incarnation has it; and starts are held back while an acknowledgement is in flight. Starts wait for the answer to an acknowledgement in flight. Ruled out by reading: sequences of ends (applyEnd, takeBatch, returnBatch, encodeBatch), a lost answer read as another transaction's success, stale reads at a takeover (the commit key fences earlier writes before the reads begin, and they are not serializable ones). Not covered: a late start that a new incarnation carries out and ends between an answer and the acknowledgement that follows it.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -406,9 +406,10 @@
     if (fleet.isPlacementDue)
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.dueAdviceRequests, {});
+    // Starts are held back while a poll acknowledges ends.
+    emitPolls(fleet, at, orders);
     emitRunOrders(fleet, at, orders);
     emitPaceOrders(fleet, at, orders);
-    emitPolls(fleet, at, orders);
     return orders;
 }
 
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/leases.h"
+#include "agatevane/fleet/workers.h"
 
 namespace agatevane::fleet {
 
@@ -308,7 +309,7 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll)
+            if (!job || !worker.hasAnsweredPoll || mayEndUnseen(worker))
                 continue;
             run.isOrderInFlight = true;
             ++run.ordersSent;
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -152,12 +152,34 @@
         return needsPacing(fleet, worker) ? pacingPollWait : pollWait;
     }
 
+    //! True if an end is durable and no answer has shown yet that the worker has forgotten it.
+    bool isAcknowledgementDue(const Fleet& fleet, const Worker& worker)
+    {
+        return hasDurableEnd(fleet, worker) || (worker.lastAcknowledgedEnd > 0 && !worker.isAcknowledgementReceived);
+    }
+
+    //! True if a start was sent for a run that no poll has reported: a later incarnation may have carried it out.
+    bool hasUnreportedRun(const Worker& worker)
+    {
+        return std::any_of(worker.runs.begin(), worker.runs.end(),
+            [](const auto& each) { return each.second.ordersSent > 0 && !each.second.isReported; });
+    }
+
     //! The end up to which the next poll acknowledges. A new incarnation numbers its ends from 1 again, and would take
-    //! the number for its own ends. So the number is sent no more than needed: until the worker has answered it, and
-    //! not after a missed poll, when a new incarnation may answer.
+    //! the number for its own ends. So the number is sent until the worker has answered it and no longer, and only
+    //! while a new incarnation could not have ended any run: not after a missed poll, and not while a run is
+    //! unreported.
     std::int64_t endToAcknowledge(const Worker& worker)
     {
-        return worker.missedPolls == 0 && !worker.isAcknowledgementReceived ? worker.lastAcknowledgedEnd : 0;
+        bool isSafe = worker.missedPolls == 0 && !hasUnreportedRun(worker);
+        return isSafe && !worker.isAcknowledgementReceived ? worker.lastAcknowledgedEnd : 0;
+    }
+
+    Instant nextPollAfterAnswer(const Fleet& fleet, const Worker& worker, Instant at)
+    {
+        if (isAcknowledgementDue(fleet, worker))
+            return hasUnreportedRun(worker) ? at + pollRetryDelay : at;
+        return worker.unacknowledgedEnds.empty() ? at : at + pollDelayForCommit;
     }
 
     //! True if no run of an earlier owner is left on a worker that has not answered this owner.
@@ -177,9 +199,7 @@
 
     bool needsPoll(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        if (!worker.hasAnsweredPoll || !worker.runs.empty() || hasDurableEnd(fleet, worker))
-            return true;
-        if (worker.lastAcknowledgedEnd > 0 && !worker.isAcknowledgementReceived)
+        if (!worker.hasAnsweredPoll || !worker.runs.empty() || isAcknowledgementDue(fleet, worker))
             return true;
         return mayTakeLateStart(fleet, worker, at) && at - worker.lastAnswerAt >= idlePollInterval;
     }
@@ -193,6 +213,7 @@
         return;
     worker->isPollInFlight = false;
     logAcknowledgement(*worker, answer.incarnation);
+    auto acknowledged = std::exchange(worker->pollAcknowledges, 0);
     if (answer.incarnation != 0 && answer.incarnation < worker->incarnation) {
         worker->nextPollAt = at + pollRetryDelay;
         return;
@@ -204,9 +225,8 @@
     if (worker->missedPolls > 0 || !worker->hasAnsweredPoll)
         worker->answersSince = at;
     worker->missedPolls = 0;
-    if (worker->pollAcknowledges > 0 && worker->pollAcknowledges == worker->lastAcknowledgedEnd)
+    if (acknowledged > 0 && acknowledged == worker->lastAcknowledgedEnd)
         worker->isAcknowledgementReceived = true;
-    worker->pollAcknowledges = 0;
     worker->lastAnswerAt = worker->clockAt = at;
     worker->clockMs = answer.clockMs;
     applyEnds(fleet, *worker, answer.ended, unixMs, at);
@@ -222,8 +242,7 @@
     decidePace(fleet, *worker, at);
     if (!std::exchange(worker->hasAnsweredPoll, true))
         fleet.isPlacementDue = true;
-    worker->nextPollAt
-        = worker->unacknowledgedEnds.empty() || hasDurableEnd(fleet, *worker) ? at : at + pollDelayForCommit;
+    worker->nextPollAt = nextPollAfterAnswer(fleet, *worker, at);
 }
 
 void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at)
@@ -245,6 +264,11 @@
         && !worker.hasRunOfUnknownSize && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil;
 }
 
+bool mayEndUnseen(const Worker& worker)
+{
+    return worker.pollAcknowledges > 0;
+}
+
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at)
 {
     return std::any_of(fleet.workers.begin(), fleet.workers.end(), [&fleet, at](const auto& each) {
@@ -298,7 +322,9 @@
         // removed.
         if (worker.clockMs > 0 && isIncarnationCertain)
             poll.leaseUntilMs = extendLease(fleet, worker, at);
-        if (worker.hasAnsweredPoll && isIncarnationCertain && worker.unacknowledgedEnds.empty() && !worker.runs.empty())
+        // An acknowledgement would apply to the ends of runs that a new incarnation begins while the poll waits there.
+        bool mayWait = worker.unacknowledgedEnds.empty() && !isAcknowledgementDue(fleet, worker);
+        if (worker.hasAnsweredPoll && isIncarnationCertain && mayWait && !worker.runs.empty())
             poll.wait = pollWaitOf(fleet, worker, at);
         worker.isPollInFlight = true;
         worker.pollIncarnation = worker.incarnation;
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -68,6 +68,9 @@
 
 //! True if new work may be placed on the worker.
 bool isUsable(const Worker& worker, Instant at);
+//! True if a run that starts now may end unseen: an acknowledgement is on the way to the worker, and a new incarnation
+//! would apply it to the run's end.
+bool mayEndUnseen(const Worker& worker);
 //! True while a task that an earlier owner has started may run on a worker that has not answered this owner.
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at);
 
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -250,6 +250,28 @@
     BOOST_CHECK_EQUAL(acknowledgedBy(2340), 0);
 }
 
+// Guards against a task that runs again after it has succeeded: a poll that acknowledged an end waited at the worker's
+// next incarnation, and the end of a run there was forgotten unseen.
+BOOST_AUTO_TEST_CASE(A_poll_that_acknowledges_an_end_does_not_wait, *boost::unit_test::label("tracking"))
+{
+    auto pollAt = [this](std::int64_t ms) {
+        for (const auto& poll : advance(ms).polls) {
+            if (poll.worker == "w1")
+                return poll;
+        }
+        return fleet::PollOrder {};
+    };
+    fleet::RunKey otherRun { { "00000000000000ff", 0, 0, 0 }, 1 };
+    answer("w1", 1010, { { { task, 1 }, "", 10 } }, { { 1, otherRun, fleet::EndKind::Stopped, "" } });
+    auto poll = pollAt(1020);
+    BOOST_CHECK_EQUAL(poll.lastAcknowledgedEnd, 1);
+    BOOST_CHECK_EQUAL(poll.wait.count(), 0);
+    answer("w1", 1030, { { { task, 1 }, "", 10 } });
+    poll = pollAt(1040);
+    BOOST_CHECK_EQUAL(poll.lastAcknowledgedEnd, 0);
+    BOOST_CHECK_EQUAL(poll.wait.count(), 1000);
+}
+
 // Guards against leases that an owner renews although it may have been replaced: a later owner that could not reach the
 // worker ran the task elsewhere.
 BOOST_AUTO_TEST_CASE(No_lease_ends_after_the_owner_steps_down, *boost::unit_test::label("tracking"))
