--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -4,6 +4,7 @@
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/worker_record.h"
+#include "agatevane/fleet/workers.h"
 
 namespace agatevane::fleet {
 
@@ -345,7 +346,7 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key))
+            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key) || mayEndUnseen(worker))
                 continue;
             checkStartIsNamed(fleet, worker, key);
             run.isOrderInFlight = true;
