Test proofs of answers that no test broke

Mutations of the mechanisms showed answers whose proof could be taken out without a failing test: a cancellation acknowledged before its commit, a cancellation or an end shown before its commit, a loading owner that answers.

--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -18,7 +18,8 @@
     None,
     Unresponsive, //!< neither executes calls nor answers them
     Refusing, //!< answers calls with an error that says that they had no effect; watches time out
-    LosesAnswers //!< executes calls but does not answer them
+    LosesAnswers, //!< executes calls but does not answer them
+    LosesListings //!< does not answer listings
 };
 
 //! The time that the models of the store and of the workers are called with.
@@ -45,8 +46,9 @@
     }
     void list(const std::string& prefix, Instant deadline, std::function<void(kv::ReadResult)> done) override
     {
+        constexpr bool isListing = true;
         answer<kv::ReadResult>(
-            deadline, std::move(done), [this, prefix] { return model_.list(prefix, modelTimeMs()); });
+            deadline, std::move(done), [this, prefix] { return model_.list(prefix, modelTimeMs()); }, isListing);
     }
     void watch(const std::string& prefix, kv::Revision after, Millis wait, Instant,
         std::function<void(kv::WatchResult)> done) override
@@ -90,14 +92,15 @@
     }
 
     template <typename Result>
-    void answer(Instant deadline, std::function<void(Result)> done, std::function<Result()> execute)
+    void answer(
+        Instant deadline, std::function<void(Result)> done, std::function<Result()> execute, bool isListing = false)
     {
         auto timer = std::make_shared<node::Timer>(context_);
         Result result;
         auto delay = Millis(2);
         if (fault_ == StoreFault::Refusing) {
             result.error = Errc::Refused;
-        } else if (fault_ == StoreFault::Unresponsive) {
+        } else if (fault_ == StoreFault::Unresponsive || (isListing && fault_ == StoreFault::LosesListings)) {
             result.error = Errc::Timeout;
             delay = elapsed(now(), deadline);
         } else {
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -38,7 +38,7 @@
         kvModel.commit({ {}, { { "desired", version, 0 } }, {} }, test::modelTimeMs());
     }
 
-    void addNode(const std::string& name)
+    void addNode(const std::string& name, StoreFault fault = StoreFault::None)
     {
         Member member;
         auto& settings = member.settings;
@@ -47,9 +47,12 @@
         settings.readinessAddress = { "127.0.0.1", test::freePort() };
         settings.peerListenAddress = settings.peerAddress = { "127.0.0.1", test::freePort() };
         settings.metricsAddress = { "127.0.0.1", test::freePort() };
-        for (const auto& [otherName, other] : members)
-            settings.seedNodes.push_back(other.settings.peerAddress);
+        for (const auto& [otherName, other] : members) {
+            if (fault == StoreFault::None)
+                settings.seedNodes.push_back(other.settings.peerAddress);
+        }
         member.store = std::make_unique<test::FakeStore>(context, kvModel);
+        member.store->setFault(fault);
         member.node = std::make_unique<node::Node>(context, settings, *member.store, workers, nullptr, translation);
         Findings findings;
         BOOST_REQUIRE_MESSAGE(member.node->start(findings), format(findings));
@@ -96,6 +99,15 @@
         return test::runUntil(context, limit, condition);
     }
 
+    int readinessOf(const Member& member)
+    {
+        int status = -1;
+        client.send(member.settings.readinessAddress, { "GET", "/", {}, {} }, now() + Millis(1000),
+            [&](std::error_code error, const event_http::Response& response) { status = error ? 0 : response.status; });
+        waitUntil(Millis(1500), [&] { return status >= 0; });
+        return status;
+    }
+
     int sendRequest(const Member& member, const std::string& method, const std::string& id, std::string* body = nullptr,
         const std::string& content = {}, Millis timeout = Millis(3000))
     {
@@ -246,6 +258,59 @@
     BOOST_CHECK(waitUntil(Millis(3000), [&] { return sendRequest(*earlierOwner, "GET", jobId) == 200; }));
 }
 
+// Guards against a cancellation that is acknowledged although its record may never become durable.
+BOOST_AUTO_TEST_CASE(A_cancellation_is_acknowledged_only_once_it_is_durable, *boost::unit_test::label("node"))
+{
+    auto* current = owner();
+    BOOST_REQUIRE_EQUAL(sendRequest(*current, "POST", jobId, nullptr, "20000"), 200);
+    current->store->setFault(StoreFault::Unresponsive);
+    BOOST_CHECK_EQUAL(sendRequest(*current, "DELETE", jobId, nullptr, {}, Millis(600)),
+        500 + static_cast<int>(node::CallStatus::OutcomeUnknown));
+    current->store->setFault(StoreFault::None);
+    BOOST_CHECK_EQUAL(sendRequest(*current, "DELETE", jobId), 200);
+}
+
+// Guards against a job that is denied, or said to be cancelled, by an owner that has not read its record yet.
+BOOST_AUTO_TEST_CASE(An_owner_that_has_not_loaded_the_jobs_answers_for_none, *boost::unit_test::label("node"))
+{
+    BOOST_REQUIRE_EQUAL(sendRequest(*owner(), "POST", jobId, nullptr, "20000"), 200);
+    for (auto& [name, member] : members)
+        member.store->setFault(StoreFault::LosesListings);
+    owner()->node.reset();
+    BOOST_REQUIRE(waitUntil(Millis(4000), [this] { return owner() != nullptr; }));
+    auto* next = owner();
+    auto notAccepted = 500 + static_cast<int>(node::CallStatus::NotAccepted);
+    for (const auto* method : { "GET", "DELETE", "POST" })
+        BOOST_CHECK_EQUAL(sendRequest(*next, method, jobId), notAccepted);
+    next->store->setFault(StoreFault::None);
+    BOOST_CHECK(waitUntil(Millis(5000), [&] { return sendRequest(*next, "GET", jobId) == 200; }));
+}
+
+// Guards against a refusal, which says that the job never runs, of a submission that a node which has ended since may
+// have accepted.
+BOOST_AUTO_TEST_CASE(
+    A_submission_forwarded_to_a_node_that_ends_is_answered_as_unknown, *boost::unit_test::label("node"))
+{
+    for (auto& [name, member] : members)
+        member.store->setFault(StoreFault::Unresponsive);
+    auto* asked = follower();
+    auto* ending = owner();
+    node::Timer timer(context);
+    timer.arm(Millis(300), [ending] { ending->node.reset(); });
+    BOOST_CHECK_EQUAL(sendRequest(*asked, "POST", jobId), 500 + static_cast<int>(node::CallStatus::OutcomeUnknown));
+}
+
+// Guards against a node that answers callers before it knows the queues and the keys.
+BOOST_AUTO_TEST_CASE(A_node_without_a_desired_state_is_not_ready, *boost::unit_test::label("node"))
+{
+    addNode("n9", StoreFault::Unresponsive);
+    const auto& isolated = members.at("n9");
+    constexpr int unavailable = 503;
+    BOOST_CHECK_EQUAL(readinessOf(isolated), unavailable);
+    BOOST_CHECK_EQUAL(readinessOf(*owner()), 200);
+    BOOST_CHECK_EQUAL(sendRequest(isolated, "POST", jobId), 500 + static_cast<int>(node::CallStatus::NotAccepted));
+}
+
 // Guards against a node that keeps an old desired state, or a removed API key, because the store refuses its calls.
 BOOST_AUTO_TEST_CASE(
     A_node_without_the_store_receives_the_desired_state_from_other_nodes, *boost::unit_test::label("node"))
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -19,6 +19,8 @@
     }
 
     void loseReads() { losesReads_ = true; }
+    void delayRenewalAnswers(Millis delay) { renewalDelay_ = delay; }
+    Instant lastRenewalAt() const { return lastRenewalAt_; }
     void refuseLeases() { refusesLeases_ = true; }
     //! Does not answer the next commit that is applied, and calls `executed` after it.
     void loseNextCommitAnswer(std::function<void()> executed)
@@ -39,6 +41,14 @@
             return FakeStore::grantLease(ttl, deadline, std::move(done));
         answerLater<kv::LeaseResult>(Millis(2), Errc::Refused, std::move(done));
     }
+    void renewLease(kv::LeaseId lease, Instant deadline, std::function<void(kv::LeaseResult)> done) override
+    {
+        lastRenewalAt_ = bootNow();
+        FakeStore::renewLease(lease, deadline, [this, done = std::move(done)](const kv::LeaseResult& result) {
+            auto timer = std::make_shared<node::Timer>(context_);
+            timer->arm(renewalDelay_, [timer, result, done] { done(result); });
+        });
+    }
     void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
     {
         FakeStore::commit(txn, deadline, [this, deadline, done = std::move(done)](const kv::TxnResult& result) {
@@ -61,6 +71,8 @@
     }
 
     asio::io_context& context_;
+    Millis renewalDelay_ { 0 };
+    Instant lastRenewalAt_;
     bool losesReads_ = false;
     bool refusesLeases_ = false;
     bool losesCommitAnswer_ = false;
@@ -217,4 +229,26 @@
     BOOST_CHECK(second.isConfirmed());
 }
 
+// Guards against an owner that takes itself for confirmed for longer than its lease lasts, because the answers to its
+// renewals are slow.
+BOOST_AUTO_TEST_CASE(An_ownership_is_confirmed_from_when_the_renewal_was_sent, *boost::unit_test::label("node"))
+{
+    store.delayRenewalAnswers(Millis(300));
+    BOOST_REQUIRE(runUntil(Millis(1000), [this] { return store.lastRenewalAt() != Instant {}; }));
+    BOOST_CHECK(!runUntil(Millis(2500), [this] { return election.confirmedAt() > store.lastRenewalAt(); }));
+    BOOST_CHECK(isConfirmed());
+}
+
+// Guards against a node that returns to an earlier owner because a late message names it.
+BOOST_AUTO_TEST_CASE(An_older_owner_record_replaces_no_newer_one, *boost::unit_test::label("node"))
+{
+    auto older = election.owner();
+    older.revision -= 1;
+    older.record.token = "older";
+    election.applyOwnerView(older);
+    BOOST_CHECK(election.isOwner());
+    BOOST_CHECK_EQUAL(election.owner().record.name, "a");
+    BOOST_CHECK(election.owner().record.token != "older");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
