--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -124,6 +124,15 @@
         return status;
     }
 
+    //! Status of a submission to `asked` that the store holds up while `event` happens; 0: there was no answer.
+    int statusOfHeldCall(const Member& asked, std::function<void()> event)
+    {
+        owner()->store->setFault(StoreFault::Unresponsive);
+        node::Timer timer(context);
+        timer.arm(Millis(300), std::move(event));
+        return sendRequest(asked, "POST", "00000000000000d9", nullptr, {}, Millis(1200));
+    }
+
     asio::io_context context;
     standin::KvModel kvModel;
     standin::WorkerModel workerModel;
@@ -311,6 +320,43 @@
     BOOST_CHECK_EQUAL(sendRequest(isolated, "POST", jobId), 500 + static_cast<int>(node::CallStatus::NotAccepted));
 }
 
+// Guards against requests that end without an answer: each event that ends or moves a node's work comes while the
+// record of a submission is on its way to the store.
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_its_node_stops, *boost::unit_test::label("node"))
+{
+    auto* asked = owner();
+    BOOST_CHECK_GE(statusOfHeldCall(*asked, [asked] { asked->node->stop([] {}); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_the_node_that_passed_it_on_stops, *boost::unit_test::label("node"))
+{
+    auto* asked = follower();
+    BOOST_CHECK_GE(statusOfHeldCall(*asked, [asked] { asked->node->stop([] {}); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_the_owner_stops, *boost::unit_test::label("node"))
+{
+    auto* current = owner();
+    BOOST_CHECK_GE(statusOfHeldCall(*follower(), [current] { current->node->stop([] {}); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_its_owner_is_replaced, *boost::unit_test::label("node"))
+{
+    auto* current = owner();
+    BOOST_CHECK_GE(statusOfHeldCall(*current, [&] { endOwnerLease(); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_settings_and_queues_change, *boost::unit_test::label("node"))
+{
+    auto* asked = follower();
+    auto status = statusOfHeldCall(*asked, [&] {
+        for (auto& [name, member] : members)
+            member.node->reload(member.settings);
+        putDesiredState("2");
+    });
+    BOOST_CHECK_GE(status, 200);
+}
+
 // Guards against a node that keeps an old desired state, or a removed API key, because the store refuses its calls.
 BOOST_AUTO_TEST_CASE(
     A_node_without_the_store_receives_the_desired_state_from_other_nodes, *boost::unit_test::label("node"))
