Start nothing on a new incarnation that a late acknowledgement may reach

Cause: a poll without an answer may be carried out seconds later, by the worker's next incarnation, also if it acknowledges ends. Its number then forgets ends of runs that the owner has started there meanwhile. Callers would see a task run again after its end was taken note of (TWICE). Change: the owner remembers for lateOrderBound (12.5 s) which incarnation an unanswered acknowledgement was made out for. A later incarnation of the worker gets no starts until then, also no repeated ones. A poll that did not reach the worker leaves nothing behind. Cost: only where a worker restarts within 12.5 s of an unanswered acknowledgement: it stands idle for the rest of that time.

--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -309,7 +309,7 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll || mayEndUnseen(worker))
+            if (!job || !worker.hasAnsweredPoll || mayEndUnseen(worker, at))
                 continue;
             run.isOrderInFlight = true;
             ++run.ordersSent;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -157,6 +157,10 @@
     std::int64_t pollAcknowledges = 0; //!< end up to which the poll in flight acknowledges; 0: none
     std::int64_t pollIncarnation = 0; //!< incarnation that the poll in flight was made out for
 
+    //! Unanswered acknowledgements, by the incarnation that they were made out for: until its instant, also a later
+    //! incarnation may carry one out.
+    std::map<std::int64_t, Instant> unansweredAcknowledgements;
+
     std::map<RunKey, Run> runs;
     Capacity used; //!< sum over `runs`
     bool hasRunOfUnknownSize = false; //!< a run needs an unknown capacity, so that nothing is placed on the worker
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -245,14 +245,15 @@
     worker->nextPollAt = nextPollAfterAnswer(fleet, *worker, at);
 }
 
-void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at)
+void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at, FailedPoll effect)
 {
     auto* worker = findWorker(fleet, id);
     if (!worker)
         return;
     worker->isPollInFlight = false;
     logAcknowledgement(*worker, std::nullopt);
-    worker->pollAcknowledges = 0;
+    if (std::exchange(worker->pollAcknowledges, 0) > 0 && effect == FailedPoll::MayBeCarriedOut)
+        worker->unansweredAcknowledgements[worker->pollIncarnation] = at + lateOrderBound;
     worker->nextPollAt = at + pollRetryDelay;
     if (++worker->missedPolls == missedPollLimit)
         Line("worker_silent").with("worker", id).with("listed", worker->isListed).with("runs", worker->runs.size());
@@ -261,12 +262,19 @@
 bool isUsable(const Worker& worker, Instant at)
 {
     return worker.isListed && worker.hasAnsweredPoll && !worker.isDraining && !worker.isEvacuating
-        && !worker.hasRunOfUnknownSize && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil;
+        && !worker.hasRunOfUnknownSize && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil
+        && !mayReceiveLateAcknowledgement(worker, at);
 }
 
-bool mayEndUnseen(const Worker& worker)
+bool mayReceiveLateAcknowledgement(const Worker& worker, Instant at)
 {
-    return worker.pollAcknowledges > 0;
+    return std::any_of(worker.unansweredAcknowledgements.begin(), worker.unansweredAcknowledgements.end(),
+        [&worker, at](const auto& each) { return each.first < worker.incarnation && at < each.second; });
+}
+
+bool mayEndUnseen(const Worker& worker, Instant at)
+{
+    return worker.pollAcknowledges > 0 || mayReceiveLateAcknowledgement(worker, at);
 }
 
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at)
@@ -282,6 +290,7 @@
     for (auto each = fleet.workers.begin(); each != fleet.workers.end();) {
         auto& worker = each->second;
         removeExpiredStarts(worker, at);
+        std::erase_if(worker.unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
         if (!worker.runs.empty() && worker.missedPolls > 0 && at >= worker.leaseExpiryBound) {
             loseRuns(fleet, worker, at, "lease_passed");
             worker.hasAnsweredPoll = false;
@@ -301,7 +310,8 @@
             stopTaskRuns(fleet, *job, key.first, at, "no_progress");
         }
         bool isRemovable = !worker.isListed && worker.runs.empty() && worker.unacknowledgedEnds.empty()
-            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
+            && worker.unansweredAcknowledgements.empty() && !mayTakeLateStart(fleet, worker, at)
+            && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
         fleet.haveWorkersChanged = fleet.haveWorkersChanged || isRemovable;
         if (isRemovable)
             logRemoved(worker, at);
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -64,13 +64,18 @@
 void addKnownWorkers(Fleet& fleet, const std::vector<WorkerListing>& listings, Instant at);
 
 void applyPollAnswer(Fleet& fleet, const WorkerId& id, const PollAnswer& answer, std::int64_t unixMs, Instant at);
-void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at);
+//! Whether a poll without a valid answer may have been carried out, or may still be.
+enum class FailedPoll { MayBeCarriedOut, NotCarriedOut };
+
+void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at, FailedPoll effect = FailedPoll::MayBeCarriedOut);
 
 //! True if new work may be placed on the worker.
 bool isUsable(const Worker& worker, Instant at);
+//! True if an acknowledgement that was made out for an earlier incarnation may still reach the present one.
+bool mayReceiveLateAcknowledgement(const Worker& worker, Instant at);
 //! True if a run that starts now may end unseen: an acknowledgement is on the way to the worker, and a new incarnation
 //! would apply it to the run's end.
-bool mayEndUnseen(const Worker& worker);
+bool mayEndUnseen(const Worker& worker, Instant at);
 //! True while a task that an earlier owner has started may run on a worker that has not answered this owner.
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at);
 
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -25,6 +25,11 @@
     //! A submission that has not been sent to the store after this time is withdrawn, so that the caller can try again.
     constexpr Millis withdrawDelay { 800 };
 
+    fleet::FailedPoll effectOf(std::error_code error)
+    {
+        return error == Errc::Unreachable ? fleet::FailedPoll::NotCarriedOut : fleet::FailedPoll::MayBeCarriedOut;
+    }
+
 } // namespace
 
 FleetOwner::FleetOwner(const Environment& environment, const fleet::Limits& limits, std::uint32_t tenure,
@@ -197,7 +202,7 @@
             if (result.isFenced)
                 return handleFencedAnswer();
             if (result.error)
-                fleet::applyPollFailure(fleet_, worker, bootNow());
+                fleet::applyPollFailure(fleet_, worker, bootNow(), effectOf(result.error));
             else
                 fleet::applyPollAnswer(fleet_, worker, result.answer, unixMillis(), bootNow());
             scheduleAdvance();
--- a/tests/fleet/acknowledgement_tests.cpp
+++ b/tests/fleet/acknowledgement_tests.cpp
@@ -212,4 +212,13 @@
     checkSeeds(options, 10);
 }
 
+// As above, where polls are carried out seconds after they were given up.
+BOOST_AUTO_TEST_CASE(A_late_acknowledgement_forgets_no_end_of_the_next_incarnation)
+{
+    Options options;
+    options.restartEveryMs = 2000;
+    options.latePollShare = 0.05;
+    checkSeeds(options, 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
