--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -346,7 +346,7 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key) || mayEndUnseen(worker))
+            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key) || mayEndUnseen(worker, at))
                 continue;
             checkStartIsNamed(fleet, worker, key);
             run.isOrderInFlight = true;
