--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -21,9 +21,12 @@
         std::function<kv::Revision()> commitRevision;
     };
 
-    //! The node waits `candidacyDelay` before each attempt to become the owner, so that better suited nodes win.
+    //! The node waits `candidacyDelay` before each attempt to become the owner, so that better suited nodes win. As the
+    //! owner, it steps down if the store has not confirmed its ownership for `maxUnconfirmedOwnership`: it may have
+    //! been replaced. No lease that it gives ends later, so that a later owner knows how long to wait for workers that
+    //! it can't reach.
     OwnerElection(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis minLeaseTtl,
-        Millis candidacyDelay, Callbacks callbacks);
+        Millis candidacyDelay, Millis maxUnconfirmedOwnership, Callbacks callbacks);
 
     void start();
     //! Gives up the ownership so that another node can take over at once, and never becomes a candidate again.
@@ -39,13 +42,22 @@
     Instant confirmedAt() const { return confirmedAt_; }
     //! Time at which this node steps down unless the store confirms the ownership again.
     Instant ownershipEndsBy() const;
-    //! True if the store has not confirmed the ownership within one lease: another node may be the owner without this
-    //! one knowing it.
+    //! True if the owner key is known to be gone, or the store has not confirmed the ownership within one lease:
+    //! another node may be the owner without this one knowing it.
     bool isOwnershipUnconfirmed() const;
     //! True if the store has answered nothing for longer than a watch takes.
     bool isStoreUnresponsive() const;
 
 private:
+    //! An attempt to become the owner.
+    struct Campaign {
+        kv::Txn txn;
+        std::uint32_t tenure = 0;
+        std::string token;
+        kv::LeaseId lease = 0; //!< holds the owner key if the transaction is applied
+        Instant leaseRenewedAt; //!< when the last renewal of the lease before the transaction was sent
+    };
+
     void tick();
     void claimOwnerKey();
     void requestLease();
@@ -59,8 +71,9 @@
     void readTenure(kv::Revision commitRevision);
     void campaign(std::uint32_t lastTenure, kv::Revision commitRevision);
     void abandonCampaign(Millis pause);
-    void commitCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token);
-    void handleCampaignResult(const kv::Txn& txn, std::uint32_t tenure, const std::string& token, kv::TxnResult result);
+    void commitCampaign(const Campaign& campaign);
+    void handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result);
+    void beginOwnership(const Campaign& campaign, kv::Revision commitRevision);
     void restoreOwnerKey();
     void noteStoreAnswer(std::error_code error);
     void loseOwnership(std::string_view reason);
@@ -69,6 +82,7 @@
     OwnerRecord self_;
     Millis ttl_;
     Millis candidacyDelay_;
+    Millis maxUnconfirmedOwnership_;
     Callbacks callbacks_;
     Random random_ = makeRandom();
     Timer tickTimer_;
