Reckon with the duration of the lease that was granted

What callers saw: an owner counted as confirmed, and so denied jobs and ordered upkeep, although its lease had run out, if the store granted a shorter lease than was requested.

Cause: the duration in the store's answer was not read; the requested one was taken for it.

Renewals follow it.

Not known to happen on the users' platform.

--- a/src/agatevane/kv/kv.h
+++ b/src/agatevane/kv/kv.h
@@ -74,6 +74,7 @@
     std::error_code error;
     bool hasEnded = false;
     LeaseId lease = 0; //!< the granted lease
+    Millis ttl { 0 }; //!< duration of the granted lease; 0: as requested
 };
 
 //! Each call ends by its deadline. Calls and their `done` run on the event loop's thread; `done` is never called from
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -54,6 +54,7 @@
     : store_(store)
     , self_(self)
     , ttl_(std::max(preferredLeaseTtl, minLeaseTtl))
+    , leaseTtl_(ttl_)
     , candidacyDelay_(candidacyDelay)
     , maxUnconfirmedOwnership_(maxUnconfirmedOwnership)
     , callbacks_(std::move(callbacks))
@@ -121,7 +122,9 @@
     store_.grantLease(ttl_, now() + callTimeout, liveness_.guard([this, sentAt](const kv::LeaseResult& result) {
         isLeaseCallInFlight_ = false;
         noteStoreAnswer(result.error);
-        nextRenewal_ = bootNow() + (result.error ? retryPause : ttl_ / 4);
+        if (!result.error && result.ttl > Millis(0))
+            leaseTtl_ = std::min(ttl_, result.ttl);
+        nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
         if (result.error)
             return;
         lease_ = result.lease;
@@ -150,7 +153,7 @@
             return;
         }
         noteStoreAnswer(result.error);
-        nextRenewal_ = bootNow() + (result.error ? retryPause : ttl_ / 4);
+        nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
         if (result.error)
             return;
         leaseRenewedAt_ = sentAt;
@@ -262,7 +265,7 @@
 
 bool OwnerElection::isOwnershipUnconfirmed() const
 {
-    return isOwnerKeyAbsent_ || ownerKeyLease_ == 0 || bootNow() - confirmedAt_ > ttl_;
+    return isOwnerKeyAbsent_ || ownerKeyLease_ == 0 || bootNow() - confirmedAt_ > leaseTtl_;
 }
 
 Instant OwnerElection::ownershipEndsBy() const
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -77,7 +77,8 @@
 
     kv::Store& store_;
     OwnerRecord self_;
-    Millis ttl_;
+    Millis ttl_; //!< requested duration of leases
+    Millis leaseTtl_; //!< duration of the last lease that the store has granted
     Millis candidacyDelay_;
     Millis maxUnconfirmedOwnership_;
     Callbacks callbacks_;
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -21,6 +21,7 @@
     void loseReads() { losesReads_ = true; }
     void delayRenewalAnswers(Millis delay) { renewalDelay_ = delay; }
     Instant lastRenewalAt() const { return lastRenewalAt_; }
+    void shortenLeases(Millis longest) { longestLease_ = longest; }
     void refuseLeases() { refusesLeases_ = true; }
     //! Does not answer the next commit that is applied, and calls `executed` after it.
     void loseNextCommitAnswer(std::function<void()> executed)
@@ -37,8 +38,13 @@
     }
     void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
     {
-        if (!refusesLeases_)
-            return FakeStore::grantLease(ttl, deadline, std::move(done));
+        if (!refusesLeases_) {
+            auto granted = std::min(ttl, longestLease_);
+            return FakeStore::grantLease(granted, deadline, [granted, done = std::move(done)](kv::LeaseResult result) {
+                result.ttl = granted;
+                done(result);
+            });
+        }
         answerLater<kv::LeaseResult>(Millis(2), Errc::Refused, std::move(done));
     }
     void renewLease(kv::LeaseId lease, Instant deadline, std::function<void(kv::LeaseResult)> done) override
@@ -72,6 +78,7 @@
 
     asio::io_context& context_;
     Millis renewalDelay_ { 0 };
+    Millis longestLease_ = Millis::max();
     Instant lastRenewalAt_;
     bool losesReads_ = false;
     bool refusesLeases_ = false;
@@ -229,6 +236,20 @@
     BOOST_CHECK(second.isConfirmed());
 }
 
+// Guards against an owner that takes itself for confirmed although its lease has run out: the store granted a shorter
+// lease than was requested.
+BOOST_AUTO_TEST_CASE(An_owner_is_confirmed_no_longer_than_the_granted_lease, *boost::unit_test::label("node"))
+{
+    election.resign();
+    Candidate second(context, model, "b", 2);
+    second.store.shortenLeases(Millis(600));
+    second.election.start();
+    BOOST_REQUIRE(runUntil(Millis(3000), [&] { return second.isConfirmed(); }));
+    BOOST_CHECK(!runUntil(Millis(1500), [&] { return !second.isConfirmed(); }));
+    second.store.setFault(test::StoreFault::Unresponsive);
+    BOOST_CHECK(!runUntil(Millis(1200), [&] { return second.isConfirmed() && !hasOwnerKey(); }));
+}
+
 // Guards against an owner that takes itself for confirmed for longer than its lease lasts, because the answers to its
 // renewals are slow.
 BOOST_AUTO_TEST_CASE(An_ownership_is_confirmed_from_when_the_renewal_was_sent, *boost::unit_test::label("node"))
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -241,6 +241,17 @@
     BOOST_CHECK(decodeTxn({ 503, {}, {} }).error == Errc::Refused);
 }
 
+// Guards against an owner that reckons with a longer lease than the store has granted.
+BOOST_AUTO_TEST_CASE(The_duration_of_a_granted_lease_is_decoded, *boost::unit_test::label("platform"))
+{
+    auto granted = decodeLease({}, { 200, {}, R"({"lease":7,"ttlMs":1200})" });
+    BOOST_CHECK(!granted.error);
+    BOOST_CHECK_EQUAL(granted.lease, 7);
+    BOOST_CHECK(granted.ttl == Millis(1200));
+    for (const auto* odd : { R"({"lease":7})", R"({"lease":7,"ttlMs":-5})", R"({"lease":7,"ttlMs":"1"})" })
+        BOOST_CHECK(decodeLease({}, { 200, {}, odd }).ttl == Millis(0));
+}
+
 // Guards against a job that runs although its submission was refused: a failure inside the store was taken for a
 // refusal, and the batch that the store had applied was withdrawn.
 BOOST_AUTO_TEST_CASE(A_failure_inside_the_store_leaves_the_outcome_unknown, *boost::unit_test::label("platform"))
