--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -56,10 +56,16 @@
 //! The next run number of a task, or of all tasks of its gang; higher than the numbers of all earlier owners.
 RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id);
 
+//! Tasks of which a run that nobody wants is not known to have ended, or of which a start may still be carried out on a
+//! worker that does not answer. Another run could go on at the same time.
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at);
+
 //! Starts a run of an idle task on `worker`; its start order is emitted later.
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at);
 //! Adds a run that a worker has reported. If `isWanted`, it becomes the task's run; else it is to be stopped.
 void adoptRun(Fleet& fleet, Worker& worker, const RunKey& key, bool isWanted, Instant at);
+//! Adds a run that a worker has reported, of a job whose records can't be read.
+void holdRun(Fleet& fleet, Worker& worker, const RunKey& key, Instant at);
 //! Frees the capacity of a run; its task becomes idle.
 void removeRun(Fleet& fleet, Worker& worker, const RunKey& key);
 //! Removes a run that has ended without a report of its end, and stops the other members of its gang.
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -68,6 +68,9 @@
     void applyOwnerItem(const kv::Item* item, kv::Revision asOf);
     void endLeaseOfPreviousProcess(const kv::Item& item, const OwnerRecord& record);
     void startCampaign();
+    void readTenure(kv::Revision commitRevision);
+    void beginCampaign(std::uint32_t lastTenure, kv::Revision commitRevision);
+    void abandonCampaign(Millis pause);
     void commitCampaign(const Campaign& campaign);
     void handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result);
     void beginOwnership(const Campaign& campaign, kv::Revision commitRevision);
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -326,12 +326,19 @@
 BOOST_AUTO_TEST_CASE(
     A_submission_forwarded_to_a_node_that_ends_is_answered_as_unknown, *boost::unit_test::label("node"))
 {
-    for (auto& [name, member] : members)
-        member.store->setFault(StoreFault::Unresponsive);
     auto* asked = follower();
     auto* ending = owner();
+    waitUntil(Millis(300), [] { return false; });
+    for (auto& [name, member] : members)
+        member.store->setFault(&member == ending ? StoreFault::LosesAnswers : StoreFault::Unresponsive);
+    auto commitsBefore = ending->store->commits();
     node::Timer timer(context);
-    timer.arm(Millis(300), [ending] { ending->node.reset(); });
+    std::function<void()> endOnceSent = [&] {
+        if (ending->store->commits() > commitsBefore)
+            return ending->node.reset();
+        timer.arm(Millis(5), endOnceSent);
+    };
+    endOnceSent();
     BOOST_CHECK_EQUAL(sendRequest(*asked, "POST", jobId), 500 + static_cast<int>(node::CallStatus::OutcomeUnknown));
 }
 
