Take no late answer of the store for proof that the owner key is held

If the key's lease had ended again in between, the owner counted as confirmed without a key for one lease, and might give leases beyond its successor's wait; a late answer to a campaign made a second owner beside the one elected since. An answer to a renewal of a lease that had been dropped meanwhile could move the time of confirmation, and another node's older view hid that the key was gone. Callers could see a task run twice, or upkeep ordered by two owners; denials were safe by the read that proves them. Change: the last revision as of which the key was absent is kept, and what is older than it, or than the known owner, changes nothing; the key is read again instead. Renewals count only for the lease that they were sent for. Not shown by a test: the renewal of a dropped lease, and the older view of another node.

--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -141,30 +141,35 @@
 {
     isLeaseCallInFlight_ = true;
     auto sentAt = bootNow();
-    store_.renewLease(lease_, now() + renewalTimeout, liveness_.guard([this, sentAt](const kv::LeaseResult& result) {
-        isLeaseCallInFlight_ = false;
-        if (result.hasEnded && !isOwner_) {
-            lease_ = 0;
-            return;
-        }
-        if (result.hasEnded) {
-            Line("lease_lost").with("lease", lease_).with("seated", isOwner_);
-            lease_ = ownerKeyLease_ = 0;
-            lastStoreAnswer_ = bootNow();
-            nextRenewal_ = bootNow();
-            if (isOwner_)
-                readOwner();
-            return;
-        }
-        noteStoreAnswer(result.error);
-        nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
-        if (result.error)
-            return;
-        leaseRenewedAt_ = sentAt;
-        // The store removes the owner key when its lease ends, so a successful renewal of it confirms the ownership.
-        if (isOwner_ && lease_ == ownerKeyLease_)
-            confirmedAt_ = sentAt;
-    }));
+    auto lease = lease_;
+    store_.renewLease(
+        lease, now() + renewalTimeout, liveness_.guard([this, sentAt, lease](const kv::LeaseResult& result) {
+            isLeaseCallInFlight_ = false;
+            if (lease != lease_)
+                return;
+            if (result.hasEnded && !isOwner_) {
+                lease_ = 0;
+                return;
+            }
+            if (result.hasEnded) {
+                Line("lease_lost").with("lease", lease_).with("seated", isOwner_);
+                lease_ = ownerKeyLease_ = 0;
+                lastStoreAnswer_ = bootNow();
+                nextRenewal_ = bootNow();
+                if (isOwner_)
+                    readOwner();
+                return;
+            }
+            noteStoreAnswer(result.error);
+            nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
+            if (result.error)
+                return;
+            leaseRenewedAt_ = sentAt;
+            // The store removes the owner key when its lease ends, so a successful renewal of it confirms the
+            // ownership.
+            if (isOwner_ && lease_ == ownerKeyLease_)
+                confirmedAt_ = sentAt;
+        }));
 }
 
 void OwnerElection::readOwner()
@@ -237,7 +242,7 @@
         return;
     }
     damagedOwnerRevision_ = 0;
-    if (item->revision > owner_.revision)
+    if (!isOutdated(item->revision))
         isOwnerKeyAbsent_ = false;
     endLeaseOfPreviousProcess(*item, *record);
     // The answer to the commit that wrote the key may have been lost.
@@ -248,15 +253,22 @@
 
 void OwnerElection::noteOwnerAbsent(kv::Revision asOf)
 {
-    if (asOf < owner_.revision || isOwnerKeyAbsent_)
+    if (asOf < owner_.revision)
+        return;
+    ownerAbsentAsOf_ = std::max(ownerAbsentAsOf_, asOf);
+    if (std::exchange(isOwnerKeyAbsent_, true))
         return;
-    isOwnerKeyAbsent_ = true;
     auto delay = isOwner_ ? Millis(0) : candidacyDelay_ + Millis(uniform(random_, 0, candidacySpreadMs));
     nextCampaignAt_ = bootNow() + delay;
     nextRenewal_ = nextCampaignAt_;
     Line("owner_absent").with("revision", asOf).with("last_owner", owner_.record.name);
 }
 
+bool OwnerElection::isOutdated(kv::Revision revision) const
+{
+    return revision < owner_.revision || revision < ownerAbsentAsOf_;
+}
+
 //! The owner key belongs to the process that ran on this machine before this one. Ending its lease removes the key, so
 //! that the next election does not wait until the lease expires.
 void OwnerElection::endLeaseOfPreviousProcess(const kv::Item& item, const OwnerRecord& record)
@@ -288,7 +300,8 @@
         return;
     bool isChanged = view.record.token != owner_.record.token;
     owner_ = view;
-    isOwnerKeyAbsent_ = false;
+    if (!isOutdated(view.revision))
+        isOwnerKeyAbsent_ = false;
     if (!isChanged)
         return;
     Line("owner_changed")
@@ -389,9 +402,9 @@
         lease_ = 0;
     if (isResigned_)
         return;
-    if (!result.error)
-        beginOwnership(campaign, result.revision);
-    else if (auto revision = revisionOfEarlierAttempt(result, campaign.token))
+    auto revision = result.error ? revisionOfEarlierAttempt(result, campaign.token) : result.revision;
+    // The answer may be so late that the key has been removed again.
+    if (revision && !isOutdated(*revision))
         beginOwnership(campaign, *revision);
 }
 
@@ -424,13 +437,14 @@
             lease_ = 0;
         if (!isOwner_)
             return;
-        if (!result.error) {
+        bool isRestored = !result.error && lease == lease_ && !isOutdated(result.revision);
+        if (isRestored) {
             ownerKeyLease_ = lease;
             confirmedAt_ = leaseRenewedAt_;
             isOwnerKeyAbsent_ = false;
             owner_ = { result.revision, self_ };
             Line("owner_key_restored").with("tenure", tenure_).with("revision", result.revision);
-        } else if (result.error == Errc::Conflict) {
+        } else if (!result.error || result.error == Errc::Conflict) {
             readOwner();
         }
     }));
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -65,6 +65,8 @@
     void watch();
     void readOwner();
     void noteOwnerAbsent(kv::Revision asOf);
+    //! True if a later state of the owner key is known than that at `revision`.
+    bool isOutdated(kv::Revision revision) const;
     void applyOwnerItem(const kv::Item* item, kv::Revision asOf);
     void endLeaseOfPreviousProcess(const kv::Item& item, const OwnerRecord& record);
     void startCampaign();
@@ -98,6 +100,7 @@
     bool isResigned_ = false;
     bool isOwner_ = false;
     bool isOwnerKeyAbsent_ = false;
+    kv::Revision ownerAbsentAsOf_ = 0; //!< last revision as of which the owner key was absent
     kv::Revision damagedOwnerRevision_ = 0; //!< revision of an unreadable owner key without a lease; 0: there is none
     Instant nextCampaignAt_;
     Instant nextRenewal_;
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -30,6 +30,13 @@
         commitExecuted_ = std::move(executed);
     }
 
+    //! Calls `executed` after the next commit that is applied, and answers `delay` later.
+    void delayNextCommitAnswer(Millis delay, std::function<void()> executed)
+    {
+        commitAnswerDelay_ = delay;
+        commitExecuted_ = std::move(executed);
+    }
+
     void get(const std::string& key, Instant deadline, std::function<void(kv::ReadResult)> done) override
     {
         if (!losesReads_)
@@ -58,10 +65,13 @@
     void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
     {
         FakeStore::commit(txn, deadline, [this, deadline, done = std::move(done)](const kv::TxnResult& result) {
-            if (result.error || !std::exchange(losesCommitAnswer_, false))
+            if (result.error || (!losesCommitAnswer_ && commitAnswerDelay_ == Millis(0)))
                 return done(result);
             commitExecuted_();
-            answerLater<kv::TxnResult>(elapsed(now(), deadline), Errc::Timeout, done);
+            if (std::exchange(losesCommitAnswer_, false))
+                return answerLater<kv::TxnResult>(elapsed(now(), deadline), Errc::Timeout, done);
+            auto timer = std::make_shared<node::Timer>(context_);
+            timer->arm(std::exchange(commitAnswerDelay_, Millis(0)), [timer, result, done] { done(result); });
         });
     }
 
@@ -83,6 +93,7 @@
     bool losesReads_ = false;
     bool refusesLeases_ = false;
     bool losesCommitAnswer_ = false;
+    Millis commitAnswerDelay_ { 0 };
     std::function<void()> commitExecuted_;
 };
 
@@ -257,6 +268,35 @@
     BOOST_CHECK(second.isConfirmed());
 }
 
+// Guards against an owner that takes itself for confirmed although its key is gone: the answer to the commit that
+// restored the key came after the key's lease had ended again.
+BOOST_AUTO_TEST_CASE(A_late_answer_to_a_restored_key_confirms_nothing, *boost::unit_test::label("node"))
+{
+    store.delayNextCommitAnswer(Millis(800), [this] { endOwnerLease(); });
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [this] { return !isConfirmed(); }));
+    BOOST_CHECK(!runUntil(Millis(3000), [this] { return isConfirmed() && !hasOwnerKey(); }));
+    BOOST_CHECK(isConfirmed());
+}
+
+// Guards against a second owner: the answer to a campaign came after the key's lease had ended and another node had
+// been elected.
+BOOST_AUTO_TEST_CASE(A_late_answer_to_a_campaign_wins_nothing, *boost::unit_test::label("node"))
+{
+    election.resign();
+    BOOST_REQUIRE(runUntil(Millis(1000), [this] { return !hasOwnerKey(); }));
+    Candidate second(context, model, "b", 2);
+    Candidate third(context, model, "c", 3);
+    second.store.delayNextCommitAnswer(Millis(900), [&] {
+        endOwnerLease();
+        third.election.start();
+    });
+    second.election.start();
+    BOOST_REQUIRE(runUntil(Millis(3000), [&] { return third.election.isOwner(); }));
+    BOOST_CHECK(!runUntil(Millis(2500), [&] { return second.election.isOwner(); }));
+    BOOST_CHECK_EQUAL(second.election.owner().record.name, "c");
+}
+
 // Guards against an owner that takes itself for confirmed although its lease has run out: the store granted a shorter
 // lease than was requested.
 BOOST_AUTO_TEST_CASE(An_owner_is_confirmed_no_longer_than_the_granted_lease, *boost::unit_test::label("node"))
