Let the test of readiness break without its proof

A_node_without_a_desired_state_is_not_ready passed with the check of the desired state taken out, since the node's store was silent as well. Now only the desired state is missing: its store and the owner answer, and the node can't read it.

--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -40,7 +40,9 @@
         kvModel.commit({ {}, { { "desired", version, 0 } }, {} }, test::modelTimeMs());
     }
 
-    void addNode(const std::string& name, StoreFault fault = StoreFault::None)
+    void addNode(const std::string& name) { addNode(name, translation); }
+
+    void addNode(const std::string& name, const node::Translation& nodeTranslation)
     {
         Member member;
         auto& settings = member.settings;
@@ -49,13 +51,10 @@
         settings.readinessAddress = { "127.0.0.1", test::freePort() };
         settings.peerListenAddress = settings.peerAddress = { "127.0.0.1", test::freePort() };
         settings.metricsAddress = { "127.0.0.1", test::freePort() };
-        for (const auto& [otherName, other] : members) {
-            if (fault == StoreFault::None)
-                settings.seedNodes.push_back(other.settings.peerAddress);
-        }
+        for (const auto& [otherName, other] : members)
+            settings.seedNodes.push_back(other.settings.peerAddress);
         member.store = std::make_unique<test::FakeStore>(context, kvModel);
-        member.store->setFault(fault);
-        member.node = std::make_unique<node::Node>(context, settings, *member.store, workers, nullptr, translation);
+        member.node = std::make_unique<node::Node>(context, settings, *member.store, workers, nullptr, nodeTranslation);
         Findings findings;
         BOOST_REQUIRE_MESSAGE(member.node->start(findings), format(findings));
         members.emplace(name, std::move(member));
@@ -345,12 +344,16 @@
 // Guards against a node that answers callers before it knows the queues and the keys.
 BOOST_AUTO_TEST_CASE(A_node_without_a_desired_state_is_not_ready, *boost::unit_test::label("node"))
 {
-    addNode("n9", StoreFault::Unresponsive);
+    auto unreadable = test::plainTranslation();
+    unreadable.decodeDesiredState = [](const kv::Item&, Findings&) { return std::nullopt; };
+    addNode("n9", unreadable);
+    waitUntil(Millis(300), [] { return false; });
     const auto& isolated = members.at("n9");
     constexpr int unavailable = 503;
     BOOST_CHECK_EQUAL(readinessOf(isolated), unavailable);
     BOOST_CHECK_EQUAL(readinessOf(*owner()), 200);
     BOOST_CHECK_EQUAL(sendRequest(isolated, "POST", jobId), 500 + static_cast<int>(node::CallStatus::NotAccepted));
+    members.erase("n9");
 }
 
 // Guards against requests that end without an answer: each event that ends or moves a node's work comes while the
