--- a/src/agatevane/fleet/decision_log.cpp
+++ b/src/agatevane/fleet/decision_log.cpp
@@ -94,6 +94,17 @@
         line.with("answered_by", *answeredBy);
 }
 
+void logHeldRun(const Fleet& fleet, const Worker& worker, const RunningReport& report)
+{
+    const auto& [task, number] = report.key;
+    Line("run_held")
+        .with("job", task.job)
+        .with("task", toString(task))
+        .with("run", number)
+        .with("worker", worker.id)
+        .with("fault", nameOf(fleet.unreadableJobs.at(task.job)));
+}
+
 void logEndOfOtherRun(Fleet& fleet, const Worker& worker, const EndReport& end)
 {
     const auto& [id, number] = end.key;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -6,6 +6,7 @@
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,9 +20,17 @@
 
 //! Position of a write in the order in which writes become durable.
 using CommitSequence = std::uint64_t;
+//! The position of a write that this owner never makes.
+constexpr CommitSequence neverCommitted = std::numeric_limits<CommitSequence>::max();
 
 enum class JobPhase { Accepting, Open, Completed, Failed, Cancelled };
 
+//! Why a stored record can't be used.
+enum class RecordFault {
+    Damaged, //!< no build can read it
+    NewerVersion //!< a later build has written it
+};
+
 //! A task's run on a worker: ordered, running or being stopped.
 struct TaskRun {
     WorkerId worker;
@@ -75,6 +84,13 @@
 
 } // namespace agatevane::fleet
 
+template <> struct agatevane::EnumNames<agatevane::fleet::RecordFault> {
+    static constexpr std::array<std::pair<agatevane::fleet::RecordFault, std::string_view>, 2> table { {
+        { agatevane::fleet::RecordFault::Damaged, "damaged" },
+        { agatevane::fleet::RecordFault::NewerVersion, "newer_version" },
+    } };
+};
+
 template <> struct agatevane::EnumNames<agatevane::fleet::RunState> {
     static constexpr std::array<std::pair<agatevane::fleet::RunState, std::string_view>, 3> table { {
         { agatevane::fleet::RunState::Ordered, "ordered" },
@@ -92,6 +108,7 @@
     Capacity need;
     RunState state = RunState::Ordered;
     bool isWanted = true; //!< false: the worker reported the run, but it belongs to no task that needs it
+    bool isHeld = false; //!< the run belongs to a job whose records can't be read, and is neither wanted nor stopped
     int priority = 0;
     Instant orderedAt;
     Instant nextSendAt; //!< earliest time at which the start or stop order is sent, or sent again
@@ -139,6 +156,11 @@
     Instant leavesAt; //!< earliest time at which a draining worker leaves; Instant {}: unknown
     std::int64_t incarnation = 0; //!< increases when the worker restarts under the same id; 0: unknown
 
+    //! The stored record of workers does not name the worker, or a newer record that is being written does not: it may
+    //! get no starts.
+    bool awaitsNaming = false;
+    bool isInEarlierRecord = false; //!< the record that this owner inherited names the worker
+
     bool hasAnsweredPoll = false; //!< this incarnation has answered a poll with this owner's fencing token
     bool isPollInFlight = false;
     Instant pollSentAt;
@@ -184,6 +206,13 @@
     Millis earlierLeaseTimeout { 7000 }; //!< this long after a takeover, all leases that earlier owners gave have ended
 };
 
+//! What an owner knows of the workers on which earlier owners may have started runs.
+enum class EarlierWorkers {
+    AnyListed, //!< no record was read: any listed worker
+    Recorded, //!< those in the inherited record
+    Unreadable //!< any worker, also one that is not known: the inherited record can't be read
+};
+
 enum class Mutation { Accept, Progress, Prune };
 
 //! A write that has not been handed to the store.
@@ -242,6 +271,9 @@
     std::map<JobId, Job> jobs;
     std::map<WorkerId, Worker> workers;
     std::set<JobId> openJobs; //!< jobs in phase Open
+    //! Jobs that were accepted and whose records can't be read. What became of them is unknown: they are neither run
+    //! nor stopped, and their records stay as they are.
+    std::map<JobId, RecordFault> unreadableJobs;
     //! Number of open jobs, except scheduled ones, that have not started, by queue.
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
@@ -259,7 +291,9 @@
     std::uint64_t fillerSlowdowns = 0; //!< how often the pace of a worker's fillers was lowered
     std::uint64_t placementSearches = 0; //!< searches over all workers; they dominate the CPU time of a round
     std::uint64_t preemptionPlans = 0;
-    bool haveWorkersChanged = false; //!< the stored list of known workers is out of date
+    EarlierWorkers earlierWorkers = EarlierWorkers::AnyListed;
+    bool doStartsNeedNaming = false; //!< a worker gets no start before a durable record names it
+    bool haveWorkersChanged = false; //!< the stored record of workers may be out of date
     std::vector<Violation> violations; //!< found while events were applied, and not reported yet
     bool isPlacementDue = true; //!< a change may allow waiting work to start
 };
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -1,5 +1,6 @@
 #include "fakes.h"
 
+#include "agatevane/fleet/leases.h"
 #include "node/owner_election.h"
 #include "node/records.h"
 #include <boost/test/unit_test.hpp>
@@ -8,40 +9,87 @@
 
 namespace {
 
-//! A store that does not answer reads of single keys while `losesReads` is set.
-class StoreWithoutReads : public test::FakeStore {
+//! A store that does not answer some kinds of calls.
+class PartialStore : public test::FakeStore {
 public:
-    StoreWithoutReads(asio::io_context& context, standin::KvModel& model)
+    PartialStore(asio::io_context& context, standin::KvModel& model)
         : FakeStore(context, model)
         , context_(context)
     {
     }
 
     void loseReads() { losesReads_ = true; }
+    void refuseLeases() { refusesLeases_ = true; }
+    //! Does not answer the next commit that is applied, and calls `executed` after it.
+    void loseNextCommitAnswer(std::function<void()> executed)
+    {
+        losesCommitAnswer_ = true;
+        commitExecuted_ = std::move(executed);
+    }
 
     void get(const std::string& key, Instant deadline, std::function<void(kv::ReadResult)> done) override
     {
         if (!losesReads_)
             return FakeStore::get(key, deadline, std::move(done));
+        answerLater<kv::ReadResult>(elapsed(now(), deadline), Errc::Timeout, std::move(done));
+    }
+    void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
+    {
+        if (!refusesLeases_)
+            return FakeStore::grantLease(ttl, deadline, std::move(done));
+        answerLater<kv::LeaseResult>(Millis(2), Errc::Refused, std::move(done));
+    }
+    void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
+    {
+        FakeStore::commit(txn, deadline, [this, deadline, done = std::move(done)](const kv::TxnResult& result) {
+            if (result.error || !std::exchange(losesCommitAnswer_, false))
+                return done(result);
+            commitExecuted_();
+            answerLater<kv::TxnResult>(elapsed(now(), deadline), Errc::Timeout, done);
+        });
+    }
+
+private:
+    template <typename Result> void answerLater(Millis delay, Errc error, std::function<void(Result)> done)
+    {
         auto timer = std::make_shared<node::Timer>(context_);
-        timer->arm(elapsed(now(), deadline), [timer, done = std::move(done)] {
-            kv::ReadResult result;
-            result.error = Errc::Timeout;
+        timer->arm(delay, [timer, error, done = std::move(done)] {
+            Result result;
+            result.error = error;
             done(result);
         });
     }
 
-private:
     asio::io_context& context_;
     bool losesReads_ = false;
+    bool refusesLeases_ = false;
+    bool losesCommitAnswer_ = false;
+    std::function<void()> commitExecuted_;
 };
 
-struct ElectionFixture {
-    ElectionFixture()
+//! One node's part in the election, with its own access to the store.
+struct Candidate {
+    Candidate(asio::io_context& context, standin::KvModel& model, const std::string& name, int port)
         : store(context, model)
-        , election(context, store, node::OwnerRecord { "a", { "127.0.0.1", 1 }, 0, {} }, Millis(1000), Millis(0),
+        , election(context, store, node::OwnerRecord { name, { "127.0.0.1", port }, 0, {} }, Millis(1000), Millis(0),
+              fleet::maxUnconfirmedOwnership({}),
               { [this](std::uint32_t, kv::Revision revision) { commitRevision = revision; }, [](std::string_view) {},
                   [] {}, [this] { return commitRevision; } })
+    {
+    }
+
+    bool isConfirmed() const { return election.isOwner() && !election.isOwnershipUnconfirmed(); }
+
+    PartialStore store;
+    kv::Revision commitRevision = 0;
+    node::OwnerElection election;
+};
+
+struct ElectionFixture {
+    ElectionFixture()
+        : first(context, model, "a", 1)
+        , store(first.store)
+        , election(first.election)
     {
         election.start();
         BOOST_REQUIRE(runUntil(Millis(3000), [this] { return election.isOwner(); }));
@@ -52,7 +100,16 @@
         return test::runUntil(context, limit, condition);
     }
 
-    bool isConfirmed() { return election.isOwner() && !election.isOwnershipUnconfirmed(); }
+    bool isConfirmed() { return first.isConfirmed(); }
+
+    bool hasOwnerKey() { return !model.get(node::ownerKey, test::modelTimeMs()).items.empty(); }
+
+    //! The store ends the lease of the owner key before its time.
+    void endOwnerLease()
+    {
+        auto at = test::modelTimeMs();
+        BOOST_REQUIRE(model.endLease(model.get(node::ownerKey, at).items.front().lease, at));
+    }
 
     //! Another node becomes the owner, once the owner's key has been removed.
     void electOther()
@@ -69,9 +126,9 @@
 
     asio::io_context context;
     standin::KvModel model;
-    StoreWithoutReads store;
-    kv::Revision commitRevision = 0;
-    node::OwnerElection election;
+    Candidate first;
+    PartialStore& store;
+    node::OwnerElection& election;
 };
 
 } // namespace
@@ -102,4 +159,90 @@
     BOOST_CHECK(election.ownershipEndsBy() <= endsBy);
 }
 
+// Guards against a task that runs twice: the store ended the owner's lease early, and the earlier owner might give
+// leases for longer than its successor waits for workers that it can't reach.
+BOOST_AUTO_TEST_CASE(
+    A_successor_waits_for_all_leases_of_an_owner_whose_lease_ended_early, *boost::unit_test::label("node"))
+{
+    fleet::Limits limits;
+    auto clockLag = fleet::maxLeaseDuration(limits.leaseDuration) - limits.leaseDuration;
+    Candidate second(context, model, "b", 2);
+    second.election.start();
+    store.setFault(test::StoreFault::Unresponsive);
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [&] { return second.election.isOwner(); }));
+    auto tookOverAt = bootNow();
+    BOOST_CHECK(election.isOwner());
+    BOOST_CHECK(election.ownershipEndsBy() + clockLag <= tookOverAt + limits.earlierLeaseTimeout);
+    // The store may elect the successor at once.
+    BOOST_CHECK(election.ownershipEndsBy() + clockLag <= election.confirmedAt() + limits.earlierLeaseTimeout);
+}
+
+// Guards against an owner that sends orders to machines, or denies jobs, although the store has told it that its lease
+// has ended, and that another node may be the owner.
+BOOST_AUTO_TEST_CASE(An_owner_that_knows_of_the_end_of_its_lease_is_not_confirmed, *boost::unit_test::label("node"))
+{
+    store.refuseLeases();
+    BOOST_REQUIRE(isConfirmed());
+    endOwnerLease();
+    BOOST_CHECK(runUntil(Millis(600), [this] { return !isConfirmed(); }));
+}
+
+// Guards against an owner that ends all runs although it holds the owner key: the answer to the commit that restored
+// the key was lost, and renewals of the key's lease did not count as confirmation.
+BOOST_AUTO_TEST_CASE(An_owner_whose_key_was_restored_without_an_answer_is_confirmed, *boost::unit_test::label("node"))
+{
+    bool isRestored = false;
+    store.loseNextCommitAnswer([&] { isRestored = true; });
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [&] { return isRestored; }));
+    BOOST_CHECK(hasOwnerKey());
+    auto endsBy = election.ownershipEndsBy();
+    BOOST_CHECK(runUntil(Millis(3000), [&] { return isConfirmed() && election.ownershipEndsBy() > endsBy; }));
+    BOOST_CHECK(!runUntil(Millis(2000), [this] { return !isConfirmed(); }));
+}
+
+// Guards against an owner that takes itself for confirmed, and does not take part in further elections, although its
+// key is gone: the answer to its campaign was lost, and the lease of the key ended before the campaign was repeated.
+BOOST_AUTO_TEST_CASE(A_campaign_whose_lease_ended_before_its_answer_wins_nothing, *boost::unit_test::label("node"))
+{
+    election.resign();
+    BOOST_REQUIRE(runUntil(Millis(1000), [this] { return !hasOwnerKey(); }));
+    Candidate second(context, model, "b", 2);
+    second.store.loseNextCommitAnswer([this] { endOwnerLease(); });
+    second.election.start();
+    BOOST_REQUIRE(runUntil(Millis(5000), [&] { return second.election.isOwner(); }));
+    BOOST_CHECK(hasOwnerKey());
+    BOOST_CHECK(!runUntil(Millis(3000), [&] { return second.isConfirmed() && !hasOwnerKey(); }));
+    BOOST_CHECK(second.isConfirmed());
+}
+
+// Guards against an owner with a lower fencing token than an earlier one, because the commit record can't be read.
+BOOST_AUTO_TEST_CASE(A_damaged_commit_record_does_not_restart_the_tenures, *boost::unit_test::label("node"))
+{
+    auto damage = [this](const char* key) { model.commit({ {}, { { key, "x", 0 } }, {} }, test::modelTimeMs()); };
+    std::uint32_t electedTenure = 0;
+    test::FakeStore otherStore(context, model);
+    node::OwnerElection other(context, otherStore, node::OwnerRecord { "b", { "127.0.0.1", 2 }, 0, {} }, Millis(1000),
+        Millis(0), fleet::maxUnconfirmedOwnership({}),
+        { [&](std::uint32_t tenure, kv::Revision) { electedTenure = tenure; }, [](std::string_view) {}, [] {},
+            [] { return kv::Revision(0); } });
+    election.resign();
+    runUntil(Millis(100), [] { return false; });
+    damage(node::commitKey);
+    other.start();
+    BOOST_REQUIRE(runUntil(Millis(3000), [&] { return other.isOwner(); }));
+    BOOST_CHECK_EQUAL(electedTenure, 2U);
+    // Without any certain tenure nobody becomes the owner.
+    other.resign();
+    runUntil(Millis(100), [] { return false; });
+    damage(node::commitKey);
+    damage(node::tenureKey);
+    node::OwnerElection third(context, otherStore, node::OwnerRecord { "c", { "127.0.0.1", 3 }, 0, {} }, Millis(1000),
+        Millis(0), fleet::maxUnconfirmedOwnership({}),
+        { [](std::uint32_t, kv::Revision) {}, [](std::string_view) {}, [] {}, [] { return kv::Revision(0); } });
+    third.start();
+    BOOST_CHECK(!runUntil(Millis(2000), [&] { return third.isOwner(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
