--- a/tests/fleet/succession_tests.cpp
+++ b/tests/fleet/succession_tests.cpp
@@ -86,8 +86,7 @@
 
 // Guards against a task that runs twice: a later incarnation of a worker carried out the late start of a run that had
 // been given up.
-BOOST_AUTO_TEST_CASE(A_late_start_of_a_run_that_was_given_up_runs_no_task_twice,
-    *boost::unit_test::label("randomised") * boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(A_late_start_of_a_run_that_was_given_up_runs_no_task_twice, *boost::unit_test::label("randomised"))
 {
     runSeeds(Mix::LateStarts, 6, 6);
 }
