--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -69,7 +69,7 @@
     void endLeaseOfPreviousProcess(const kv::Item& item, const OwnerRecord& record);
     void startCampaign();
     void readTenure(kv::Revision commitRevision);
-    void campaign(std::uint32_t lastTenure, kv::Revision commitRevision);
+    void beginCampaign(std::uint32_t lastTenure, kv::Revision commitRevision);
     void abandonCampaign(Millis pause);
     void commitCampaign(const Campaign& campaign);
     void handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result);
@@ -80,7 +80,8 @@
 
     kv::Store& store_;
     OwnerRecord self_;
-    Millis ttl_;
+    Millis ttl_; //!< requested duration of leases
+    Millis leaseTtl_; //!< duration of the last lease that the store has granted
     Millis candidacyDelay_;
     Millis maxUnconfirmedOwnership_;
     Callbacks callbacks_;
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -1,8 +1,10 @@
 #include "fakes.h"
 
 #include "agatevane/event_http/client.h"
+#include "agreeing_peer.h"
 #include "tests/support/free_port.h"
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace agatevane;
 using test::StoreFault;
@@ -38,7 +40,7 @@
         kvModel.commit({ {}, { { "desired", version, 0 } }, {} }, test::modelTimeMs());
     }
 
-    void addNode(const std::string& name)
+    void addNode(const std::string& name, StoreFault fault = StoreFault::None)
     {
         Member member;
         auto& settings = member.settings;
@@ -47,9 +49,12 @@
         settings.readinessAddress = { "127.0.0.1", test::freePort() };
         settings.peerListenAddress = settings.peerAddress = { "127.0.0.1", test::freePort() };
         settings.metricsAddress = { "127.0.0.1", test::freePort() };
-        for (const auto& [otherName, other] : members)
-            settings.seedNodes.push_back(other.settings.peerAddress);
+        for (const auto& [otherName, other] : members) {
+            if (fault == StoreFault::None)
+                settings.seedNodes.push_back(other.settings.peerAddress);
+        }
         member.store = std::make_unique<test::FakeStore>(context, kvModel);
+        member.store->setFault(fault);
         member.node = std::make_unique<node::Node>(context, settings, *member.store, workers, nullptr, translation);
         Findings findings;
         BOOST_REQUIRE_MESSAGE(member.node->start(findings), format(findings));
@@ -96,6 +101,15 @@
         return test::runUntil(context, limit, condition);
     }
 
+    int readinessOf(const Member& member)
+    {
+        int status = -1;
+        client.send(member.settings.readinessAddress, { "GET", "/", {}, {} }, now() + Millis(1000),
+            [&](std::error_code error, const event_http::Response& response) { status = error ? 0 : response.status; });
+        waitUntil(Millis(1500), [&] { return status >= 0; });
+        return status;
+    }
+
     int sendRequest(const Member& member, const std::string& method, const std::string& id, std::string* body = nullptr,
         const std::string& content = {}, Millis timeout = Millis(3000))
     {
@@ -112,6 +126,15 @@
         return status;
     }
 
+    //! Status of a submission to `asked` that the store holds up while `event` happens; 0: there was no answer.
+    int statusOfHeldCall(const Member& asked, std::function<void()> event)
+    {
+        owner()->store->setFault(StoreFault::Unresponsive);
+        node::Timer timer(context);
+        timer.arm(Millis(300), std::move(event));
+        return sendRequest(asked, "POST", "00000000000000d9", nullptr, {}, Millis(1200));
+    }
+
     asio::io_context context;
     standin::KvModel kvModel;
     standin::WorkerModel workerModel;
@@ -202,6 +225,30 @@
     BOOST_CHECK(waitUntil(Millis(4000), [&] { return sendRequest(*isolatedOwner, "GET", jobId) == 200; }));
 }
 
+// Guards against outdated answers of an owner that was paused: the agreement of another node, received before the
+// pause, counted from the time when the owner read it.
+BOOST_AUTO_TEST_CASE(Agreement_from_before_a_pause_does_not_make_an_owner_answer, *boost::unit_test::label("node"))
+{
+    auto* paused = owner();
+    BOOST_REQUIRE_EQUAL(sendRequest(*paused, "POST", jobId, nullptr, "20000"), 200);
+    for (auto& [name, member] : members) {
+        if (&member != paused)
+            member.node.reset();
+    }
+    test::AgreeingPeer peer;
+    paused->settings.seedNodes = { peer.address() };
+    paused->node->reload(paused->settings);
+    paused->store->setFault(StoreFault::Unresponsive);
+    waitUntil(Millis(2500), [] { return false; });
+    BOOST_REQUIRE_EQUAL(sendRequest(*paused, "GET", jobId), 200);
+    auto pulls = peer.pulls();
+    BOOST_REQUIRE(waitUntil(Millis(2000), [&] { return peer.pulls() > pulls; }));
+    peer.answerNoMore();
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    BOOST_REQUIRE(paused->node->isOwner());
+    BOOST_CHECK_NE(sendRequest(*paused, "GET", jobId), 200);
+}
+
 // Guards against an owner that stops answering because the store is unavailable, although the other nodes know no other
 // owner.
 BOOST_AUTO_TEST_CASE(An_owner_answers_while_the_store_is_unavailable_to_all_nodes, *boost::unit_test::label("node"))
@@ -246,6 +293,103 @@
     BOOST_CHECK(waitUntil(Millis(3000), [&] { return sendRequest(*earlierOwner, "GET", jobId) == 200; }));
 }
 
+// Guards against a cancellation that is acknowledged although its record may never become durable.
+BOOST_AUTO_TEST_CASE(A_cancellation_is_acknowledged_only_once_it_is_durable, *boost::unit_test::label("node"))
+{
+    auto* current = owner();
+    BOOST_REQUIRE_EQUAL(sendRequest(*current, "POST", jobId, nullptr, "20000"), 200);
+    current->store->setFault(StoreFault::Unresponsive);
+    BOOST_CHECK_EQUAL(sendRequest(*current, "DELETE", jobId, nullptr, {}, Millis(600)),
+        500 + static_cast<int>(node::CallStatus::OutcomeUnknown));
+    current->store->setFault(StoreFault::None);
+    BOOST_CHECK_EQUAL(sendRequest(*current, "DELETE", jobId), 200);
+}
+
+// Guards against a job that is denied, or said to be cancelled, by an owner that has not read its record yet.
+BOOST_AUTO_TEST_CASE(An_owner_that_has_not_loaded_the_jobs_answers_for_none, *boost::unit_test::label("node"))
+{
+    BOOST_REQUIRE_EQUAL(sendRequest(*owner(), "POST", jobId, nullptr, "20000"), 200);
+    for (auto& [name, member] : members)
+        member.store->setFault(StoreFault::LosesListings);
+    owner()->node.reset();
+    BOOST_REQUIRE(waitUntil(Millis(4000), [this] { return owner() != nullptr; }));
+    auto* next = owner();
+    auto notAccepted = 500 + static_cast<int>(node::CallStatus::NotAccepted);
+    for (const auto* method : { "GET", "DELETE", "POST" })
+        BOOST_CHECK_EQUAL(sendRequest(*next, method, jobId), notAccepted);
+    next->store->setFault(StoreFault::None);
+    BOOST_CHECK(waitUntil(Millis(5000), [&] { return sendRequest(*next, "GET", jobId) == 200; }));
+}
+
+// Guards against a refusal, which says that the job never runs, of a submission that a node which has ended since may
+// have accepted.
+BOOST_AUTO_TEST_CASE(
+    A_submission_forwarded_to_a_node_that_ends_is_answered_as_unknown, *boost::unit_test::label("node"))
+{
+    auto* asked = follower();
+    auto* ending = owner();
+    waitUntil(Millis(300), [] { return false; });
+    for (auto& [name, member] : members)
+        member.store->setFault(&member == ending ? StoreFault::LosesAnswers : StoreFault::Unresponsive);
+    auto commitsBefore = ending->store->commits();
+    node::Timer timer(context);
+    std::function<void()> endOnceSent = [&] {
+        if (ending->store->commits() > commitsBefore)
+            return ending->node.reset();
+        timer.arm(Millis(5), endOnceSent);
+    };
+    endOnceSent();
+    BOOST_CHECK_EQUAL(sendRequest(*asked, "POST", jobId), 500 + static_cast<int>(node::CallStatus::OutcomeUnknown));
+}
+
+// Guards against a node that answers callers before it knows the queues and the keys.
+BOOST_AUTO_TEST_CASE(A_node_without_a_desired_state_is_not_ready, *boost::unit_test::label("node"))
+{
+    addNode("n9", StoreFault::Unresponsive);
+    const auto& isolated = members.at("n9");
+    constexpr int unavailable = 503;
+    BOOST_CHECK_EQUAL(readinessOf(isolated), unavailable);
+    BOOST_CHECK_EQUAL(readinessOf(*owner()), 200);
+    BOOST_CHECK_EQUAL(sendRequest(isolated, "POST", jobId), 500 + static_cast<int>(node::CallStatus::NotAccepted));
+}
+
+// Guards against requests that end without an answer: each event that ends or moves a node's work comes while the
+// record of a submission is on its way to the store.
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_its_node_stops, *boost::unit_test::label("node"))
+{
+    auto* asked = owner();
+    BOOST_CHECK_GE(statusOfHeldCall(*asked, [asked] { asked->node->stop([] {}); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_the_node_that_passed_it_on_stops, *boost::unit_test::label("node"))
+{
+    auto* asked = follower();
+    BOOST_CHECK_GE(statusOfHeldCall(*asked, [asked] { asked->node->stop([] {}); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_the_owner_stops, *boost::unit_test::label("node"))
+{
+    auto* current = owner();
+    BOOST_CHECK_GE(statusOfHeldCall(*follower(), [current] { current->node->stop([] {}); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_its_owner_is_replaced, *boost::unit_test::label("node"))
+{
+    auto* current = owner();
+    BOOST_CHECK_GE(statusOfHeldCall(*current, [&] { endOwnerLease(); }), 200);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_call_is_answered_when_settings_and_queues_change, *boost::unit_test::label("node"))
+{
+    auto* asked = follower();
+    auto status = statusOfHeldCall(*asked, [&] {
+        for (auto& [name, member] : members)
+            member.node->reload(member.settings);
+        putDesiredState("2");
+    });
+    BOOST_CHECK_GE(status, 200);
+}
+
 // Guards against a node that keeps an old desired state, or a removed API key, because the store refuses its calls.
 BOOST_AUTO_TEST_CASE(
     A_node_without_the_store_receives_the_desired_state_from_other_nodes, *boost::unit_test::label("node"))
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -19,6 +19,9 @@
     }
 
     void loseReads() { losesReads_ = true; }
+    void delayRenewalAnswers(Millis delay) { renewalDelay_ = delay; }
+    Instant lastRenewalAt() const { return lastRenewalAt_; }
+    void shortenLeases(Millis longest) { longestLease_ = longest; }
     void refuseLeases() { refusesLeases_ = true; }
     //! Does not answer the next commit that is applied, and calls `executed` after it.
     void loseNextCommitAnswer(std::function<void()> executed)
@@ -35,10 +38,23 @@
     }
     void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
     {
-        if (!refusesLeases_)
-            return FakeStore::grantLease(ttl, deadline, std::move(done));
+        if (!refusesLeases_) {
+            auto granted = std::min(ttl, longestLease_);
+            return FakeStore::grantLease(granted, deadline, [granted, done = std::move(done)](kv::LeaseResult result) {
+                result.ttl = granted;
+                done(result);
+            });
+        }
         answerLater<kv::LeaseResult>(Millis(2), Errc::Refused, std::move(done));
     }
+    void renewLease(kv::LeaseId lease, Instant deadline, std::function<void(kv::LeaseResult)> done) override
+    {
+        lastRenewalAt_ = bootNow();
+        FakeStore::renewLease(lease, deadline, [this, done = std::move(done)](const kv::LeaseResult& result) {
+            auto timer = std::make_shared<node::Timer>(context_);
+            timer->arm(renewalDelay_, [timer, result, done] { done(result); });
+        });
+    }
     void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
     {
         FakeStore::commit(txn, deadline, [this, deadline, done = std::move(done)](const kv::TxnResult& result) {
@@ -61,6 +77,9 @@
     }
 
     asio::io_context& context_;
+    Millis renewalDelay_ { 0 };
+    Millis longestLease_ = Millis::max();
+    Instant lastRenewalAt_;
     bool losesReads_ = false;
     bool refusesLeases_ = false;
     bool losesCommitAnswer_ = false;
@@ -238,4 +257,40 @@
     BOOST_CHECK(second.isConfirmed());
 }
 
+// Guards against an owner that takes itself for confirmed although its lease has run out: the store granted a shorter
+// lease than was requested.
+BOOST_AUTO_TEST_CASE(An_owner_is_confirmed_no_longer_than_the_granted_lease, *boost::unit_test::label("node"))
+{
+    election.resign();
+    Candidate second(context, model, "b", 2);
+    second.store.shortenLeases(Millis(600));
+    second.election.start();
+    BOOST_REQUIRE(runUntil(Millis(3000), [&] { return second.isConfirmed(); }));
+    BOOST_CHECK(!runUntil(Millis(1500), [&] { return !second.isConfirmed(); }));
+    second.store.setFault(test::StoreFault::Unresponsive);
+    BOOST_CHECK(!runUntil(Millis(1200), [&] { return second.isConfirmed() && !hasOwnerKey(); }));
+}
+
+// Guards against an owner that takes itself for confirmed for longer than its lease lasts, because the answers to its
+// renewals are slow.
+BOOST_AUTO_TEST_CASE(An_ownership_is_confirmed_from_when_the_renewal_was_sent, *boost::unit_test::label("node"))
+{
+    store.delayRenewalAnswers(Millis(300));
+    BOOST_REQUIRE(runUntil(Millis(1000), [this] { return store.lastRenewalAt() != Instant {}; }));
+    BOOST_CHECK(!runUntil(Millis(2500), [this] { return election.confirmedAt() > store.lastRenewalAt(); }));
+    BOOST_CHECK(isConfirmed());
+}
+
+// Guards against a node that returns to an earlier owner because a late message names it.
+BOOST_AUTO_TEST_CASE(An_older_owner_record_replaces_no_newer_one, *boost::unit_test::label("node"))
+{
+    auto older = election.owner();
+    older.revision -= 1;
+    older.record.token = "older";
+    election.applyOwnerView(older);
+    BOOST_CHECK(election.isOwner());
+    BOOST_CHECK_EQUAL(election.owner().record.name, "a");
+    BOOST_CHECK(election.owner().record.token != "older");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
