--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -3,6 +3,8 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/leases.h"
+#include "agatevane/fleet/worker_record.h"
+#include "agatevane/fleet/workers.h"
 
 namespace agatevane::fleet {
 
@@ -27,6 +29,17 @@
             stopTaskRuns(fleet, *job, key.first, at, "member_not_started");
     }
 
+    //! True if the worker has, or may have, another run of the task, which is to end first.
+    bool hasOtherRun(const Worker& worker, const RunKey& key)
+    {
+        auto each = worker.runs.lower_bound({ key.first, 0 });
+        for (; each != worker.runs.end() && each->first.first == key.first; ++each) {
+            if (each->first != key)
+                return true;
+        }
+        return false;
+    }
+
 } // namespace
 
 Capacity reservedCapacity(const StepSpec& step)
@@ -74,6 +87,23 @@
     return std::max(last + 1, (fleet.tenure - 1) * runsPerTenure + 1);
 }
 
+std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at)
+{
+    std::set<TaskId> tasks;
+    for (const auto& [id, worker] : fleet.workers) {
+        for (const auto& [key, run] : worker.runs) {
+            if (!run.isWanted)
+                tasks.insert(key.first);
+        }
+        bool isAnswering = worker.missedPolls == 0 && worker.hasAnsweredPoll;
+        for (const auto& [key, until] : worker.unansweredStarts) {
+            if (!isAnswering && at < until)
+                tasks.insert(key.first);
+        }
+    }
+    return tasks;
+}
+
 void orderRun(Fleet& fleet, Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at)
 {
     auto& step = job.occurrences[id.occurrence].steps[id.step];
@@ -128,6 +158,14 @@
     worker.runs.emplace(key, run);
 }
 
+void holdRun(Fleet& fleet, Worker& worker, const RunKey& key, Instant at)
+{
+    adoptRun(fleet, worker, key, false, at);
+    auto& run = worker.runs.at(key);
+    run.state = RunState::Running;
+    run.isHeld = run.isConfirmed = run.isReported = true;
+}
+
 void removeRun(Fleet& fleet, Worker& worker, const RunKey& key)
 {
     auto found = worker.runs.find(key);
@@ -308,8 +346,9 @@
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll)
+            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key) || mayEndUnseen(worker, at))
                 continue;
+            checkStartIsNamed(fleet, worker, key);
             run.isOrderInFlight = true;
             ++run.ordersSent;
             auto until = extendLease(fleet, worker, at);
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -54,6 +54,7 @@
             auto sequence = applyEnd(fleet, worker, end.key, end.kind, end.checkpoint, unixMs, at);
             checkEndWasTaken(fleet, worker, end);
             worker.unacknowledgedEnds.push_back({ end.number, sequence });
+            logEnd(worker, end, sequence);
         }
     }
 
@@ -96,6 +97,11 @@
     void handleUnknownRun(Fleet& fleet, Worker& worker, const RunningReport& report, Instant at)
     {
         const auto& key = report.key;
+        if (fleet.unreadableJobs.contains(key.first.job)) {
+            holdRun(fleet, worker, key, at);
+            assumeLongestLease(fleet, worker, at);
+            return logHeldRun(fleet, worker, report);
+        }
         auto* job = findJob(fleet, key.first.job);
         auto* task = findTask(fleet, key.first);
         bool isWanted = task && job->phase == JobPhase::Open && !task->isDone && !task->run
@@ -151,20 +157,34 @@
         return needsPacing(fleet, worker) ? pacingPollWait : pollWait;
     }
 
+    //! True if an end is durable and no answer has shown yet that the worker has forgotten it.
+    bool isAcknowledgementDue(const Fleet& fleet, const Worker& worker)
+    {
+        return hasDurableEnd(fleet, worker) || (worker.lastAcknowledgedEnd > 0 && !worker.isAcknowledgementReceived);
+    }
+
+    //! True if a start was sent for a run that no poll has reported: a later incarnation may have carried it out.
+    bool hasUnreportedRun(const Worker& worker)
+    {
+        return std::any_of(worker.runs.begin(), worker.runs.end(),
+            [](const auto& each) { return each.second.ordersSent > 0 && !each.second.isReported; });
+    }
+
     //! The end up to which the next poll acknowledges. A new incarnation numbers its ends from 1 again, and would take
-    //! the number for its own ends. So the number is sent no more than needed: until the worker has answered it, and
-    //! not after a missed poll, when a new incarnation may answer.
+    //! the number for its own ends. So the number is sent until the worker has answered it and no longer, and only
+    //! while a new incarnation could not have ended any run: not after a missed poll, and not while a run is
+    //! unreported.
     std::int64_t endToAcknowledge(const Worker& worker)
     {
-        return worker.missedPolls == 0 && !worker.isAcknowledgementReceived ? worker.lastAcknowledgedEnd : 0;
+        bool isSafe = worker.missedPolls == 0 && !hasUnreportedRun(worker);
+        return isSafe && !worker.isAcknowledgementReceived ? worker.lastAcknowledgedEnd : 0;
     }
 
-    //! True if no run of an earlier owner is left on a worker that has not answered this owner.
-    bool haveInheritedRunsEnded(const Fleet& fleet, Instant at)
+    Instant nextPollAfterAnswer(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        // An order for the clock of another incarnation may have given the longest lease.
-        auto longestLease = maxLeaseDuration(fleet.limits.maxLease);
-        return at >= fleet.tookOverAt + std::max(fleet.limits.earlierLeaseTimeout, longestLease);
+        if (isAcknowledgementDue(fleet, worker))
+            return hasUnreportedRun(worker) ? at + pollRetryDelay : at;
+        return worker.unacknowledgedEnds.empty() ? at : at + pollDelayForCommit;
     }
 
     //! True if a later incarnation of the worker may carry out a start unnoticed: one that this owner has sent, or one
@@ -176,9 +196,7 @@
 
     bool needsPoll(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        if (!worker.hasAnsweredPoll || !worker.runs.empty() || hasDurableEnd(fleet, worker))
-            return true;
-        if (worker.lastAcknowledgedEnd > 0 && !worker.isAcknowledgementReceived)
+        if (!worker.hasAnsweredPoll || !worker.runs.empty() || isAcknowledgementDue(fleet, worker))
             return true;
         return mayTakeLateStart(fleet, worker, at) && at - worker.lastAnswerAt >= idlePollInterval;
     }
@@ -191,6 +209,8 @@
     if (!worker)
         return;
     worker->isPollInFlight = false;
+    logAcknowledgement(*worker, answer.incarnation);
+    auto acknowledged = std::exchange(worker->pollAcknowledges, 0);
     if (answer.incarnation != 0 && answer.incarnation < worker->incarnation) {
         worker->nextPollAt = at + pollRetryDelay;
         return;
@@ -202,9 +222,8 @@
     if (worker->missedPolls > 0 || !worker->hasAnsweredPoll)
         worker->answersSince = at;
     worker->missedPolls = 0;
-    if (worker->pollAcknowledges > 0 && worker->pollAcknowledges == worker->lastAcknowledgedEnd)
+    if (acknowledged > 0 && acknowledged == worker->lastAcknowledgedEnd)
         worker->isAcknowledgementReceived = true;
-    worker->pollAcknowledges = 0;
     worker->lastAnswerAt = worker->clockAt = at;
     worker->clockMs = answer.clockMs;
     applyEnds(fleet, *worker, answer.ended, unixMs, at);
@@ -220,17 +239,19 @@
     decidePace(fleet, *worker, at);
     if (!std::exchange(worker->hasAnsweredPoll, true))
         fleet.isPlacementDue = true;
-    worker->nextPollAt
-        = worker->unacknowledgedEnds.empty() || hasDurableEnd(fleet, *worker) ? at : at + pollDelayForCommit;
+    fleet.haveWorkersChanged = fleet.haveWorkersChanged || worker->awaitsNaming;
+    worker->nextPollAt = nextPollAfterAnswer(fleet, *worker, at);
 }
 
-void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at)
+void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at, FailedPoll effect)
 {
     auto* worker = findWorker(fleet, id);
     if (!worker)
         return;
     worker->isPollInFlight = false;
-    worker->pollAcknowledges = 0;
+    logAcknowledgement(*worker, std::nullopt);
+    if (std::exchange(worker->pollAcknowledges, 0) > 0 && effect == FailedPoll::MayBeCarriedOut)
+        worker->unansweredAcknowledgements[worker->pollIncarnation] = at + lateOrderBound;
     worker->nextPollAt = at + pollRetryDelay;
     if (++worker->missedPolls == missedPollLimit)
         Line("worker_silent").with("worker", id).with("listed", worker->isListed).with("runs", worker->runs.size());
@@ -238,15 +259,40 @@
 
 bool isUsable(const Worker& worker, Instant at)
 {
-    return worker.isListed && worker.hasAnsweredPoll && !worker.isDraining && !worker.isEvacuating
-        && !worker.hasRunOfUnknownSize && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil;
+    return worker.isListed && worker.hasAnsweredPoll && !worker.awaitsNaming && !worker.isDraining
+        && !worker.isEvacuating && !worker.hasRunOfUnknownSize && worker.missedPolls < missedPollLimit
+        && at >= worker.avoidUntil && !mayReceiveLateAcknowledgement(worker, at);
+}
+
+bool haveInheritedRunsEnded(const Fleet& fleet, Instant at)
+{
+    // An order for the clock of another incarnation may have given the longest lease.
+    auto longestLease = maxLeaseDuration(fleet.limits.maxLease);
+    return at >= fleet.tookOverAt + std::max(fleet.limits.earlierLeaseTimeout, longestLease);
+}
+
+bool mayReceiveLateAcknowledgement(const Worker& worker, Instant at)
+{
+    return std::any_of(worker.unansweredAcknowledgements.begin(), worker.unansweredAcknowledgements.end(),
+        [&worker, at](const auto& each) { return each.first < worker.incarnation && at < each.second; });
+}
+
+bool mayEndUnseen(const Worker& worker, Instant at)
+{
+    return worker.pollAcknowledges > 0 || mayReceiveLateAcknowledgement(worker, at);
 }
 
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at)
 {
-    return std::any_of(fleet.workers.begin(), fleet.workers.end(), [&fleet, at](const auto& each) {
+    if (haveInheritedRunsEnded(fleet, at))
+        return false;
+    if (fleet.earlierWorkers == EarlierWorkers::Unreadable)
+        return true;
+    bool isAnyMeant = fleet.earlierWorkers == EarlierWorkers::AnyListed;
+    return std::any_of(fleet.workers.begin(), fleet.workers.end(), [isAnyMeant](const auto& each) {
         const auto& worker = each.second;
-        return !worker.hasAnsweredPoll && worker.leaseExpiryBound == Instant {} && !haveInheritedRunsEnded(fleet, at);
+        return (isAnyMeant || worker.isInEarlierRecord) && !worker.hasAnsweredPoll
+            && worker.leaseExpiryBound == Instant {};
     });
 }
 
@@ -255,6 +301,7 @@
     for (auto each = fleet.workers.begin(); each != fleet.workers.end();) {
         auto& worker = each->second;
         removeExpiredStarts(worker, at);
+        std::erase_if(worker.unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
         if (!worker.runs.empty() && worker.missedPolls > 0 && at >= worker.leaseExpiryBound) {
             loseRuns(fleet, worker, at, "lease_passed");
             worker.hasAnsweredPoll = false;
@@ -274,7 +321,8 @@
             stopTaskRuns(fleet, *job, key.first, at, "no_progress");
         }
         bool isRemovable = !worker.isListed && worker.runs.empty() && worker.unacknowledgedEnds.empty()
-            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
+            && worker.unansweredAcknowledgements.empty() && !mayTakeLateStart(fleet, worker, at)
+            && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
         fleet.haveWorkersChanged = fleet.haveWorkersChanged || isRemovable;
         if (isRemovable)
             logRemoved(worker, at);
@@ -295,9 +343,12 @@
         // removed.
         if (worker.clockMs > 0 && isIncarnationCertain)
             poll.leaseUntilMs = extendLease(fleet, worker, at);
-        if (worker.hasAnsweredPoll && isIncarnationCertain && worker.unacknowledgedEnds.empty() && !worker.runs.empty())
+        // An acknowledgement would apply to the ends of runs that a new incarnation begins while the poll waits there.
+        bool mayWait = worker.unacknowledgedEnds.empty() && !isAcknowledgementDue(fleet, worker);
+        if (worker.hasAnsweredPoll && isIncarnationCertain && mayWait && !worker.runs.empty())
             poll.wait = pollWaitOf(fleet, worker, at);
         worker.isPollInFlight = true;
+        worker.pollIncarnation = worker.incarnation;
         worker.pollSentAt = at;
         orders.polls.push_back(std::move(poll));
     }
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -25,6 +25,11 @@
     //! A submission that has not been sent to the store after this time is withdrawn, so that the caller can try again.
     constexpr Millis withdrawDelay { 800 };
 
+    fleet::FailedPoll effectOf(std::error_code error)
+    {
+        return error == Errc::Unreachable ? fleet::FailedPoll::NotCarriedOut : fleet::FailedPoll::MayBeCarriedOut;
+    }
+
 } // namespace
 
 FleetOwner::FleetOwner(const Environment& environment, const fleet::Limits& limits, std::uint32_t tenure,
@@ -32,6 +37,7 @@
     : environment_(environment)
     , committer_(environment.context, environment.store, fleet_, commitRevision,
           { [this] { handleCommit(); }, environment.ownershipLost, [this] { return hasWaitingCaller(); } })
+    , tenureCheck_(environment.context, environment.store, tenure)
     , tickTimer_(environment.context)
     , advanceTimer_(environment.context)
     , storeTimer_(environment.context)
@@ -62,6 +68,7 @@
     for (auto& [sequence, waiter] : waiters)
         timeOut(waiter);
     waiters_.clear();
+    tenureCheck_.stop();
 }
 
 void FleetOwner::applyDesiredState(const desired_state::DesiredState& desired)
@@ -197,7 +204,7 @@
             if (result.isFenced)
                 return handleFencedAnswer();
             if (result.error)
-                fleet::applyPollFailure(fleet_, worker, bootNow());
+                fleet::applyPollFailure(fleet_, worker, bootNow(), effectOf(result.error));
             else
                 fleet::applyPollAnswer(fleet_, worker, result.answer, unixMillis(), bootNow());
             scheduleAdvance();
@@ -242,17 +249,21 @@
 {
     if (!isReady_ || isStopped_)
         return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the owner is loading" });
+    if (request.kind != CallKind::CountWaiting && fleet_.unreadableJobs.contains(request.job))
+        return answer(unreadableJob(request.kind));
     switch (request.kind) {
     case CallKind::CountWaiting:
         return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobCount(fleet_, queue.name), {} });
     case CallKind::QueryState: {
         auto state = fleet::visibleState(fleet_, request.job, queue.name);
-        return answer(state ? CallerAnswer { CallStatus::Ok, state, std::nullopt, {} } : unknownJob());
+        if (!state)
+            return denyIfProven(deadline, std::move(answer));
+        return answer({ CallStatus::Ok, state, std::nullopt, {} });
     }
     case CallKind::Cancel: {
         auto sequence = fleet::cancel(fleet_, request.job, queue.name, unixMillis(), bootNow());
         if (!sequence)
-            return answer(unknownJob());
+            return denyIfProven(deadline, std::move(answer));
         awaitCommit(*sequence, request, deadline, std::move(answer));
         break;
     }
@@ -268,13 +279,27 @@
     scheduleAdvance();
 }
 
-//! The answer about a job that this owner does not know. A later owner may have accepted it, so that only an owner that
-//! the store confirms can say that there is no such job.
-CallerAnswer FleetOwner::unknownJob() const
+//! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
+//! no such job only if the store says, after the question, that there is no later owner.
+void FleetOwner::denyIfProven(Instant deadline, Answer answer)
+{
+    if (!environment_.isOwnershipConfirmed())
+        return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+    tenureCheck_.ask(deadline, liveness_.guard([this, answer = std::move(answer)](TenureState state) {
+        if (state == TenureState::Current)
+            return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
+        answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+        if (state == TenureState::Replaced && !isStopped_)
+            environment_.ownershipLost("store_knows_later_owner");
+    }));
+}
+
+//! The answer about a job whose records this owner can't read. It exists, so that it is not denied; it may have ended,
+//! so that neither its state is told nor a cancellation stored; and an earlier submission may have been accepted.
+CallerAnswer FleetOwner::unreadableJob(CallKind kind)
 {
-    if (environment_.isOwnershipConfirmed())
-        return { CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} };
-    return { CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" };
+    auto status = kind == CallKind::Submit ? CallStatus::OutcomeUnknown : CallStatus::NotAccepted;
+    return { status, std::nullopt, std::nullopt, "the job's record can't be read" };
 }
 
 void FleetOwner::awaitCommit(
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -6,6 +6,7 @@
 #include "node/invariant_reporter.h"
 #include "node/ports.h"
 #include "node/records.h"
+#include "node/tenure_check.h"
 #include "node/timer.h"
 #include "node/upkeep_controller.h"
 #include <asio/io_context.hpp>
@@ -65,6 +66,7 @@
 
     void load();
     void loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress);
+    void holdJob(const kv::Item& item, const fleet::JobId& id);
     void listWorkers();
     std::optional<fleet::WorkerListing> decodeEntry(const kv::Item& item);
     void applyListings(const kv::ReadResult& listed);
@@ -83,7 +85,8 @@
     void sendPoll(const fleet::PollOrder& order);
     void handleFencedAnswer();
 
-    CallerAnswer unknownJob() const;
+    void denyIfProven(Instant deadline, Answer answer);
+    static CallerAnswer unreadableJob(CallKind kind);
 
     bool hasWaitingCaller() const;
     void handleCommit();
@@ -96,6 +99,7 @@
     fleet::Fleet fleet_;
     InvariantReporter invariantReporter_;
     Committer committer_;
+    TenureCheck tenureCheck_;
     std::unique_ptr<UpkeepController> upkeepController_; //!< null: machines take no orders
     bool isReady_ = false;
     bool isStopped_ = false;
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -2,6 +2,8 @@
 
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
+#include "node/unreadable_records.h"
+#include <algorithm>
 
 namespace agatevane::node {
 
@@ -17,28 +19,48 @@
     //! Shorter than the remaining time of the lease, so that there is time for another renewal if an answer is lost.
     constexpr Millis renewalTimeout { 500 };
     constexpr Millis retryPause { 200 };
+    //! Until an operator has restored the records, no attempt can succeed.
+    constexpr Millis uncertainTenurePause { 5000 };
     constexpr Millis watchWait { 3000 };
     //! Time beyond the wait in which a slow store may answer a watch. After that the watch is sent again.
     constexpr Millis watchMargin { 800 };
     //! Candidates spread their attempts over this time. An owner whose lease has expired makes its attempt at once.
     constexpr std::int64_t candidacySpreadMs = 150;
-    //! An owner steps down if the store has not confirmed its ownership for this long: it may have been replaced. No
-    //! lease that it gives ends later, so that a later owner knows how long to wait for workers that it can't reach.
-    constexpr Millis maxUnconfirmedOwnership { 8000 };
 
     bool isOutcomeUnknown(std::error_code error)
     {
         return error == Errc::Timeout || error == Errc::Disconnected || error == Errc::OutcomeUnknown;
     }
 
+    //! The revision of a campaign that failed with a conflict because an earlier attempt had been applied, although its
+    //! answer was lost. Nothing if another node has campaigned since, or the owner key has been removed again.
+    std::optional<kv::Revision> revisionOfEarlierAttempt(const kv::TxnResult& result, const std::string& token)
+    {
+        bool holdsOwnerKey = false;
+        std::optional<kv::Revision> revision;
+        for (const auto& item : result.current) {
+            if (item.key == ownerKey) {
+                auto record = decodeRecord<OwnerRecord>(item.value);
+                holdsOwnerKey = record && record->token == token;
+            } else if (item.key == commitKey) {
+                auto record = decodeRecord<CommitRecord>(item.value);
+                if (record && record->token == token)
+                    revision = item.revision;
+            }
+        }
+        return holdsOwnerKey ? revision : std::nullopt;
+    }
+
 } // namespace
 
 OwnerElection::OwnerElection(asio::io_context& context, kv::Store& store, const OwnerRecord& self, Millis minLeaseTtl,
-    Millis candidacyDelay, Callbacks callbacks)
+    Millis candidacyDelay, Millis maxUnconfirmedOwnership, Callbacks callbacks)
     : store_(store)
     , self_(self)
     , ttl_(std::max(preferredLeaseTtl, minLeaseTtl))
+    , leaseTtl_(ttl_)
     , candidacyDelay_(candidacyDelay)
+    , maxUnconfirmedOwnership_(maxUnconfirmedOwnership)
     , callbacks_(std::move(callbacks))
     , tickTimer_(context)
     , watchTimer_(context)
@@ -104,7 +126,9 @@
     store_.grantLease(ttl_, now() + callTimeout, liveness_.guard([this, sentAt](const kv::LeaseResult& result) {
         isLeaseCallInFlight_ = false;
         noteStoreAnswer(result.error);
-        nextRenewal_ = bootNow() + (result.error ? retryPause : ttl_ / 4);
+        if (!result.error && result.ttl > Millis(0))
+            leaseTtl_ = std::min(ttl_, result.ttl);
+        nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
         if (result.error)
             return;
         lease_ = result.lease;
@@ -133,7 +157,7 @@
             return;
         }
         noteStoreAnswer(result.error);
-        nextRenewal_ = bootNow() + (result.error ? retryPause : ttl_ / 4);
+        nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
         if (result.error)
             return;
         leaseRenewedAt_ = sentAt;
@@ -204,7 +228,7 @@
     }
     auto record = decodeRecord<OwnerRecord>(item->value);
     if (!record) {
-        Line("record_unreadable").with("key", ownerKey).with("revision", item->revision);
+        reportUnreadableRecord(*item);
         // An owner binds its record to its lease. No lease ends this one, so the next owner replaces it.
         if (item->lease == 0) {
             damagedOwnerRevision_ = item->revision;
@@ -216,6 +240,9 @@
     if (item->revision > owner_.revision)
         isOwnerKeyAbsent_ = false;
     endLeaseOfPreviousProcess(*item, *record);
+    // The answer to the commit that wrote the key may have been lost.
+    if (isOwner_ && record->token == self_.token && item->lease == lease_)
+        ownerKeyLease_ = lease_;
     applyOwnerView({ item->revision, *record });
 }
 
@@ -242,12 +269,12 @@
 
 bool OwnerElection::isOwnershipUnconfirmed() const
 {
-    return bootNow() - confirmedAt_ > ttl_;
+    return isOwnerKeyAbsent_ || ownerKeyLease_ == 0 || bootNow() - confirmedAt_ > leaseTtl_;
 }
 
 Instant OwnerElection::ownershipEndsBy() const
 {
-    return confirmedAt_ + maxUnconfirmedOwnership;
+    return confirmedAt_ + maxUnconfirmedOwnership_;
 }
 
 bool OwnerElection::isStoreUnresponsive() const
@@ -291,71 +318,93 @@
     isClaimInProgress_ = true;
     store_.get(commitKey, now() + callTimeout, liveness_.guard([this](const kv::ReadResult& result) {
         noteStoreAnswer(result.error);
-        if (result.error || lease_ == 0 || isResigned_) {
-            isClaimInProgress_ = false;
-            nextCampaignAt_ = bootNow() + retryPause;
-            return;
-        }
-        CommitRecord last;
-        kv::Revision revision = 0;
-        if (!result.items.empty()) {
-            revision = result.items.front().revision;
-            if (auto record = decodeRecord<CommitRecord>(result.items.front().value))
-                last = *record;
-            else
-                Line("record_unreadable").with("key", commitKey).with("revision", revision);
+        if (result.error)
+            return abandonCampaign(retryPause);
+        if (result.items.empty())
+            return readTenure(0);
+        const auto& item = result.items.front();
+        if (auto record = decodeRecord<CommitRecord>(item.value))
+            return beginCampaign(record->tenure, item.revision);
+        reportUnreadableRecord(item);
+        readTenure(item.revision);
+    }));
+}
+
+//! Takes the last tenure from its copy. Without a certain tenure there is no campaign: a lower fencing token than that
+//! of an earlier owner would be worse than no owner.
+void OwnerElection::readTenure(kv::Revision commitRevision)
+{
+    store_.get(tenureKey, now() + callTimeout, liveness_.guard([this, commitRevision](const kv::ReadResult& result) {
+        noteStoreAnswer(result.error);
+        if (result.error)
+            return abandonCampaign(retryPause);
+        if (result.items.empty()) {
+            if (commitRevision != 0)
+                return abandonCampaign(uncertainTenurePause);
+            return beginCampaign(0, commitRevision);
         }
-        auto token = randomToken(random_);
-        self_.tenure = last.tenure + 1;
-        self_.token = token;
-        kv::Txn txn;
-        txn.conditions = { { ownerKey, damagedOwnerRevision_ }, { commitKey, revision } };
-        txn.puts = { { ownerKey, net::encode(self_), lease_ },
-            { commitKey, net::encode(CommitRecord { self_.tenure, token }) } };
-        commitCampaign(txn, self_.tenure, token);
+        const auto& item = result.items.front();
+        if (auto record = decodeRecord<TenureRecord>(item.value))
+            return beginCampaign(record->tenure, commitRevision);
+        reportUnreadableRecord(item);
+        abandonCampaign(uncertainTenurePause);
     }));
 }
 
-void OwnerElection::commitCampaign(const kv::Txn& txn, std::uint32_t tenure, const std::string& token)
+void OwnerElection::abandonCampaign(Millis pause)
 {
-    store_.commit(txn, now() + callTimeout, liveness_.guard([this, txn, tenure, token](const kv::TxnResult& result) {
+    isClaimInProgress_ = false;
+    nextCampaignAt_ = bootNow() + pause;
+}
+
+void OwnerElection::beginCampaign(std::uint32_t lastTenure, kv::Revision commitRevision)
+{
+    if (lease_ == 0 || isResigned_)
+        return abandonCampaign(retryPause);
+    self_.tenure = std::max(lastTenure, owner_.record.tenure) + 1;
+    self_.token = randomToken(random_);
+    Campaign campaign { {}, self_.tenure, self_.token, lease_, leaseRenewedAt_ };
+    campaign.txn.conditions = { { ownerKey, damagedOwnerRevision_ }, { commitKey, commitRevision } };
+    campaign.txn.puts = { { ownerKey, net::encode(self_), lease_ },
+        { commitKey, net::encode(CommitRecord { self_.tenure, self_.token }) },
+        { tenureKey, net::encode(TenureRecord { self_.tenure }) } };
+    commitCampaign(campaign);
+}
+
+void OwnerElection::commitCampaign(const Campaign& campaign)
+{
+    store_.commit(campaign.txn, now() + callTimeout, liveness_.guard([this, campaign](const kv::TxnResult& result) {
         noteStoreAnswer(result.error);
-        handleCampaignResult(txn, tenure, token, result);
+        handleCampaignResult(campaign, result);
     }));
 }
 
-void OwnerElection::handleCampaignResult(
-    const kv::Txn& txn, std::uint32_t tenure, const std::string& token, kv::TxnResult result)
+void OwnerElection::handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result)
 {
-    kv::Revision commitRevision = result.revision;
-    bool hasWon = !result.error;
-    if (result.error == Errc::Conflict) {
-        // An earlier attempt of this transaction may have been applied although its answer was lost.
-        for (const auto& item : result.current) {
-            auto record = item.key == commitKey ? decodeRecord<CommitRecord>(item.value) : std::nullopt;
-            if (record && record->token == token) {
-                hasWon = true;
-                commitRevision = item.revision;
-            }
-        }
-    } else if (isOutcomeUnknown(result.error) || result.error == Errc::Malformed) {
-        if (lease_ != 0 && !isResigned_)
-            return commitCampaign(txn, tenure, token);
-    }
+    if ((isOutcomeUnknown(result.error) || result.error == Errc::Malformed) && lease_ != 0 && !isResigned_)
+        return commitCampaign(campaign);
     isClaimInProgress_ = false;
     nextCampaignAt_ = bootNow() + retryPause;
     if (result.hasLeaseEnded)
         lease_ = 0;
-    if (!hasWon || isResigned_)
+    if (isResigned_)
         return;
-    tenure_ = tenure;
+    if (!result.error)
+        beginOwnership(campaign, result.revision);
+    else if (auto revision = revisionOfEarlierAttempt(result, campaign.token))
+        beginOwnership(campaign, *revision);
+}
+
+void OwnerElection::beginOwnership(const Campaign& campaign, kv::Revision commitRevision)
+{
+    tenure_ = campaign.tenure;
     isOwner_ = true;
     isOwnerKeyAbsent_ = false;
-    ownerKeyLease_ = txn.puts.front().lease;
-    confirmedAt_ = leaseRenewedAt_;
+    ownerKeyLease_ = campaign.lease;
+    confirmedAt_ = lease_ == ownerKeyLease_ ? leaseRenewedAt_ : campaign.leaseRenewedAt;
     owner_ = { commitRevision, self_ };
-    Line("ownership_gained").with("tenure", tenure).with("revision", commitRevision);
-    callbacks_.elected(tenure, commitRevision);
+    Line("ownership_gained").with("tenure", tenure_).with("revision", commitRevision);
+    callbacks_.elected(tenure_, commitRevision);
     callbacks_.ownerChanged();
 }
 
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 //! A store that can be given faults, and workers, both in the test's own process.
@@ -18,7 +19,8 @@
     None,
     Unresponsive, //!< neither executes calls nor answers them
     Refusing, //!< answers calls with an error that says that they had no effect; watches time out
-    LosesAnswers //!< executes calls but does not answer them
+    LosesAnswers, //!< executes calls but does not answer them
+    LosesListings //!< does not answer listings
 };
 
 //! The time that the models of the store and of the workers are called with.
@@ -45,8 +47,9 @@
     }
     void list(const std::string& prefix, Instant deadline, std::function<void(kv::ReadResult)> done) override
     {
+        constexpr bool isListing = true;
         answer<kv::ReadResult>(
-            deadline, std::move(done), [this, prefix] { return model_.list(prefix, modelTimeMs()); });
+            deadline, std::move(done), [this, prefix] { return model_.list(prefix, modelTimeMs()); }, isListing);
     }
     void watch(const std::string& prefix, kv::Revision after, Millis wait, Instant,
         std::function<void(kv::WatchResult)> done) override
@@ -90,14 +93,15 @@
     }
 
     template <typename Result>
-    void answer(Instant deadline, std::function<void(Result)> done, std::function<Result()> execute)
+    void answer(
+        Instant deadline, std::function<void(Result)> done, std::function<Result()> execute, bool isListing = false)
     {
         auto timer = std::make_shared<node::Timer>(context_);
         Result result;
         auto delay = Millis(2);
         if (fault_ == StoreFault::Refusing) {
             result.error = Errc::Refused;
-        } else if (fault_ == StoreFault::Unresponsive) {
+        } else if (fault_ == StoreFault::Unresponsive || (isListing && fault_ == StoreFault::LosesListings)) {
             result.error = Errc::Timeout;
             delay = elapsed(now(), deadline);
         } else {
@@ -170,6 +174,8 @@
     }
     void poll(const fleet::PollOrder& order, Instant, std::function<void(node::PollResult)> done) override
     {
+        if (silentWorkers_.contains(order.worker))
+            return runLater([done = std::move(done)] { done({ Errc::Timeout, false, {} }); }, order.wait + silentTime);
         constexpr Millis maxPollWait { 50 };
         runLater(
             [this, order, done = std::move(done)] {
@@ -179,7 +185,13 @@
             std::min(order.wait, maxPollWait));
     }
 
+    //! The worker answers no polls.
+    void silence(const fleet::WorkerId& worker) { silentWorkers_.insert(worker); }
+
 private:
+    //! After this time, a poll of a silent worker fails.
+    static constexpr Millis silentTime { 300 };
+
     void runLater(std::function<void()> action, Millis delay = Millis(0))
     {
         auto timer = std::make_shared<node::Timer>(context_);
@@ -188,6 +200,7 @@
 
     asio::io_context& context_;
     standin::WorkerModel& model_;
+    std::set<fleet::WorkerId> silentWorkers_;
 };
 
 //! A translation with simple formats: the item of the desired state is its version in decimal, the item of a worker is
