Don't hold back tasks that last for a start without an answer

What callers would see: a task that serves users, on a worker that crashed, was missing until 12.5 s after a start without an answer; they may miss it for 9 s after its last run (LOST, the rule on tasks that last). Change: a start that may still be carried out on a silent worker does not hold back tasks that last, nor steps of which copies may run. Evidence, on the code before: A_task_that_lasts_does_not_wait_for_a_start_without_an_answer: check starts.size() == 1U has failed [0 != 1] test_fleet passes.

--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -89,6 +89,14 @@
 
 std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at)
 {
+    // Tasks that last serve users all the time: they are missed more than a second run of them would harm.
+    auto mayWait = [&fleet](const TaskId& id) {
+        auto job = fleet.jobs.find(id.job);
+        if (job == fleet.jobs.end() || id.step >= job->second.spec.steps.size())
+            return true;
+        const auto& step = stepOf(job->second, id);
+        return !step.isContinuous && !step.allowsDuplicates;
+    };
     std::set<TaskId> tasks;
     for (const auto& [id, worker] : fleet.workers) {
         for (const auto& [key, run] : worker.runs) {
@@ -97,7 +105,7 @@
         }
         bool isAnswering = worker.missedPolls == 0 && worker.hasAnsweredPoll;
         for (const auto& [key, until] : worker.unansweredStarts) {
-            if (!isAnswering && at < until)
+            if (!isAnswering && at < until && mayWait(key.first))
                 tasks.insert(key.first);
         }
     }
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -57,7 +57,8 @@
 RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id);
 
 //! Tasks of which a run that nobody wants is not known to have ended, or of which a start may still be carried out on a
-//! worker that does not answer. Another run could go on at the same time.
+//! worker that does not answer. Another run could go on at the same time. Such a start does not hold back tasks that
+//! last, or of which copies may run.
 std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at);
 
 //! Starts a run of an idle task on `worker`; its start order is emitted later.
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -193,6 +193,24 @@
     BOOST_CHECK_NE(starts.front().worker, start.worker);
 }
 
+// Guards against a task that serves users and is missing for longer than 9 s after its last run: a start of it on a
+// worker that crashed had no answer.
+BOOST_AUTO_TEST_CASE(
+    A_task_that_lasts_does_not_wait_for_a_start_without_an_answer, *boost::unit_test::label("tracking"))
+{
+    fleet.jobs.at(jobId).spec.steps.front().isContinuous = true;
+    answer("w1", 1010, {});
+    answer("w2", 1020, {});
+    auto start = advance(1100).starts.at(0);
+    fleet::RunKey key { start.task, start.run };
+    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
+    for (int miss = 0; miss < 3; ++miss)
+        fleet::applyPollFailure(fleet, start.worker, instantAt(2000));
+    auto starts = advance(1100 + 9000).starts;
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    BOOST_CHECK_NE(starts.front().worker, start.worker);
+}
+
 // Guards against a task that runs twice on one worker: a new incarnation had carried out an earlier start of the task
 // late, and got the start of the present run before the earlier one had been stopped.
 BOOST_AUTO_TEST_CASE(
