Don't deny a job that was submitted while the proof was on its way

What callers could see: a cancellation sent just before its submission, or beside it, was answered "no such job" after the submission had been accepted, and the job ran. Found by the review of the read that proves denials. Change: the job is looked up again when the proof has come; if it is there, the question is asked again. Evidence, on the code before: A_cancellation_that_a_submission_overtakes_is_not_denied: check cancelled->status == WrongNode has failed It passes now, with the cases of fleet_owner and tenure_check.

--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -257,13 +257,13 @@
     case CallKind::QueryState: {
         auto state = fleet::visibleState(fleet_, request.job, queue.name);
         if (!state)
-            return denyIfProven(deadline, std::move(answer));
+            return denyIfProven(request.job, deadline, std::move(answer));
         return answer({ CallStatus::Ok, state, std::nullopt, {} });
     }
     case CallKind::Cancel: {
         auto sequence = fleet::cancel(fleet_, request.job, queue.name, unixMillis(), bootNow());
         if (!sequence)
-            return denyIfProven(deadline, std::move(answer));
+            return denyIfProven(request.job, deadline, std::move(answer));
         awaitCommit(*sequence, request, deadline, std::move(answer));
         break;
     }
@@ -281,11 +281,15 @@
 
 //! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
 //! no such job only if the store says, after the question, that there is no later owner.
-void FleetOwner::denyIfProven(Instant deadline, Answer answer)
+void FleetOwner::denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer)
 {
     if (!environment_.isOwnershipConfirmed())
         return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
-    tenureCheck_.ask(deadline, liveness_.guard([this, answer = std::move(answer)](TenureState state) {
+    bool wasKnown = fleet_.jobs.contains(job);
+    tenureCheck_.ask(deadline, liveness_.guard([this, job, wasKnown, answer = std::move(answer)](TenureState state) {
+        // A submission may have overtaken the question, which is then asked again.
+        if (fleet_.jobs.contains(job) && !wasKnown)
+            return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the job has just been submitted" });
         if (state == TenureState::Current)
             return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
         answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -85,7 +85,7 @@
     void sendPoll(const fleet::PollOrder& order);
     void handleFencedAnswer();
 
-    void denyIfProven(Instant deadline, Answer answer);
+    void denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer);
     static CallerAnswer unreadableJob(CallKind kind);
 
     bool hasWaitingCaller() const;
--- a/tests/node/fleet_owner_tests.cpp
+++ b/tests/node/fleet_owner_tests.cpp
@@ -127,6 +127,19 @@
     }
 }
 
+// Guards against "no such job" for a job that was accepted while the proof was on its way.
+BOOST_AUTO_TEST_CASE(A_cancellation_that_a_submission_overtakes_is_not_denied, *boost::unit_test::label("node"))
+{
+    std::optional<node::CallerAnswer> cancelled;
+    std::optional<node::CallerAnswer> submitted;
+    owner->call({ node::CallKind::Cancel, jobId, {} }, test::sampleQueue(), {}, now() + Millis(1000),
+        [&cancelled](node::CallerAnswer received) { cancelled = std::move(received); });
+    submit(jobId, 20000, submitted);
+    BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return cancelled && submitted; }));
+    BOOST_CHECK(submitted->status == node::CallStatus::Ok);
+    BOOST_CHECK(cancelled->status == node::CallStatus::WrongNode);
+}
+
 // Guards against tasks that are lost or run twice when all processes are killed and started again.
 BOOST_AUTO_TEST_CASE(A_new_owner_adopts_running_tasks, *boost::unit_test::label("node"))
 {
