Follow lower lease settings in the bound of unconfirmed ownership

Cause, found by the review: the time for which an owner gives leases without confirmation was computed once at the start from the longest lease. After a reload with shorter leases a successor waits for less long, and the earlier owner might give leases beyond that: a task could run twice. Change: a reload lowers the bound; it is never raised, since other nodes may still know the earlier settings. Evidence: The_bound_of_unconfirmed_ownership_follows_lower_settings; without the change there is no way to set the bound.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -325,6 +325,7 @@
 {
     settings_.seedNodes = settings.seedNodes;
     settings_.fleetLimits = settings.fleetLimits;
+    election_.limitUnconfirmedOwnership(fleet::maxUnconfirmedOwnership(settings.fleetLimits));
     settings_.shutdownGrace = settings.shutdownGrace;
 }
 
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -73,6 +73,11 @@
     readOwner();
 }
 
+void OwnerElection::limitUnconfirmedOwnership(Millis bound)
+{
+    maxUnconfirmedOwnership_ = std::min(maxUnconfirmedOwnership_, bound);
+}
+
 void OwnerElection::resign()
 {
     isResigned_ = true;
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -29,6 +29,9 @@
         Millis candidacyDelay, Millis maxUnconfirmedOwnership, Callbacks callbacks);
 
     void start();
+    //! Lowers the bound that the constructor was given, if `bound` is lower. It is never raised again: other nodes may
+    //! still know the earlier settings.
+    void limitUnconfirmedOwnership(Millis bound);
     //! Gives up the ownership so that another node can take over at once, and never becomes a candidate again.
     void resign();
     //! Applies the owner record that the store or another node has returned, if it is newer than the known one.
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -333,4 +333,14 @@
     BOOST_CHECK(election.owner().record.token != "older");
 }
 
+// Guards against leases that outlast a successor's wait after the settings have changed to shorter leases.
+BOOST_AUTO_TEST_CASE(The_bound_of_unconfirmed_ownership_follows_lower_settings, *boost::unit_test::label("node"))
+{
+    auto bound = [this] { return election.ownershipEndsBy() - election.confirmedAt(); };
+    election.limitUnconfirmedOwnership(Millis(3000));
+    BOOST_CHECK(bound() == Millis(3000));
+    election.limitUnconfirmedOwnership(Millis(8000));
+    BOOST_CHECK(bound() == Millis(3000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
