Name the wait for the leases of earlier owners once

The wait after a takeover was computed in two places, of which one bounds the other: earlierLeaseWait holds it. No behaviour changes. Evidence: test_fleet passes.

--- a/src/agatevane/fleet/leases.cpp
+++ b/src/agatevane/fleet/leases.cpp
@@ -23,11 +23,15 @@
     return Millis(static_cast<std::int64_t>(longest)) + leaseMargin;
 }
 
+Millis earlierLeaseWait(const Limits& limits)
+{
+    return std::max(limits.earlierLeaseTimeout, maxLeaseDuration(limits.maxLease));
+}
+
 Millis maxUnconfirmedOwnership(const Limits& limits)
 {
-    auto successorWaits = std::max(limits.earlierLeaseTimeout, maxLeaseDuration(limits.maxLease));
     auto overrun = maxLeaseDuration(limits.leaseDuration) - limits.leaseDuration;
-    return std::min(preferredUnconfirmedOwnership, successorWaits - overrun);
+    return std::min(preferredUnconfirmedOwnership, earlierLeaseWait(limits) - overrun);
 }
 
 void assumeLongestLease(const Fleet& fleet, Worker& worker, Instant latest)
--- a/src/agatevane/fleet/leases.h
+++ b/src/agatevane/fleet/leases.h
@@ -16,6 +16,10 @@
 //! Longest time until a lease of `span` has expired on any worker's clock.
 Millis maxLeaseDuration(Millis span);
 
+//! This long after a takeover, all leases that earlier owners gave have ended. An order for the clock of another
+//! incarnation may have given the longest lease.
+Millis earlierLeaseWait(const Limits& limits);
+
 //! Longest time after the store's last confirmation of the ownership for which an owner gives leases. The store may
 //! elect a later owner right after that confirmation, which then waits until the leases of earlier owners have ended.
 Millis maxUnconfirmedOwnership(const Limits& limits);
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -266,9 +266,7 @@
 
 bool haveInheritedRunsEnded(const Fleet& fleet, Instant at)
 {
-    // An order for the clock of another incarnation may have given the longest lease.
-    auto longestLease = maxLeaseDuration(fleet.limits.maxLease);
-    return at >= fleet.tookOverAt + std::max(fleet.limits.earlierLeaseTimeout, longestLease);
+    return at >= fleet.tookOverAt + earlierLeaseWait(fleet.limits);
 }
 
 bool mayReceiveLateAcknowledgement(const Worker& worker, Instant at)
--- a/src/node/tenure_check.cpp
+++ b/src/node/tenure_check.cpp
@@ -47,7 +47,7 @@
         isReadInFlight_ = false;
         auto asked = std::exchange(asked_, {});
         readIfNeeded();
-        // An answer may end the ownership, and with it this object's life is about to end.
+        // Nothing is read from this object after the first answer, which may end the ownership and destroy it.
         auto state = stateFrom(result);
         for (const auto& question : asked)
             answer(*question, state);
