--- a/tests/fleet/succession_tests.cpp
+++ b/tests/fleet/succession_tests.cpp
@@ -105,7 +105,7 @@
 BOOST_AUTO_TEST_CASE(A_late_start_of_an_earlier_owner_on_a_restarted_worker_runs_no_task_twice,
     *boost::unit_test::label("randomised") * boost::unit_test::disabled())
 {
-    for (std::uint64_t seed : { 5, 14, 20, 100 })
+    for (std::uint64_t seed : { 5, 14, 20, 50, 68, 90, 100 })
         runSeeds(Mix::Restarts, seed, seed);
 }
 
