--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -61,6 +61,12 @@
         Instant leaseRenewedAt; //!< when the last renewal of the lease before the transaction was sent
     };
 
+    static constexpr Millis callTimeout { 1000 };
+    static constexpr Millis retryPause { 200 };
+
+    //! True if a call that ended with `error` may have been carried out.
+    static bool isOutcomeUnknown(std::error_code error);
+
     void tick();
     void claimOwnerKey();
     void requestLease();
