Find a job by its id alone, whatever queue its path leads to

Cause: queries and cancellations compared the job's queue with the queue that the path leads to now. A version of the desired state that gives the prefix to another queue changes that, and the job's id is the name of the job and of its tasks everywhere else: a repeat of the submission under the other queue was answered with 200.

What callers saw: 410, "no such job", for an accepted job that runs on.

Change: the queue is compared no more. What a caller may ask for is decided by the key, as before.

Evidence: A_job_is_known_after_its_prefix_went_to_another_queue; on the code before, the query and the cancellation were denied, and the run went on. Ruled out: a longer prefix that takes part of the id with it; such a path names no id, and is answered with 400.

--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -185,11 +185,10 @@
     return true;
 }
 
-std::optional<CommitSequence> cancel(
-    Fleet& fleet, const JobId& id, std::string_view queue, std::int64_t unixMs, Instant at)
+std::optional<CommitSequence> cancel(Fleet& fleet, const JobId& id, std::int64_t unixMs, Instant at)
 {
     auto* job = findJob(fleet, id);
-    if (!job || job->spec.queue != queue)
+    if (!job)
         return std::nullopt;
     if (!hasEnded(job->phase)) {
         endJob(fleet, *job, JobPhase::Cancelled, unixMs, at);
@@ -198,10 +197,10 @@
     return job->phaseSequence;
 }
 
-std::optional<VisibleState> visibleState(const Fleet& fleet, const JobId& id, std::string_view queue)
+std::optional<VisibleState> visibleState(const Fleet& fleet, const JobId& id)
 {
     auto found = fleet.jobs.find(id);
-    if (found == fleet.jobs.end() || found->second.spec.queue != queue)
+    if (found == fleet.jobs.end())
         return std::nullopt;
     const auto& job = found->second;
     switch (job.durablePhase) {
--- a/src/agatevane/fleet/jobs.h
+++ b/src/agatevane/fleet/jobs.h
@@ -38,11 +38,11 @@
 CommitSequence submit(Fleet& fleet, JobSpec spec, const desired_state::Queue& queue, std::int64_t unixMs, Instant at);
 //! Removes a job whose record has not been handed to the store. False if the job may still become accepted.
 bool withdraw(Fleet& fleet, const JobId& id);
-//! The write that makes the cancellation durable; nothing if no such job is known in `queue`.
-std::optional<CommitSequence> cancel(
-    Fleet& fleet, const JobId& id, std::string_view queue, std::int64_t unixMs, Instant at);
-//! Nothing if no such job has been accepted in `queue`.
-std::optional<VisibleState> visibleState(const Fleet& fleet, const JobId& id, std::string_view queue);
+//! The write that makes the cancellation durable; nothing if no such job is known. A job is found by its id alone: the
+//! desired state may give its queue's prefix to another queue.
+std::optional<CommitSequence> cancel(Fleet& fleet, const JobId& id, std::int64_t unixMs, Instant at);
+//! Nothing if no such job has been accepted, in whatever queue.
+std::optional<VisibleState> visibleState(const Fleet& fleet, const JobId& id);
 //! Open jobs of the queue, except scheduled ones, that have not started.
 std::uint32_t waitingJobCount(const Fleet& fleet, const std::string& queue);
 
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -255,13 +255,13 @@
     case CallKind::CountWaiting:
         return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobCount(fleet_, queue.name), {} });
     case CallKind::QueryState: {
-        auto state = fleet::visibleState(fleet_, request.job, queue.name);
+        auto state = fleet::visibleState(fleet_, request.job);
         if (!state)
             return denyIfProven(request.job, deadline, std::move(answer));
         return answer({ CallStatus::Ok, state, std::nullopt, {} });
     }
     case CallKind::Cancel: {
-        auto sequence = fleet::cancel(fleet_, request.job, queue.name, unixMillis(), bootNow());
+        auto sequence = fleet::cancel(fleet_, request.job, unixMillis(), bootNow());
         if (!sequence)
             return denyIfProven(request.job, deadline, std::move(answer));
         awaitCommit(*sequence, request, deadline, std::move(answer));
--- a/tests/fleet/job_tests.cpp
+++ b/tests/fleet/job_tests.cpp
@@ -26,11 +26,11 @@
     auto queue = test::sampleQueue();
     auto spec = test::sampleJob(jobId, 1, 1, 100);
     auto ticket = fleet::submit(fleet, spec, queue, 0, instantAt(0));
-    BOOST_CHECK(!fleet::visibleState(fleet, jobId, queue.name));
+    BOOST_CHECK(!fleet::visibleState(fleet, jobId));
     BOOST_CHECK_EQUAL(fleet::submit(fleet, spec, queue, 0, instantAt(1)), ticket);
     auto batch = fleet::takeBatch(fleet, 30);
     fleet::applyCommitted(fleet, batch.lastSequence());
-    BOOST_CHECK(fleet::visibleState(fleet, jobId, queue.name) == fleet::VisibleState::Queued);
+    BOOST_CHECK(fleet::visibleState(fleet, jobId) == fleet::VisibleState::Queued);
     BOOST_CHECK_EQUAL(fleet::waitingJobCount(fleet, queue.name), 1U);
 }
 
@@ -47,7 +47,7 @@
     BOOST_CHECK(fleet::withdraw(fleet, jobId));
     auto ticket = fleet::submit(fleet, test::sampleJob(jobId, 1, 1, 100), queue, 0, instantAt(5));
     fleet::applyCommitted(fleet, ticket - 1);
-    BOOST_CHECK(!fleet::visibleState(fleet, jobId, queue.name));
+    BOOST_CHECK(!fleet::visibleState(fleet, jobId));
 }
 
 // Guards against a task that runs twice because its end is acknowledged before the cancellation of its job is durable:
@@ -62,7 +62,7 @@
     simulation.runUntil(1000);
     auto& fleet = simulation.fleet();
     auto& worker = fleet.workers.at(simulation.workers().history().front().worker);
-    auto cancelled = fleet::cancel(fleet, jobId, "queue-1", 1000, instantAt(1000));
+    auto cancelled = fleet::cancel(fleet, jobId, 1000, instantAt(1000));
     BOOST_REQUIRE(cancelled);
     auto ticket
         = fleet::applyEnd(fleet, worker, { { jobId, 0, 0, 0 }, 1 }, fleet::EndKind::Done, {}, 1000, instantAt(1000));
--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -99,7 +99,7 @@
 
 void FleetSimulation::cancel(const fleet::JobId& job)
 {
-    if (auto sequence = fleet::cancel(fleet(), job, queues_.at(job).name, nowMs_, at(nowMs_)))
+    if (auto sequence = fleet::cancel(fleet(), job, nowMs_, at(nowMs_)))
         current_->unacknowledgedCancels[job] = *sequence;
     else
         reportViolation("job " + job + " is not known to the owner that it was submitted to");
@@ -108,7 +108,7 @@
 
 std::optional<fleet::VisibleState> FleetSimulation::stateOf(const fleet::JobId& job)
 {
-    return fleet::visibleState(fleet(), job, queues_.at(job).name);
+    return fleet::visibleState(fleet(), job);
 }
 
 void FleetSimulation::runUntil(std::int64_t endMs)
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -89,7 +89,7 @@
 {
     answer("w1", 1010, { { { task, 1 }, "", 10 } });
     answer("w2", 1020, {}, { { 1, { task, 2 }, fleet::EndKind::Stopped, "" } });
-    fleet::cancel(fleet, jobId, queue.name, 1100, instantAt(1100));
+    fleet::cancel(fleet, jobId, 1100, instantAt(1100));
     auto orders = advance(1200);
     BOOST_REQUIRE_EQUAL(orders.stops.size(), 1U);
     BOOST_CHECK_EQUAL(orders.stops.front().worker, "w1");
@@ -126,7 +126,7 @@
 BOOST_AUTO_TEST_CASE(A_stop_is_repeated_while_the_worker_still_reports_the_run, *boost::unit_test::label("tracking"))
 {
     answer("w1", 1010, { { { task, 1 }, "", 10 } });
-    fleet::cancel(fleet, jobId, queue.name, 1100, instantAt(1100));
+    fleet::cancel(fleet, jobId, 1100, instantAt(1100));
     BOOST_REQUIRE_EQUAL(advance(1110).stops.size(), 1U);
     fleet::applyStopOutcome(fleet, "w1", { task, 1 }, fleet::OrderOutcome::Done, instantAt(1120));
     answer("w1", 1200, { { { task, 1 }, "", 11 } });
@@ -250,7 +250,7 @@
     auto start = advance(1100).starts.at(0);
     fleet::RunKey key { start.task, start.run };
     fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
-    fleet::cancel(fleet, jobId, queue.name, 1700, instantAt(1700));
+    fleet::cancel(fleet, jobId, 1700, instantAt(1700));
     BOOST_REQUIRE_EQUAL(advance(1710).stops.size(), 1U);
     fleet::applyStopOutcome(fleet, start.worker, key, fleet::OrderOutcome::Done, instantAt(1720));
     answer(start.worker, 1800, {});
@@ -276,7 +276,7 @@
     auto start = advance(1100).starts.at(0);
     fleet::RunKey key { start.task, start.run };
     fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
-    fleet::cancel(fleet, jobId, queue.name, 1700, instantAt(1700));
+    fleet::cancel(fleet, jobId, 1700, instantAt(1700));
     advance(1710);
     fleet::applyStopOutcome(fleet, start.worker, key, fleet::OrderOutcome::Done, instantAt(1720));
     answer(start.worker, 1800, {});
--- a/tests/fleet/visible_state_tests.cpp
+++ b/tests/fleet/visible_state_tests.cpp
@@ -28,7 +28,7 @@
         fleet::applyCommitted(state, batch.lastSequence());
     }
 
-    std::optional<VisibleState> shown() const { return fleet::visibleState(state, jobId, queue.name); }
+    std::optional<VisibleState> shown() const { return fleet::visibleState(state, jobId); }
 
     fleet::Fleet state;
     desired_state::Queue queue = test::sampleQueue();
@@ -42,7 +42,7 @@
 // Guards against a job that is shown as cancelled although its next owner goes on with it.
 BOOST_AUTO_TEST_CASE(A_job_is_shown_as_cancelled_only_once_that_is_durable, *boost::unit_test::label("jobs"))
 {
-    fleet::cancel(state, jobId, queue.name, 0, at);
+    fleet::cancel(state, jobId, 0, at);
     BOOST_CHECK(shown() == VisibleState::Queued);
     commit();
     BOOST_CHECK(shown() == VisibleState::Cancelled);
--- a/tests/node/fleet_owner_tests.cpp
+++ b/tests/node/fleet_owner_tests.cpp
@@ -127,6 +127,31 @@
     }
 }
 
+// Guards against "no such job" for a running job, after a change of the desired state has given the prefix of its queue
+// to another queue.
+BOOST_AUTO_TEST_CASE(A_job_is_known_after_its_prefix_went_to_another_queue, *boost::unit_test::label("node"))
+{
+    std::optional<node::CallerAnswer> submitted;
+    submit(jobId, 20000, submitted);
+    BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return submitted && !workerModel.history().empty(); }));
+    auto other = test::sampleQueue();
+    other.name = "other";
+    auto statusOf = [this, &other](node::CallKind kind) {
+        std::optional<node::CallerAnswer> answer;
+        owner->call({ kind, jobId, test::sampleJob(jobId, 20000) }, other, {}, now() + Millis(1000),
+            [&answer](node::CallerAnswer received) { answer = std::move(received); });
+        BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return answer.has_value(); }));
+        return answer->status;
+    };
+    for (auto kind : { node::CallKind::QueryState, node::CallKind::Submit, node::CallKind::Cancel })
+        BOOST_CHECK(statusOf(kind) == node::CallStatus::Ok);
+    BOOST_CHECK(waitUntil(Millis(1000), [this] { return stateOf(jobId) == fleet::VisibleState::Cancelled; }));
+    BOOST_CHECK(waitUntil(Millis(1000), [this] {
+        workerModel.advance(modelTimeMs());
+        return workerModel.history().front().end == fleet::EndKind::Stopped;
+    }));
+}
+
 // Guards against "no such job" for a job that was accepted while the proof was on its way.
 BOOST_AUTO_TEST_CASE(A_cancellation_that_a_submission_overtakes_is_not_denied, *boost::unit_test::label("node"))
 {
--- a/tests/node/invariant_reporter_tests.cpp
+++ b/tests/node/invariant_reporter_tests.cpp
@@ -83,7 +83,7 @@
     fleet::RunKey key { { jobId, 0, 0, 0 }, 1 };
     answer.running.push_back({ key, {}, 1, 0 });
     fleet::applyPollAnswer(fleet, worker().id, answer, 0, at());
-    fleet::cancel(fleet, jobId, fleet.jobs.at(jobId).spec.queue, 0, at());
+    fleet::cancel(fleet, jobId, 0, at());
     nowMs += 10000;
     runFor(2000);
     BOOST_CHECK_EQUAL(newViolations(), 0U);
--- a/tests/node/owner_fixture.h
+++ b/tests/node/owner_fixture.h
@@ -52,7 +52,7 @@
 
     std::optional<fleet::VisibleState> stateOf(const std::string& id)
     {
-        return fleet::visibleState(owner->fleet(), id, "queue");
+        return fleet::visibleState(owner->fleet(), id);
     }
 
     std::optional<node::CallerAnswer> call(node::CallKind kind, const std::string& id)
