--- a/src/agatevane/admin/catalogue_handlers.cpp
+++ b/src/agatevane/admin/catalogue_handlers.cpp
@@ -104,6 +104,19 @@
         }
     }
 
+    //! The entry that the request is about, with the revision that the caller expects and no new value. Otherwise
+    //! writes a problem to `response` and returns no value.
+    std::optional<Change> readChange(const http::Request& request, http::Response& response)
+    {
+        auto kind = readKind(request, response);
+        if (!kind)
+            return std::nullopt;
+        auto revision = readExpectedRevision(request, response);
+        if (!revision)
+            return std::nullopt;
+        return Change { *kind, request.matches.at(2), *revision, std::nullopt };
+    }
+
     //! Checks that the caller may change the entry and that the expected revision matches, and makes the change.
     void makeChange(const Functions& functions, const CallerEntry& caller, const Change& change,
         const nlohmann::json& proposed, http::Response& response)
@@ -161,24 +174,21 @@
     auto caller = authenticate(functions, request, response);
     if (!caller)
         return;
-    auto kind = readKind(request, response);
-    if (!kind)
-        return;
-    auto revision = readExpectedRevision(request, response);
-    if (!revision)
+    auto change = readChange(request, response);
+    if (!change)
         return;
-    Change change { *kind, request.matches.at(2), *revision, request.body };
+    change->json = request.body;
     nlohmann::json proposed;
     Findings findings;
     if (json::parse(request.body, "body", proposed, findings)) {
         if (!proposed.is_object())
             findings.push_back({ "body", "must be an object" });
-        else if (proposed.value("id", nlohmann::json()) != change.name)
-            findings.push_back({ "/id", "must be the name in the path, \"" + change.name + "\"" });
+        else if (proposed.value("id", nlohmann::json()) != change->name)
+            findings.push_back({ "/id", "must be the name in the path, \"" + change->name + "\"" });
     }
     if (!findings.empty())
         return refuse(response, 422, "the entry is not valid", "nothing was changed", findings);
-    makeChange(functions, *caller, change, proposed, response);
+    makeChange(functions, *caller, *change, proposed, response);
 }
 
 void deleteEntry(const Functions& functions, const http::Request& request, http::Response& response)
@@ -186,16 +196,12 @@
     auto caller = authenticate(functions, request, response);
     if (!caller)
         return;
-    auto kind = readKind(request, response);
-    if (!kind)
-        return;
-    auto revision = readExpectedRevision(request, response);
-    if (!revision)
+    auto change = readChange(request, response);
+    if (!change)
         return;
-    Change change { *kind, request.matches.at(2), *revision, std::nullopt };
-    if (*revision == 0 || !functions.findEntry(*kind, change.name))
+    if (change->expectedRevision == 0 || !functions.findEntry(change->kind, change->name))
         return refuse(response, 404, "no such entry");
-    makeChange(functions, *caller, change, nullptr, response);
+    makeChange(functions, *caller, *change, nullptr, response);
 }
 
 } // namespace agatevane::admin
