Take held calls to the next owner when an ownership ends

Cause: when an ownership ended, the owner answered all calls that waited for the store with "unknown", or with a refusal if their record had not been sent, although their callers had time left and the next owner could serve them.

Change: a held call is left to the next owner. A submission that was withdrawn had no effect (WrongNode); any other call may have had one (the new status OwnershipEnded) and is never refused as a submission afterwards. The node that received the call sends it on until the caller's deadline, as it does for a call whose node gave no answer. That is safe: submissions with the same id are one job, and cancellations are idempotent.

Callers saw: 504 (or 503) within a second of a change of owners, on a call that had seconds left.

--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -66,7 +66,7 @@
         upkeepController_->stop();
     auto waiters = waiters_;
     for (auto& [sequence, waiter] : waiters)
-        timeOut(waiter);
+        passToNextOwner(waiter);
     waiters_.clear();
     tenureCheck_.stop();
 }
@@ -322,22 +322,37 @@
     }));
 }
 
-//! Called when the store is slow or unavailable. A submission whose record was not sent to it is withdrawn. It is then
-//! certain that the job is not accepted, and the caller gets this answer at once.
-void FleetOwner::withdrawAndRefuse(const std::shared_ptr<Waiter>& waiter)
+//! Withdraws a submission whose record was not sent to the store. It is then certain that the job is not accepted here.
+bool FleetOwner::withdraw(const Waiter& waiter)
 {
-    if (!waiter->answer || waiter->kind != CallKind::Submit)
-        return;
+    if (waiter.kind != CallKind::Submit)
+        return false;
     // Another call with the same id waits for the same record and may still be answered that the job is accepted.
     bool isAwaitedByOtherCall = std::any_of(waiters_.begin(), waiters_.end(), [&waiter](const auto& each) {
-        return each.second != waiter && each.second->answer && each.second->job == waiter->job;
+        return each.second.get() != &waiter && each.second->answer && each.second->job == waiter.job;
     });
-    if (isAwaitedByOtherCall || !fleet::withdraw(fleet_, waiter->job))
+    return !isAwaitedByOtherCall && fleet::withdraw(fleet_, waiter.job);
+}
+
+//! Called when the store is slow or unavailable, so that the caller learns at once that the job is not accepted.
+void FleetOwner::withdrawAndRefuse(const std::shared_ptr<Waiter>& waiter)
+{
+    if (!waiter->answer || !withdraw(*waiter))
         return;
     auto answer = std::exchange(waiter->answer, nullptr);
     answer({ CallStatus::NotAccepted, std::nullopt, std::nullopt, "the store has not confirmed in time" });
 }
 
+//! The ownership has ended. The caller may have time left in which the next owner can serve the call.
+void FleetOwner::passToNextOwner(const std::shared_ptr<Waiter>& waiter)
+{
+    if (!waiter->answer)
+        return;
+    auto status = withdraw(*waiter) ? CallStatus::WrongNode : CallStatus::OwnershipEnded;
+    auto answer = std::exchange(waiter->answer, nullptr);
+    answer({ status, std::nullopt, std::nullopt, "the ownership has ended" });
+}
+
 //! The caller's deadline has passed. A change that was sent to the store may still become durable.
 void FleetOwner::timeOut(const std::shared_ptr<Waiter>& waiter)
 {
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -42,7 +42,7 @@
         kv::Revision commitRevision, const desired_state::DesiredState& desired);
 
     void start();
-    //! Answers all waiting callers. The object may be destroyed afterwards.
+    //! Leaves the calls of all waiting callers to the next owner. The object may be destroyed afterwards.
     void stop();
     void applyDesiredState(const desired_state::DesiredState& desired);
     //! Handles a caller's request; `answer` is called by `deadline` at the latest.
@@ -92,7 +92,9 @@
     void handleCommit();
     void answerCommittedCallers();
     void awaitCommit(fleet::CommitSequence sequence, const CallerRequest& request, Instant deadline, Answer answer);
+    bool withdraw(const Waiter& waiter);
     void withdrawAndRefuse(const std::shared_ptr<Waiter>& waiter);
+    void passToNextOwner(const std::shared_ptr<Waiter>& waiter);
     void timeOut(const std::shared_ptr<Waiter>& waiter);
 
     Environment environment_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,7 +81,7 @@
     Instant receivedAt;
     Instant deadline; //!< the answer is sent by then at the latest
     Instant noOwnerDeadline; //!< the request is refused if no owner can be reached by then
-    bool mayHaveEffect = false; //!< the request was forwarded to a node that has not answered
+    bool mayHaveEffect = false; //!< the request reached a node that has not answered, or an owner that was replaced
     bool isForwardInFlight = false;
     bool isAnswered = false;
     int attempts = 0;
@@ -248,7 +248,7 @@
     if (mayHandle(call->request.kind)) {
         return fleetOwner_->call(call->request, call->queue, call->tenant, call->deadline,
             liveness_.guard([this, call](CallerAnswer answer) {
-                if (answer.status == CallStatus::WrongNode)
+                if (isForAnotherOwner(*call, answer.status))
                     return retryRoute(call);
                 call->confirmation = ownershipConfirmation();
                 finish(call, std::move(answer));
@@ -262,6 +262,14 @@
     forward(call, owner.record.address);
 }
 
+//! True if the node that answered leaves the call to another owner.
+bool Node::isForAnotherOwner(CallState& call, CallStatus status)
+{
+    if (status == CallStatus::OwnershipEnded)
+        call.mayHaveEffect = true;
+    return status == CallStatus::WrongNode || status == CallStatus::OwnershipEnded;
+}
+
 void Node::retryRoute(const std::shared_ptr<CallState>& call)
 {
     // A call that may have had an effect is repeated until the caller's deadline. This is safe, because submissions
@@ -295,7 +303,7 @@
                 return retryRoute(call);
             }
             ownerAnsweredAt_ = bootNow();
-            if (answer.status == CallStatus::WrongNode)
+            if (isForAnotherOwner(*call, answer.status))
                 return retryRoute(call);
             finish(call, toCallerAnswer(answer));
         }));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -73,6 +73,7 @@
 
     void route(const std::shared_ptr<CallState>& call);
     void forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address);
+    static bool isForAnotherOwner(CallState& call, CallStatus status);
     void retryRoute(const std::shared_ptr<CallState>& call);
     void finish(const std::shared_ptr<CallState>& call, CallerAnswer answer);
 
