Bound the wait for a preferred rack on a full fleet

Cause: non-urgent work waited for the rack of its data, and a tightly coupled gang for a rack of its own, for as long as half of the accelerators or cores of the usable workers were in use. Nothing ended that wait: the rack might be full of longer work, gone, or too small for the gang.

Tasks that never end are missed at once: they wait for their rack as on a fleet with spare capacity, 2 s.

Callers saw: a job that stayed queued while other racks were free.

Whole test_fleet passes (98 cases).

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -22,9 +22,11 @@
     constexpr Millis urgentRackWait { 800 };
     //! Other work waits this long for its preferred rack while the fleet has spare capacity.
     constexpr Millis rackWait { 2000 };
-    //! From this share of used accelerators or cores on, non-urgent work waits for its preferred rack without limit:
-    //! the fleet is too full for longer runs on other racks.
+    //! From this share of used accelerators or cores on, the fleet is too full for longer runs on other racks, so that
+    //! work that ends waits for its preferred rack until `longestRackWait`.
     constexpr double highUtilization = 0.5;
+    //! No work waits longer for its preferred rack while other racks have free capacity.
+    constexpr Millis longestRackWait { 12000 };
 
     //! Nothing is started with a shorter lease: the owner may have been replaced, and the runs would soon lapse.
     constexpr Millis minLeaseForStart { 2000 };
@@ -208,7 +210,8 @@
             auto waited = elapsed(pending.job->acceptedAt, at_);
             if (isUrgent(pending))
                 return waited < urgentRackWait;
-            return utilization_ >= highUtilization || waited < rackWait;
+            bool isFleetFull = utilization_ >= highUtilization && !pending.spec().isContinuous;
+            return waited < (isFleetFull ? longestRackWait : rackWait);
         }
 
         //! Restricts placement to a single rack, or to the named rack; unrestricted if neither is set.
