Tell operators of work that waits for an earlier run or for its rack

Cause: a job whose tasks may not start because a late order might still start an earlier run, and a job that waits for its rack beside free workers, were both shown with the reason `no_room`.

Operators saw: a lack of capacity where there was none.

Evidence: two new cases of waiting_tests.cpp; they name the new reasons and don't compile on the old code, whose `reasonOf` knew only `no_room` for both.

--- a/src/agatevane/fleet/waiting.cpp
+++ b/src/agatevane/fleet/waiting.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/placement.h"
+#include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
 
@@ -9,21 +10,24 @@
 
 namespace {
 
-    //! Number of tasks of the step that fit on the worker if nothing else runs on it.
-    std::int64_t tasksThatFit(const StepSpec& step, const Worker& worker)
+    //! Number of tasks of the step that fit into `capacity` of one worker.
+    std::int64_t tasksThatFit(const StepSpec& step, const Capacity& capacity)
     {
         std::int64_t most = step.maxPerWorker > 0 ? std::min(step.maxPerWorker, step.count) : step.count;
         auto bound = [&most](std::int64_t has, std::int64_t needs) {
             if (needs > 0)
                 most = std::min(most, has / needs);
         };
-        bound(worker.capacity.milliCores, step.isFiller ? 0 : step.need.milliCores);
-        bound(worker.capacity.memoryMiB, step.need.memoryMiB);
-        bound(worker.capacity.accelerators, step.need.accelerators);
+        bound(capacity.milliCores, step.isFiller ? 0 : step.need.milliCores);
+        bound(capacity.memoryMiB, step.need.memoryMiB);
+        bound(capacity.accelerators, step.need.accelerators);
         return most;
     }
 
-    bool areWorkersSuitable(const Fleet& fleet, const Job& job, const StepSpec& step, Instant at)
+    enum class Room { Whole, Free };
+
+    //! True if the usable workers of the right kind have room for the tasks that must start together.
+    bool haveWorkersRoom(const Fleet& fleet, const Job& job, const StepSpec& step, Room room, Instant at)
     {
         std::int64_t slots = 0;
         for (const auto& [id, worker] : fleet.workers) {
@@ -31,12 +35,37 @@
             bool isOfKind = worker.service == job.policy.service
                 && (step.requiredLabel.empty()
                     || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
-            if (isOfKind && isUsable(worker, at))
-                slots += tasksThatFit(step, worker);
+            if (!isOfKind || !isUsable(worker, at))
+                continue;
+            auto capacity = worker.capacity;
+            if (room == Room::Free)
+                capacity -= worker.used;
+            slots += std::max<std::int64_t>(0, tasksThatFit(step, capacity));
         }
         return slots >= (step.isGang ? static_cast<std::int64_t>(step.count) : 1);
     }
 
+    //! True if no waiting task of the step may start before an earlier run of it has ended.
+    bool haveTasksOpenRuns(const Fleet& fleet, const Job& job, const StepId& id, Instant at)
+    {
+        auto open = tasksWithOpenRun(fleet, at);
+        const auto& tasks = job.occurrences[id.occurrence].steps[id.step].tasks;
+        bool isGang = job.spec.steps[id.step].isGang;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            if (tasks[index].isDone || tasks[index].run)
+                continue;
+            bool isOpen = open.contains({ id.job, id.occurrence, id.step, index });
+            if (isOpen == isGang)
+                return isOpen;
+        }
+        return !isGang;
+    }
+
+    bool prefersRack(const StepSpec& step)
+    {
+        return !step.dataRack.empty() || (step.isGang && step.isTightlyCoupled);
+    }
+
     WaitReason reasonOf(const Fleet& fleet, const Job& job, const StepId& id, Instant at)
     {
         const auto& spec = job.spec.steps[id.step];
@@ -45,10 +74,14 @@
             return WaitReason::RunsOfEarlierOwner;
         if (spec.isGang && step.active > 0)
             return WaitReason::RunsBeingStopped;
-        if (!areWorkersSuitable(fleet, job, spec, at))
+        if (haveTasksOpenRuns(fleet, job, id, at))
+            return WaitReason::EarlierRunOpen;
+        if (!haveWorkersRoom(fleet, job, spec, Room::Whole, at))
             return WaitReason::NoSuitableWorker;
         if (job.policy.needsTickets && workersWithTicket(fleet, id, at).empty())
             return WaitReason::NoTicket;
+        if (prefersRack(spec) && haveWorkersRoom(fleet, job, spec, Room::Free, at))
+            return WaitReason::PreferredRack;
         return WaitReason::NoRoom;
     }
 
--- a/src/agatevane/fleet/waiting.h
+++ b/src/agatevane/fleet/waiting.h
@@ -9,9 +9,11 @@
     NotWaiting, //!< the job is not open, or all tasks that could run have a worker
     NotDue, //!< no occurrence is due yet
     RunsOfEarlierOwner, //!< earlier runs may still run on a worker that has not answered since the takeover
+    EarlierRunOpen, //!< an earlier run of the tasks is not known to have ended, or may still be started by a late order
     RunsBeingStopped, //!< a gang starts again once all members of its last run have ended
     NoSuitableWorker, //!< too few usable workers are of the right kind and large enough
     NoTicket, //!< the advice service has issued no ticket for the step
+    PreferredRack, //!< other racks have free capacity, but the job still waits for the rack that suits it best
     NoRoom //!< the suitable workers lack free capacity
 };
 
@@ -28,13 +30,15 @@
 
 template <> struct agatevane::EnumNames<agatevane::fleet::WaitReason> {
     using Reason = agatevane::fleet::WaitReason;
-    static constexpr std::array<std::pair<Reason, std::string_view>, 7> table { {
+    static constexpr std::array<std::pair<Reason, std::string_view>, 9> table { {
         { Reason::NotWaiting, "not_waiting" },
         { Reason::NotDue, "not_due" },
         { Reason::RunsOfEarlierOwner, "runs_of_earlier_owner" },
+        { Reason::EarlierRunOpen, "earlier_run_open" },
         { Reason::RunsBeingStopped, "runs_being_stopped" },
         { Reason::NoSuitableWorker, "no_suitable_worker" },
         { Reason::NoTicket, "no_ticket" },
+        { Reason::PreferredRack, "preferred_rack" },
         { Reason::NoRoom, "no_room" },
     } };
 };
--- a/tests/fleet/waiting_tests.cpp
+++ b/tests/fleet/waiting_tests.cpp
@@ -88,3 +88,29 @@
     advance(fleet, unixMs, at);
     BOOST_CHECK(reasonOf(job) == WaitReason::NotWaiting);
 }
+
+// Guards against reporting work as waiting for room while a late order may still start it on a worker that is silent.
+BOOST_FIXTURE_TEST_CASE(
+    A_job_whose_earlier_start_is_unanswered_is_reported_so, WaitingFixture, *boost::unit_test::label("fleet"))
+{
+    const auto& job = submitJob(test::sampleJob("late", 1, 1, 1000));
+    auto& worker = fleet.workers.at("w1");
+    worker.missedPolls = 1;
+    worker.unansweredStarts[{ { "late", 0, 0, 0 }, 1 }] = at + Millis(5000);
+    BOOST_CHECK(reasonOf(job) == WaitReason::EarlierRunOpen);
+    at += Millis(5000);
+    BOOST_CHECK(reasonOf(job) == WaitReason::NoRoom);
+}
+
+// Guards against operators who look for missing capacity while a job waits for its rack.
+BOOST_FIXTURE_TEST_CASE(
+    A_job_that_waits_for_its_rack_beside_free_workers_is_reported_so, WaitingFixture, *boost::unit_test::label("fleet"))
+{
+    auto spec = test::sampleJob("near-data", 1, 8, 1000);
+    spec.steps[0].dataRack = "r2";
+    const auto& job = submitJob(spec);
+    BOOST_CHECK(reasonOf(job) == WaitReason::PreferredRack);
+    for (auto& [id, worker] : fleet.workers)
+        worker.used = worker.capacity;
+    BOOST_CHECK(reasonOf(job) == WaitReason::NoRoom);
+}
