Keep the settings of a queue with its jobs

Cause: a job's records name its queue, and its service, priority and number of attempts stood in the desired state alone. An owner kept them in memory when a version removed the queue; the next owner found none, and took defaults: no service, priority 0, one attempt.

What callers saw: a job that was accepted and never ran again after a change of owners, or that failed at the first failure of a run. The same defaults hit each job of an owner that had not read a desired state yet.

Change: the transaction that accepts a job also stores the settings of its queue, under a key of its own, so that records of jobs stay as older builds read them. A later owner takes the desired state's settings, else the stored ones. Where neither is known (a job that an older build accepted), the job waits, and no failure counts as its last.

Evidence: A_later_owner_runs_the_jobs_of_a_removed_queue; with the old line in `inherit` the settings differed and the job did not complete within 3 s. Cost: one more record of about 150 bytes in a transaction for each queue in it; no more calls, but for one listing at a takeover. Open: the records of queues are not removed.

--- a/src/agatevane/fleet/group_commit.cpp
+++ b/src/agatevane/fleet/group_commit.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/fleet/group_commit.h"
 
+#include "agatevane/fleet/queue_record.h"
 #include "agatevane/fleet/record.h"
 
 namespace agatevane::fleet {
@@ -8,7 +9,7 @@
 
     std::size_t recordCount(Mutation mutation)
     {
-        return mutation == Mutation::Prune ? 2 : 1;
+        return mutation == Mutation::Progress ? 1 : 2;
     }
 
 } // namespace
@@ -40,7 +41,7 @@
 
 void encodeBatch(Fleet& fleet, const WriteBatch& batch, kv::Txn& txn)
 {
-    std::set<std::string> keys;
+    std::set<std::string> keys; //!< of progress records, by job, and of queue records
     for (const auto& write : batch.writes) {
         auto* job = findJob(fleet, write.job);
         if (write.mutation == Mutation::Prune) {
@@ -48,6 +49,9 @@
             txn.deletes.push_back(progressPrefix + write.job);
         } else if (job && write.mutation == Mutation::Accept) {
             txn.puts.push_back({ acceptancePrefix + write.job, encodeAcceptance(*job) });
+            auto key = queueKey(job->policy.name);
+            if (keys.insert(key).second)
+                txn.puts.push_back({ key, encodeQueue(job->policy) });
         } else if (job && keys.insert(write.job).second) {
             txn.puts.push_back({ progressPrefix + write.job, encodeProgress(*job) });
         }
--- a/src/agatevane/fleet/group_commit.h
+++ b/src/agatevane/fleet/group_commit.h
@@ -3,7 +3,8 @@
 #include "agatevane/fleet/state.h"
 #include "agatevane/kv/kv.h"
 
-//! Group commit: one transaction of the store writes the records of many changes.
+//! Group commit: one transaction of the store writes the records of many changes. The acceptance of a job also stores
+//! the settings of its queue.
 namespace agatevane::fleet {
 
 constexpr const char* acceptancePrefix = "agatevane/job/";
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/decision_log.h"
+#include "agatevane/fleet/queue_record.h"
 #include "agatevane/fleet/record.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
@@ -103,6 +104,15 @@
         }
     }
 
+    //! The newest settings known of the queue of an inherited job.
+    desired_state::Queue policyOf(const Fleet& fleet, const std::string& queue)
+    {
+        if (const auto* desired = desired_state::findQueueByName(fleet.desired, queue))
+            return *desired;
+        auto stored = fleet.storedQueues.find(queue);
+        return stored != fleet.storedQueues.end() ? stored->second : unknownQueue(queue);
+    }
+
     void recordFailure(Fleet& fleet, Job& job, Worker& worker, const RunKey& key, std::int64_t unixMs, Instant at)
     {
         ++worker.failuresInRow;
@@ -228,8 +238,7 @@
 {
     job.isInherited = true;
     job.acceptedAt = at - Millis(std::max<std::int64_t>(0, unixMs - job.acceptedUnixMs));
-    if (const auto* queue = desired_state::findQueueByName(fleet.desired, job.spec.queue))
-        job.policy = *queue;
+    job.policy = policyOf(fleet, job.spec.queue);
     if (job.phase == JobPhase::Open)
         openJob(fleet, job);
     else if (hasEnded(job.phase))
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -271,6 +271,7 @@
     std::map<JobId, Job> jobs;
     std::map<WorkerId, Worker> workers;
     std::set<JobId> openJobs; //!< jobs in phase Open
+    std::map<std::string, desired_state::Queue> storedQueues; //!< as earlier owners stored them, by name
     //! Jobs that were accepted and whose records can't be read. What became of them is unknown: they are neither run
     //! nor stopped, and their records stay as they are.
     std::map<JobId, RecordFault> unreadableJobs;
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -65,6 +65,7 @@
     using Waiters = std::multimap<fleet::CommitSequence, std::shared_ptr<Waiter>>;
 
     void load();
+    void loadQueues(const kv::ReadResult& queues);
     void loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress);
     void holdJob(const kv::Item& item, const fleet::JobId& id);
     void listWorkers();
@@ -115,6 +116,7 @@
     // Results of the reads at a takeover. The fleet is loaded once all four are there.
     std::optional<kv::ReadResult> acceptances_;
     std::optional<kv::ReadResult> progress_;
+    std::optional<kv::ReadResult> queues_;
     std::optional<kv::ReadResult> knownWorkers_;
     std::optional<kv::ReadResult> listings_;
     kv::Revision workersRevision_ = 0;
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -1,5 +1,6 @@
 //! The part of FleetOwner that reads from the store: all jobs once at a takeover, the workers continuously.
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/queue_record.h"
 #include "agatevane/fleet/record.h"
 #include "node/fleet_owner.h"
 #include "node/unreadable_records.h"
@@ -41,13 +42,15 @@
                     return;
                 }
                 target = result;
-                if (isReady_ || !acceptances_ || !progress_ || !knownWorkers_ || !listings_)
+                if (isReady_ || !acceptances_ || !progress_ || !queues_ || !knownWorkers_ || !listings_)
                     return;
+                loadQueues(*queues_);
                 loadJobs(*acceptances_, *progress_);
                 loadKnownWorkers(*knownWorkers_);
                 applyListings(*listings_);
                 acceptances_.reset();
                 progress_.reset();
+                queues_.reset();
                 isReady_ = true;
                 Line("fleet_loaded")
                     .with("tenure", fleet_.tenure)
@@ -63,10 +66,22 @@
     };
     read(fleet::acceptancePrefix, acceptances_);
     read(fleet::progressPrefix, progress_);
+    read(fleet::queuePrefix, queues_);
     read(knownWorkersKey, knownWorkers_);
     read(environment_.translation.workerPrefix.c_str(), listings_);
 }
 
+void FleetOwner::loadQueues(const kv::ReadResult& queues)
+{
+    for (const auto& item : queues.items) {
+        auto queue = fleet::decodeQueue(item.value);
+        if (!queue)
+            reportUnreadableRecord(item);
+        else
+            fleet_.storedQueues.insert_or_assign(queue->name, *queue);
+    }
+}
+
 void FleetOwner::loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress)
 {
     std::map<std::string_view, const kv::Item*> progressOf;
--- a/tests/node/fleet_owner_tests.cpp
+++ b/tests/node/fleet_owner_tests.cpp
@@ -152,6 +152,30 @@
     }));
 }
 
+// Guards against a job that never runs, or that fails at the first failure: its queue was removed from the desired
+// state before another node became the owner.
+BOOST_AUTO_TEST_CASE(A_later_owner_runs_the_jobs_of_a_removed_queue, *boost::unit_test::label("node"))
+{
+    std::optional<node::CallerAnswer> submitted;
+    auto queue = test::sampleQueue();
+    queue.name = "removed";
+    queue.maxAttempts = 3;
+    std::vector<fleet::WorkerId> ids { test::sampleWorker(1).id, test::sampleWorker(2).id };
+    for (const auto& id : ids)
+        workerModel.crash(id, modelTimeMs());
+    owner->call({ node::CallKind::Submit, jobId, test::sampleJob(jobId, 100) }, queue, {}, now() + Millis(1000),
+        [&submitted](node::CallerAnswer received) { submitted = std::move(received); });
+    BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return submitted.has_value(); }));
+    BOOST_REQUIRE(submitted->status == node::CallStatus::Ok);
+    BOOST_REQUIRE(workerModel.history().empty());
+    owner.reset();
+    for (const auto& id : ids)
+        workerModel.restart(id, modelTimeMs());
+    electOwner(2);
+    BOOST_CHECK(owner->fleet().jobs.at(jobId).policy == queue);
+    BOOST_CHECK(waitUntil(Millis(3000), [this] { return stateOf(jobId) == fleet::VisibleState::Completed; }));
+}
+
 // Guards against "no such job" for a job that was accepted while the proof was on its way.
 BOOST_AUTO_TEST_CASE(A_cancellation_that_a_submission_overtakes_is_not_denied, *boost::unit_test::label("node"))
 {
