--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -52,14 +52,22 @@
     //! The caller cancels the job, and asks each further owner again until the cancellation is acknowledged.
     void cancel(const fleet::JobId& job);
     void runUntil(std::int64_t endMs);
+    //! Another owner takes over.
+    void takeOver();
     //! No further owner takes over.
     void stopTakeovers() { nextTakeoverMs_ = std::numeric_limits<std::int64_t>::max(); }
+    //! No further worker is cut off or restarts; cuts heal in their time.
+    void stopCuts();
     //! No further fault begins; cuts heal in their time.
     void stopFaults();
+    //! True while a cut or an unreachable period lasts, or an earlier owner goes on.
+    bool hasFault() const;
     //! Runs until every submitted job has ended, at most until `endMs`. True if all jobs have ended.
     bool runUntilEnded(std::int64_t endMs);
 
     std::int64_t nowMs() const { return nowMs_; }
+    //! The instant that the owners take for this time of the simulation.
+    Instant at(std::int64_t ms) const;
     fleet::Fleet& fleet() { return current_->fleet; }
     standin::WorkerModel& workers() { return workers_; }
     Random& random() { return random_; }
@@ -108,12 +116,10 @@
         bool isTaskDone = false; //!< the present owner knew that the task was done
     };
 
-    Instant at(std::int64_t ms) const;
     void schedule(std::int64_t delayMs, std::function<void()> action);
     std::int64_t delay();
     bool occurs(double share);
 
-    void takeOver();
     void replaceOwner();
     void inheritJobs();
     void step();
--- a/tests/fleet/simulation_faults.cpp
+++ b/tests/fleet/simulation_faults.cpp
@@ -1,6 +1,8 @@
 //! The part of FleetSimulation that injects faults.
 #include "simulation.h"
 
+#include <algorithm>
+
 namespace agatevane::test {
 
 namespace {
@@ -41,13 +43,25 @@
     return chosen->first;
 }
 
+void FleetSimulation::stopCuts()
+{
+    nextRestartMs_ = nextUnreachableMs_ = nextCutMs_ = never;
+}
+
 void FleetSimulation::stopFaults()
 {
     stopTakeovers();
-    nextRestartMs_ = nextUnreachableMs_ = nextCutMs_ = never;
+    stopCuts();
     options_.lostOrderShare = options_.lateOrderShare = options_.latePollShare = 0;
 }
 
+bool FleetSimulation::hasFault() const
+{
+    return !cuts_.empty() || !earlierOwners_.empty()
+        || std::any_of(unreachableUntil_.begin(), unreachableUntil_.end(),
+            [this](const auto& each) { return nowMs_ < each.second; });
+}
+
 void FleetSimulation::injectFaults()
 {
     if (nowMs_ >= nextTakeoverMs_) {
