Count the lease that a poll for an earlier incarnation may have given

Cause: a worker restarts while a poll is on its way. The new incarnation carries the poll out, and its lease, made out for the earlier incarnation's clock, is far ahead of the new clock: the worker grants the longest lease. The owner assumed that only if it still knew runs there. A run that it started on the new incarnation afterwards counted as ended by the owner's own leases, 6.2 s after the last renewal, while it could go on.

Change: an answer to a poll that renewed the lease on another incarnation's clock postpones the time at which runs of a silent worker are removed, as for other orders of that kind.

Callers saw: a task that ran twice for up to 4 s where workers grant 10 s, if the new incarnation could not be reached soon after its restart. What it costs: such a task starts elsewhere 10.3 s after the restart was seen at the latest, in place of 6.2 s after the last renewal. Where workers grant 6 s nothing changes.

The new case failed on the old code: "fleet.workers.at("w1").runs.size() == 1U has failed [0 != 1]". test_fleet: 96 cases pass.

Not covered: a poll for an earlier incarnation that is unanswered and carried out late; counting it would hold the tasks of each worker that restarts and goes silent again for up to 22.8 s.

--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -178,6 +178,7 @@
     bool isAcknowledgementReceived = false;
     std::int64_t pollAcknowledges = 0; //!< end up to which the poll in flight acknowledges; 0: none
     std::int64_t pollIncarnation = 0; //!< incarnation that the poll in flight was made out for
+    bool doesPollRenewLease = false; //!< the poll in flight renews the lease, on the clock of that incarnation
 
     //! Unanswered acknowledgements, by the incarnation that they were made out for: until its instant, also a later
     //! incarnation may carry one out.
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -217,6 +217,9 @@
     }
     if (answer.incarnation > worker->incarnation)
         beginIncarnation(fleet, *worker, answer.incarnation, at);
+    // An earlier incarnation's clock may be far ahead of the present one's.
+    if (worker->doesPollRenewLease && worker->pollIncarnation != worker->incarnation)
+        assumeLongestLease(fleet, *worker, at);
     if (worker->missedPolls >= missedPollLimit)
         Line("worker_regained").with("worker", id).with("missed_looks", worker->missedPolls);
     if (worker->missedPolls > 0 || !worker->hasAnsweredPoll)
@@ -347,6 +350,7 @@
             poll.wait = pollWaitOf(fleet, worker, at);
         worker.isPollInFlight = true;
         worker.pollIncarnation = worker.incarnation;
+        worker.doesPollRenewLease = poll.leaseUntilMs.has_value();
         worker.pollSentAt = at;
         orders.polls.push_back(std::move(poll));
     }
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -324,6 +324,28 @@
     BOOST_CHECK(fleet.workers.at("w1").runs.empty());
 }
 
+// Guards against a task that runs twice: a poll for the clock of the earlier incarnation gave a new one, which had no
+// run yet, the longest lease, and the owner took a later run there for ended by its own.
+BOOST_AUTO_TEST_CASE(
+    A_poll_for_an_earlier_incarnation_may_give_the_longest_lease_to_later_runs, *boost::unit_test::label("tracking"))
+{
+    fleet.limits.maxLease = Millis(10000);
+    answer("w1", 1010, { { { task, 1 }, "", 10 } });
+    answer("w2", 1010, {});
+    fleet::applyUnlisted(fleet, "w2");
+    advance(1020);
+    fleet::applyListing(fleet, listing("w1", 2), instantAt(1025));
+    answer("w1", 1030, {});
+    auto start = advance(1040).starts.at(0);
+    fleet::applyStartOutcome(fleet, "w1", { start.task, start.run }, fleet::OrderOutcome::Done, instantAt(1050));
+    for (int miss = 0; miss < 3; ++miss)
+        fleet::applyPollFailure(fleet, "w1", instantAt(2000));
+    advance(1030 + 9900);
+    BOOST_CHECK_EQUAL(fleet.workers.at("w1").runs.size(), 1U);
+    advance(1030 + 10400);
+    BOOST_CHECK(!fleet::findWorker(fleet, "w1") || fleet.workers.at("w1").runs.empty());
+}
+
 // Guards against a task that runs again after it has succeeded: a new incarnation, whose ends are numbered from 1
 // again, took the number of the earlier incarnation's last end for its own, and its ends were forgotten unseen.
 BOOST_AUTO_TEST_CASE(A_poll_does_not_repeat_an_acknowledgement_that_was_received, *boost::unit_test::label("tracking"))
