Count another node's agreement from when it was asked

Cause: an owner that the store does not confirm answers with known states for 1.2 s after another node has said that it knows no later owner. The time counted from the arrival of the answer. The other node may have learnt of a later owner since, and the answer may be up to 0.6 s late; after a suspension of the machine, which the timeout of the pull does not count, later still. Change: the time counts from when the pull was sent, as with renewals of the lease. Pulls are sent every 0.5 s and answered within 0.6 s, so that an owner with a slow peer goes on without a gap. Callers saw: states of jobs from an owner that had been replaced, for up to 0.6 s longer than the bound. Evidence: An_agreement_counts_from_when_it_was_requested, with a peer that answers after 0.5 s, failed on the code before in 3 of 3 runs ("200 == 200"). Measured: it passes in 3 of 3 runs; test_node, 67 cases, passes, at a load of about 19. The suspension itself was not tried.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -83,7 +83,7 @@
     void logUnconfirmedAnswer(const CallerRequest& request, const CallerAnswer& answer) const;
     void pullFromPeers();
     void pull(const net::PeerAddress& address);
-    void applyPull(const net::PeerAddress& from, const PullReply& reply);
+    void applyPull(const net::PeerAddress& from, Instant sentAt, const PullReply& reply);
     net::RpcClient& clientOf(const net::PeerAddress& address);
     void addPeer(const std::string& name, const net::PeerAddress& address);
     bool isReady() const;
@@ -110,7 +110,8 @@
     //! The event loop destroys it later, because its functions may still be on the call stack.
     std::unique_ptr<FleetOwner> retiredFleetOwner_;
     Instant ownerAnsweredAt_; //!< last answer of the owner, or change of owner
-    Instant ownershipAgreedAt_; //!< last answer of another node that knew no newer owner than this one
+    Instant ownershipAgreedAt_; //!< when the last pull was sent to which a node answered that knew no newer owner than
+                                //!< this one
     bool isStopping_ = false;
     bool lastLoggedReadiness_ = false; //!< false before the first line
     std::uint64_t nextRequestNumber_ = 1;
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -154,18 +154,18 @@
 {
     PullRequest request { settings_.name, settings_.peerAddress, election_.owner(), desiredFeed_.revision() };
     clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Pull), net::encode(request), now() + pullTimeout,
-        liveness_.guard([this, address](std::error_code error, const std::string& payload) {
+        liveness_.guard([this, address, sentAt = bootNow()](std::error_code error, const std::string& payload) {
             PullReply reply;
             if (!error && net::decode(payload, reply))
-                applyPull(address, reply);
+                applyPull(address, sentAt, reply);
         }));
 }
 
-void Node::applyPull(const net::PeerAddress& from, const PullReply& reply)
+void Node::applyPull(const net::PeerAddress& from, Instant sentAt, const PullReply& reply)
 {
     election_.applyOwnerView(reply.owner);
     if (fleetOwner_)
-        ownershipAgreedAt_ = bootNow();
+        ownershipAgreedAt_ = std::max(ownershipAgreedAt_, sentAt);
     if (!reply.desiredState.empty())
         desiredFeed_.applyFromPeer(reply.desiredRevision, reply.desiredState);
     for (const auto& peer : reply.peers)
--- a/tests/node/agreeing_peer.h
+++ b/tests/node/agreeing_peer.h
@@ -37,6 +37,7 @@
     int pulls() const { return pulls_; }
     //! Calls that arrive from now on get no answer.
     void answerNoMore() { isSilent_ = true; }
+    void delayAnswers(Millis delay) { answerDelay_ = delay; }
 
 private:
     void handle(const net::Reply& reply)
@@ -44,9 +45,8 @@
         if (isSilent_)
             return;
         ++pulls_;
-        constexpr Millis answerDelay { 50 };
         auto timer = std::make_shared<node::Timer>(context_);
-        timer->arm(answerDelay, [timer, reply] { reply(net::encode(node::PullReply {})); });
+        timer->arm(answerDelay_, [timer, reply] { reply(net::encode(node::PullReply {})); });
     }
 
     asio::io_context context_;
@@ -54,6 +54,7 @@
     net::PeerAddress address_;
     std::atomic<int> pulls_ { 0 };
     std::atomic<bool> isSilent_ { false };
+    std::atomic<Millis> answerDelay_ { Millis(50) };
     std::thread thread_;
 };
 
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -248,6 +248,31 @@
     BOOST_CHECK_NE(sendRequest(*paused, "GET", jobId), 200);
 }
 
+// Guards against outdated answers of an owner that another node has not confirmed lately: the agreement counted from
+// when it arrived, although the other node may have learnt of a later owner since it gave it.
+BOOST_AUTO_TEST_CASE(An_agreement_counts_from_when_it_was_requested, *boost::unit_test::label("node"))
+{
+    auto* isolated = owner();
+    BOOST_REQUIRE_EQUAL(sendRequest(*isolated, "POST", jobId, nullptr, "20000"), 200);
+    for (auto& [name, member] : members) {
+        if (&member != isolated)
+            member.node.reset();
+    }
+    test::AgreeingPeer peer;
+    peer.delayAnswers(Millis(500));
+    isolated->settings.seedNodes = { peer.address() };
+    isolated->node->reload(isolated->settings);
+    isolated->store->setFault(StoreFault::Unresponsive);
+    waitUntil(Millis(2500), [] { return false; });
+    BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return sendRequest(*isolated, "GET", jobId) == 200; }));
+    auto pulls = peer.pulls();
+    BOOST_REQUIRE(waitUntil(Millis(2000), [&] { return peer.pulls() > pulls; }));
+    peer.answerNoMore();
+    waitUntil(node::ownerTimeout, [] { return false; });
+    BOOST_REQUIRE(isolated->node->isOwner());
+    BOOST_CHECK_NE(sendRequest(*isolated, "GET", jobId), 200);
+}
+
 // Guards against an owner that stops answering because the store is unavailable, although the other nodes know no other
 // owner.
 BOOST_AUTO_TEST_CASE(An_owner_answers_while_the_store_is_unavailable_to_all_nodes, *boost::unit_test::label("node"))
