Let a late answer about an ended lease end no later lease

Cause: an attempt to write the owner key under a lease that has ended is answered so. The owner took that for its present lease. A renewal may have told it of the end before, and a new lease may be there, which the late answer made it forget. Change: only the lease that the attempt named is given up, in campaigns and when the key is restored. Callers saw: nothing known; the owner paid for another lease and was without the store's confirmation for longer. Evidence: A_late_answer_about_an_ended_lease_ends_no_later_lease failed on the code before in 3 of 3 runs ("3 != 2" leases requested). Measured: it passes in 3 of 3 runs. The suite owner_election passed in 1 of 2 runs: in the first, at a load above 10, A_late_answer_to_a_restored_key_confirms_nothing failed at its check that no confirmed owner is without its key; alone it passed 8 of 8 runs on this code and 8 of 8 before it. Suspected: the modelled store ends the lease 2 ms after the commit, and a watch that reads in between lets the owner see its key. test_node as a whole was not run on this commit.

--- a/src/node/owner_campaign.cpp
+++ b/src/node/owner_campaign.cpp
@@ -107,8 +107,7 @@
         return commitCampaign(campaign);
     isClaimInProgress_ = false;
     nextCampaignAt_ = bootNow() + retryPause;
-    if (result.hasLeaseEnded)
-        lease_ = 0;
+    noteLeaseEnd(campaign.lease, result);
     if (isResigned_)
         return;
     auto revision = result.error ? revisionOfEarlierAttempt(result, campaign.token) : result.revision;
@@ -117,6 +116,13 @@
         beginOwnership(campaign, *revision);
 }
 
+//! The answer may be so late that the node has a later lease.
+void OwnerElection::noteLeaseEnd(kv::LeaseId lease, const kv::TxnResult& result)
+{
+    if (result.hasLeaseEnded && lease == lease_)
+        lease_ = 0;
+}
+
 void OwnerElection::beginOwnership(const Campaign& campaign, kv::Revision commitRevision)
 {
     tenure_ = campaign.tenure;
@@ -142,8 +148,7 @@
         noteStoreAnswer(result.error);
         isClaimInProgress_ = false;
         nextCampaignAt_ = bootNow() + retryPause;
-        if (result.hasLeaseEnded)
-            lease_ = 0;
+        noteLeaseEnd(lease, result);
         if (!isOwner_)
             return;
         bool isRestored = !result.error && lease == lease_ && !isOutdated(result.revision);
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -86,6 +86,7 @@
     void handleCampaignResult(const Campaign& campaign, const kv::TxnResult& result);
     void beginOwnership(const Campaign& campaign, kv::Revision commitRevision);
     void restoreOwnerKey();
+    void noteLeaseEnd(kv::LeaseId lease, const kv::TxnResult& result);
     void noteStoreAnswer(std::error_code error);
     void loseOwnership(std::string_view reason);
 
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -32,6 +32,10 @@
         commitExecuted_ = std::move(executed);
     }
 
+    //! Answers commits that are not applied `delay` late.
+    void delayCommitErrors(Millis delay) { commitErrorDelay_ = delay; }
+    int grants() const { return grants_; }
+
     //! Calls `executed` after the next commit that is applied, and answers `delay` later.
     void delayNextCommitAnswer(Millis delay, std::function<void()> executed)
     {
@@ -48,6 +52,7 @@
     void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
     {
         if (!refusesLeases_) {
+            ++grants_;
             auto granted = std::min(ttl, longestLease_);
             auto lasting = Millis(static_cast<std::int64_t>(static_cast<double>(granted.count()) * leaseShare_));
             return FakeStore::grantLease(lasting, deadline, [granted, done = std::move(done)](kv::LeaseResult result) {
@@ -68,17 +73,25 @@
     void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
     {
         FakeStore::commit(txn, deadline, [this, deadline, done = std::move(done)](const kv::TxnResult& result) {
+            if (result.error && commitErrorDelay_ != Millis(0))
+                return answerAfter(commitErrorDelay_, result, done);
             if (result.error || (!losesCommitAnswer_ && commitAnswerDelay_ == Millis(0)))
                 return done(result);
             commitExecuted_();
             if (std::exchange(losesCommitAnswer_, false))
                 return answerLater<kv::TxnResult>(elapsed(now(), deadline), Errc::Timeout, done);
-            auto timer = std::make_shared<node::Timer>(context_);
-            timer->arm(std::exchange(commitAnswerDelay_, Millis(0)), [timer, result, done] { done(result); });
+            answerAfter(std::exchange(commitAnswerDelay_, Millis(0)), result, done);
         });
     }
 
 private:
+    template <typename Result>
+    void answerAfter(Millis delay, const Result& result, const std::function<void(Result)>& done)
+    {
+        auto timer = std::make_shared<node::Timer>(context_);
+        timer->arm(delay, [timer, result, done] { done(result); });
+    }
+
     template <typename Result> void answerLater(Millis delay, Errc error, std::function<void(Result)> done)
     {
         auto timer = std::make_shared<node::Timer>(context_);
@@ -98,6 +111,8 @@
     bool refusesLeases_ = false;
     bool losesCommitAnswer_ = false;
     Millis commitAnswerDelay_ { 0 };
+    Millis commitErrorDelay_ { 0 };
+    int grants_ = 0;
     std::function<void()> commitExecuted_;
 };
 
@@ -292,6 +307,18 @@
     BOOST_CHECK(isConfirmed());
 }
 
+// Guards against an owner that forgets its new lease, and restores its key later for it: an attempt to restore the key
+// under the lease before had failed because that lease had ended, and its answer was late.
+BOOST_AUTO_TEST_CASE(A_late_answer_about_an_ended_lease_ends_no_later_lease, *boost::unit_test::label("node"))
+{
+    store.delayCommitErrors(Millis(400));
+    auto grants = store.grants();
+    endOwnerLease();
+    BOOST_REQUIRE(runUntil(Millis(2000), [this] { return !isConfirmed(); }));
+    BOOST_REQUIRE(runUntil(Millis(3000), [this] { return isConfirmed(); }));
+    BOOST_CHECK_EQUAL(store.grants(), grants + 1);
+}
+
 // Guards against a second owner: the answer to a campaign came after the key's lease had ended and another node had
 // been elected.
 BOOST_AUTO_TEST_CASE(A_late_answer_to_a_campaign_wins_nothing, *boost::unit_test::label("node"))
