Keep an ended job for the documented time by the owner's own clock

Cause: pruneEnded compared the end, noted by the wall clock of the machine that owned the fleet then, with the wall clock of the present owner. If the latter was ahead by more than 240 s, or was set forward, a job that had just ended was removed; if it was behind by hours, the records stayed that long.

Change: a job is kept for the documented time by the present owner's monotonic clock, from the end or the takeover; and for twice that time from the end, by whichever of the two clocks shows more.

Callers saw: 410 for a job that had ended seconds before, after a change of owners or a step of a clock.

Cost: an ended job is kept for the documented time after each takeover, so that owners that change more often than that prune nothing.

--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -103,6 +103,17 @@
         }
     }
 
+    //! The machine that noted the job's end may have a clock that is hours ahead or behind, so that this owner keeps
+    //! the job for the documented time by its own clock, too. Twice that time allows for an end that is stored late.
+    bool mayPrune(const Job& job, Millis retention, std::int64_t unixMs, Instant at)
+    {
+        if (!hasEnded(job.durablePhase))
+            return false;
+        auto keptHere = elapsed(job.endedAt, at);
+        auto sinceEnd = std::max(keptHere, Millis(unixMs - job.endedUnixMs));
+        return keptHere >= retention && sinceEnd >= 2 * retention;
+    }
+
     void recordFailure(Fleet& fleet, Job& job, Worker& worker, const RunKey& key, std::int64_t unixMs, Instant at)
     {
         ++worker.failuresInRow;
@@ -280,13 +291,11 @@
     fleet.phaseChanges.erase(fleet.phaseChanges.begin(), end);
 }
 
-void pruneEnded(Fleet& fleet, std::int64_t unixMs)
+void pruneEnded(Fleet& fleet, std::int64_t unixMs, Instant at)
 {
-    // Twice the documented time allows for differences between the clocks of machines.
-    auto keptMs = 2 * fleet.limits.statusRetention.count();
     for (auto each = fleet.jobs.begin(); each != fleet.jobs.end();) {
         auto& job = each->second;
-        if (!hasEnded(job.durablePhase) || unixMs - job.endedUnixMs < keptMs) {
+        if (!mayPrune(job, fleet.limits.statusRetention, unixMs, at)) {
             ++each;
             continue;
         }
--- a/src/agatevane/fleet/jobs.h
+++ b/src/agatevane/fleet/jobs.h
@@ -58,6 +58,6 @@
 //! Records that all writes up to `sequence` are durable.
 void applyCommitted(Fleet& fleet, CommitSequence sequence);
 //! Removes ended jobs whose state no longer has to be available to callers.
-void pruneEnded(Fleet& fleet, std::int64_t unixMs);
+void pruneEnded(Fleet& fleet, std::int64_t unixMs, Instant at);
 
 } // namespace agatevane::fleet
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -85,7 +85,7 @@
     auto unixMs = unixMillis();
     if (unixMs >= nextPruneUnixMs_) {
         nextPruneUnixMs_ = unixMs + pruneInterval.count();
-        fleet::pruneEnded(fleet_, unixMs);
+        fleet::pruneEnded(fleet_, unixMs, bootNow());
     }
     advance();
     if (isReady_)
