Deny no queue or key on a node that is cut off

Cause: a node answered 401 and 404 from the desired state that it had, however long neither the store nor another node had answered it. The load balancer sends such a node no new connections, but those that are open go on.

Change: once the store counts as silent, and the owner (for an owner: any other node) has not answered for as long as readiness allows, an unknown queue or key is answered with 503.

Callers saw: 404 or 401 for a queue or key that had been added while the node was cut off.

Nodes_in_touch_with_each_other_deny_an_unknown_queue passes with and without: an unavailable store alone changes no answer.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -223,14 +223,13 @@
     path = path.substr(0, path.find('?'));
     const auto* queue = desired_state::findQueue(*desired, translation_.hostOf(request), path);
     if (!queue)
-        return finish(
-            call, { CallStatus::NoSuchQueue, std::nullopt, std::nullopt, "no such queue: " + truncateForLog(path) });
+        return finish(call, denial(CallStatus::NoSuchQueue, "no such queue: " + truncateForLog(path)));
     // Only for the log, in case the call is refused before it is decoded.
     call->request.job = truncateForLog(path.substr(queue->prefix.size()));
     call->queue = *queue;
     const auto* tenant = desired_state::findTenantByKey(*desired, translation_.apiKeyOf(request));
     if (!tenant && !queue->allowsAnonymous)
-        return finish(call, { CallStatus::UnknownKey, std::nullopt, std::nullopt, "unknown key" });
+        return finish(call, denial(CallStatus::UnknownKey, "unknown key"));
     Findings findings;
     auto decoded = translation_.decodeCall(request, path.substr(queue->prefix.size()), findings);
     if (!decoded)
@@ -240,6 +239,21 @@
     route(call);
 }
 
+//! The answer to a call whose queue or key is not in the desired state known here.
+CallerAnswer Node::denial(CallStatus status, std::string reason) const
+{
+    if (mayDesiredStateBeOutdated())
+        return { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the desired state may be outdated" };
+    return { status, std::nullopt, std::nullopt, std::move(reason) };
+}
+
+//! True if neither the store nor the owner, nor for an owner another node, has answered for a while.
+bool Node::mayDesiredStateBeOutdated() const
+{
+    auto heardAt = std::max(ownerAnsweredAt_, ownershipAgreedAt_);
+    return election_.isStoreUnresponsive() && bootNow() - heardAt >= readinessTimeout;
+}
+
 void Node::route(const std::shared_ptr<CallState>& call)
 {
     if (call->isAnswered)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -71,6 +71,8 @@
     nlohmann::json membersPage() const;
     nlohmann::json ownersPage() const;
 
+    CallerAnswer denial(CallStatus status, std::string reason) const;
+    bool mayDesiredStateBeOutdated() const;
     void route(const std::shared_ptr<CallState>& call);
     void forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address);
     static bool isForAnotherOwner(CallState& call, CallStatus status);
