Pull from other nodes during a shutdown

Cause: a stopping node pulled from no other node. If the store did not answer it either, it learned of no next owner, and the calls that it held ended as unknown.

Change: a node pulls until its process ends.

Callers saw: 504 at the end of the shutdown or of the call's time, although the next owner was there.

--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -107,11 +107,10 @@
 }
 
 //! Pulls from the owner regularly, so that its loss is detected. While the owner or the store does not answer,
-//! also pulls from another node, because a store that rejects this machine may still serve others.
+//! also pulls from another node, because a store that rejects this machine may still serve others. Goes on during a
+//! shutdown, because calls that are still held are sent to the next owner.
 void Node::pullFromPeers()
 {
-    if (shutdown_)
-        return;
     pullTimer_.arm(pullInterval, [this] { pullFromPeers(); });
     logReadinessChange();
     const auto& owner = election_.owner();
--- a/tests/node/held_call_tests.cpp
+++ b/tests/node/held_call_tests.cpp
@@ -73,6 +73,19 @@
     BOOST_CHECK_EQUAL(workerModel.history().size(), 1U);
 }
 
+// Guards against a stopping node that learns of no next owner because the store does not answer it.
+BOOST_AUTO_TEST_CASE(
+    A_stopping_node_that_the_store_does_not_answer_finds_the_next_owner, *boost::unit_test::label("node"))
+{
+    auto* stopping = owner();
+    stopping->store->setFault(StoreFault::Unresponsive);
+    auto endOwnership = [&] {
+        endOwnerLease();
+        stopping->node->stop([] {});
+    };
+    BOOST_CHECK_EQUAL(statusAcross(*stopping, "POST", endOwnership), 200);
+}
+
 BOOST_AUTO_TEST_CASE(A_held_cancellation_is_stored_by_the_next_owner, *boost::unit_test::label("node"))
 {
     auto* replaced = owner();
