--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -256,11 +256,13 @@
         return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobCount(fleet_, queue.name), {} });
     case CallKind::QueryState: {
         auto state = fleet::visibleState(fleet_, request.job);
-        if (!state)
+        if (!state || !mayAskFor(request.job, queue, tenant))
             return denyIfProven(request.job, deadline, std::move(answer));
         return answer({ CallStatus::Ok, state, std::nullopt, {} });
     }
     case CallKind::Cancel: {
+        if (!mayAskFor(request.job, queue, tenant))
+            return denyIfProven(request.job, deadline, std::move(answer));
         auto sequence = fleet::cancel(fleet_, request.job, unixMillis(), bootNow());
         if (!sequence)
             return denyIfProven(request.job, deadline, std::move(answer));
@@ -279,6 +281,14 @@
     scheduleAdvance();
 }
 
+//! The desired state may have given the prefix of the job's queue to another queue, so that a caller with a key of the
+//! job's tenant may ask through any queue. False if the job is not known.
+bool FleetOwner::mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant)
+{
+    const auto* job = fleet::findJob(fleet_, id);
+    return job && (job->spec.queue == queue.name || job->spec.tenant == tenant);
+}
+
 //! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
 //! no such job only if the store says, after the question, that there is no later owner.
 void FleetOwner::denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer)
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -86,6 +86,7 @@
     void sendPoll(const fleet::PollOrder& order);
     void handleFencedAnswer();
 
+    bool mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant);
     void denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer);
     static CallerAnswer unreadableJob(CallKind kind);
 
--- a/tests/node/fleet_owner_tests.cpp
+++ b/tests/node/fleet_owner_tests.cpp
@@ -152,6 +152,30 @@
     }));
 }
 
+// Guards against a job that the callers of other tenants can see and cancel through other queues.
+BOOST_AUTO_TEST_CASE(A_job_is_denied_to_other_tenants_in_other_queues, *boost::unit_test::label("node"))
+{
+    std::optional<node::CallerAnswer> submitted;
+    owner->call({ node::CallKind::Submit, jobId, test::sampleJob(jobId, 20000) }, test::sampleQueue(), "tenant",
+        now() + Millis(1000), [&submitted](node::CallerAnswer received) { submitted = std::move(received); });
+    BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return submitted.has_value(); }));
+    auto other = test::sampleQueue();
+    other.name = "other";
+    auto statusOf = [this, &other](node::CallKind kind, const std::string& tenant) {
+        std::optional<node::CallerAnswer> answer;
+        owner->call({ kind, jobId, {} }, other, tenant, now() + Millis(1000),
+            [&answer](node::CallerAnswer received) { answer = std::move(received); });
+        BOOST_REQUIRE(waitUntil(Millis(1000), [&] { return answer.has_value(); }));
+        return answer->status;
+    };
+    for (const auto* tenant : { "", "another" }) {
+        for (auto kind : { node::CallKind::QueryState, node::CallKind::Cancel })
+            BOOST_CHECK(statusOf(kind, tenant) == node::CallStatus::NoSuchJob);
+    }
+    BOOST_CHECK(stateOf(jobId) != fleet::VisibleState::Cancelled);
+    BOOST_CHECK(statusOf(node::CallKind::Cancel, "tenant") == node::CallStatus::Ok);
+}
+
 // Guards against a job that never runs, or that fails at the first failure: its queue was removed from the desired
 // state before another node became the owner.
 BOOST_AUTO_TEST_CASE(A_later_owner_runs_the_jobs_of_a_removed_queue, *boost::unit_test::label("node"))
