--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -64,6 +64,30 @@
         fleet::applyPollAnswer(fleet, worker, answer, ms, instantAt(ms));
     }
 
+    //! Both workers answer, and the start that is ordered then gets no answer until 1600 ms.
+    fleet::StartOrder orderUnansweredStart()
+    {
+        answer("w1", 1010, {});
+        answer("w2", 1020, {});
+        auto starts = advance(1100).starts;
+        BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+        auto start = starts.front();
+        fleet::applyStartOutcome(
+            fleet, start.worker, { start.task, start.run }, fleet::OrderOutcome::Unknown, instantAt(1600));
+        return start;
+    }
+
+    //! The job is cancelled, and by 1800 ms the worker has answered the stop and reports no run.
+    void cancelUntilNoRunIsKnown(const fleet::StartOrder& start)
+    {
+        fleet::cancel(fleet, jobId, 1700, instantAt(1700));
+        BOOST_REQUIRE_EQUAL(advance(1710).stops.size(), 1U);
+        fleet::applyStopOutcome(
+            fleet, start.worker, { start.task, start.run }, fleet::OrderOutcome::Done, instantAt(1720));
+        answer(start.worker, 1800, {});
+        BOOST_REQUIRE(fleet.workers.at(start.worker).runs.empty());
+    }
+
     //! Commits all writes, as the store does.
     void commitAll()
     {
@@ -140,13 +164,7 @@
 BOOST_AUTO_TEST_CASE(
     An_unanswered_start_is_remembered_while_its_worker_is_not_listed, *boost::unit_test::label("tracking"))
 {
-    answer("w1", 1010, {});
-    answer("w2", 1020, {});
-    auto orders = advance(1100);
-    BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
-    auto start = orders.starts.front();
-    fleet::RunKey key { start.task, start.run };
-    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
+    auto start = orderUnansweredStart();
     // The worker can't be reached any more, and its entry lapses; its lease expires.
     for (int miss = 0; miss < 3; ++miss)
         fleet::applyPollFailure(fleet, start.worker, instantAt(2000));
@@ -155,7 +173,7 @@
     BOOST_REQUIRE(!fleet::findWorker(fleet, start.worker) || fleet.workers.at(start.worker).runs.empty());
     // A new incarnation under the same id may still carry out the start, so it has to be told to refuse it.
     fleet::applyListing(fleet, listing(start.worker, 2), instantAt(9000));
-    orders = advance(9010);
+    auto orders = advance(9010);
     BOOST_REQUIRE_EQUAL(orders.stops.size(), 1U);
     BOOST_CHECK_EQUAL(orders.stops.front().worker, start.worker);
     BOOST_CHECK_EQUAL(orders.stops.front().run, start.run);
@@ -178,11 +196,7 @@
 BOOST_AUTO_TEST_CASE(
     A_task_is_not_started_again_while_a_silent_worker_may_start_it, *boost::unit_test::label("tracking"))
 {
-    answer("w1", 1010, {});
-    answer("w2", 1020, {});
-    auto start = advance(1100).starts.at(0);
-    fleet::RunKey key { start.task, start.run };
-    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
+    auto start = orderUnansweredStart();
     for (int miss = 0; miss < 3; ++miss)
         fleet::applyPollFailure(fleet, start.worker, instantAt(2000));
     BOOST_CHECK(advance(8500).starts.empty());
@@ -199,11 +213,7 @@
     A_task_that_lasts_does_not_wait_for_a_start_without_an_answer, *boost::unit_test::label("tracking"))
 {
     fleet.jobs.at(jobId).spec.steps.front().isContinuous = true;
-    answer("w1", 1010, {});
-    answer("w2", 1020, {});
-    auto start = advance(1100).starts.at(0);
-    fleet::RunKey key { start.task, start.run };
-    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
+    auto start = orderUnansweredStart();
     for (int miss = 0; miss < 3; ++miss)
         fleet::applyPollFailure(fleet, start.worker, instantAt(2000));
     auto starts = advance(1100 + 9000).starts;
@@ -245,16 +255,8 @@
 BOOST_AUTO_TEST_CASE(
     A_worker_is_polled_while_it_may_carry_out_an_unanswered_start, *boost::unit_test::label("tracking"))
 {
-    answer("w1", 1010, {});
-    answer("w2", 1020, {});
-    auto start = advance(1100).starts.at(0);
-    fleet::RunKey key { start.task, start.run };
-    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
-    fleet::cancel(fleet, jobId, 1700, instantAt(1700));
-    BOOST_REQUIRE_EQUAL(advance(1710).stops.size(), 1U);
-    fleet::applyStopOutcome(fleet, start.worker, key, fleet::OrderOutcome::Done, instantAt(1720));
-    answer(start.worker, 1800, {});
-    BOOST_REQUIRE(fleet.workers.at(start.worker).runs.empty());
+    auto start = orderUnansweredStart();
+    cancelUntilNoRunIsKnown(start);
     auto isPolled = [&](std::int64_t ms) {
         auto orders = advance(ms);
         return std::any_of(orders.polls.begin(), orders.polls.end(),
@@ -271,16 +273,8 @@
 BOOST_AUTO_TEST_CASE(
     A_worker_that_may_carry_out_a_late_start_is_polled_several_times_a_second, *boost::unit_test::label("tracking"))
 {
-    answer("w1", 1010, {});
-    answer("w2", 1020, {});
-    auto start = advance(1100).starts.at(0);
-    fleet::RunKey key { start.task, start.run };
-    fleet::applyStartOutcome(fleet, start.worker, key, fleet::OrderOutcome::Unknown, instantAt(1600));
-    fleet::cancel(fleet, jobId, 1700, instantAt(1700));
-    advance(1710);
-    fleet::applyStopOutcome(fleet, start.worker, key, fleet::OrderOutcome::Done, instantAt(1720));
-    answer(start.worker, 1800, {});
-    BOOST_REQUIRE(fleet.workers.at(start.worker).runs.empty());
+    auto start = orderUnansweredStart();
+    cancelUntilNoRunIsKnown(start);
     auto polls = advance(1800 + 250).polls;
     BOOST_CHECK(std::any_of(
         polls.begin(), polls.end(), [&start](const fleet::PollOrder& poll) { return poll.worker == start.worker; }));
