Split shares and guarantees from the accounts of a shard

accounts.cpp kept two jobs: the bookkeeping of queued and charged jobs, and what each workspace may use (guarantee, protected gangs, fair share, quota and order of service). The second stands in shares.{h,cpp} now; the code was moved, not changed, and files that needed only one of the headers include only that one.

--- a/src/agatevane/scheduling/backlog.cpp
+++ b/src/agatevane/scheduling/backlog.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/scheduling/plan.h"
 #include "agatevane/scheduling/preemption.h"
 #include "agatevane/scheduling/reservation.h"
+#include "agatevane/scheduling/shares.h"
 #include "agatevane/scheduling/start.h"
 #include <algorithm>
 
--- a/src/agatevane/scheduling/decide.cpp
+++ b/src/agatevane/scheduling/decide.cpp
@@ -1,8 +1,8 @@
-#include "agatevane/scheduling/accounts.h"
 #include "agatevane/scheduling/backlog.h"
 #include "agatevane/scheduling/invariants.h"
 #include "agatevane/scheduling/preemption.h"
 #include "agatevane/scheduling/reservation.h"
+#include "agatevane/scheduling/shares.h"
 #include "agatevane/scheduling/start.h"
 
 namespace agatevane::scheduling {
--- a/src/agatevane/scheduling/defragment.cpp
+++ b/src/agatevane/scheduling/defragment.cpp
@@ -1,7 +1,7 @@
-#include "agatevane/scheduling/accounts.h"
 #include "agatevane/scheduling/backlog.h"
 #include "agatevane/scheduling/preemption.h"
 #include "agatevane/scheduling/reservation.h"
+#include "agatevane/scheduling/shares.h"
 #include <algorithm>
 #include <numeric>
 
--- a/src/agatevane/scheduling/preemption.cpp
+++ b/src/agatevane/scheduling/preemption.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/scheduling/preemption.h"
 #include "agatevane/scheduling/accounts.h"
 #include "agatevane/scheduling/reservation.h"
+#include "agatevane/scheduling/shares.h"
 #include "agatevane/scheduling/start.h"
 #include <algorithm>
 #include <functional>
--- a/src/agatevane/scheduling/report.cpp
+++ b/src/agatevane/scheduling/report.cpp
@@ -1,5 +1,5 @@
-#include "agatevane/scheduling/accounts.h"
 #include "agatevane/scheduling/reservation.h"
+#include "agatevane/scheduling/shares.h"
 #include <algorithm>
 #include <map>
 
--- a/src/agatevane/scheduling/shard.cpp
+++ b/src/agatevane/scheduling/shard.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/scheduling/shard.h"
 #include "agatevane/scheduling/accounts.h"
 #include "agatevane/scheduling/reservation.h"
+#include "agatevane/scheduling/shares.h"
 #include <algorithm>
 
 namespace agatevane::scheduling {
--- a/tests/scheduling/property_tests.cpp
+++ b/tests/scheduling/property_tests.cpp
@@ -1,5 +1,5 @@
-#include "agatevane/scheduling/accounts.h"
 #include "agatevane/scheduling/plan.h"
+#include "agatevane/scheduling/shares.h"
 #include "simulated_data_centre.h"
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
