--- a/tests/shard_owner/simulation.h
+++ b/tests/shard_owner/simulation.h
@@ -10,6 +10,12 @@
 
 namespace agatevane::simulation {
 
+constexpr int processCount = 3;
+constexpr int workerCount = 6;
+constexpr int firstWorkerSite = 100;
+constexpr int storeSite = 200;
+inline const DataCentreId dataCentre { "dc" };
+
 //! Parameters of a run. The safety mechanisms can be removed one by one, to show that the invariants can fail.
 struct Options {
     std::uint64_t seed = 1;
@@ -39,6 +45,8 @@
     double longestPartialRunMs = 0; //!< longest time for which a part ran while its gang was incomplete
 };
 
+enum class StoreMode { Answers, Refuses, Silent };
+
 //! One scheduler process with its clock and its state machine.
 struct Process {
     MemberId id;
@@ -90,6 +98,8 @@
     template <typename Command>
     void sendCommand(Process& process, const WorkerId& worker, const AttemptId& attempt,
         shard_owner::CommandAnswered::Kind kind, const Command& command, Epoch epoch, Instant notAfter);
+    void sendGangCommand(Process& process, const shard_owner::SendCommand& sent);
+    void sendHeartbeat(const Process& process, const OwnerHeartbeat& heartbeat);
     void callStore(Process& process, const StoreCall& call);
     StoreReply applyToStore(const StoreCall& call);
     void onAnswer(const shard_owner::AnswerSubmit& answer);
@@ -113,7 +123,7 @@
     std::vector<SimulatedWorker> workers_;
     SimulatedStore store_;
     History history_;
-    int storeMode_ = 0; //!< 0: the store answers, 1: it refuses connections, 2: requests to it get no answer
+    StoreMode storeMode_ = StoreMode::Answers;
     std::set<int> isolatedSites_; //!< sites that a partition cuts off from the others
     shard_owner::RequestId nextRequest_ = 1;
     std::map<shard_owner::RequestId, JobSpec> requests_;
