--- a/src/entry/job_handler.cpp
+++ b/src/entry/job_handler.cpp
@@ -84,11 +84,24 @@
             || result == SubmitResult::NotOwner || result == SubmitResult::Impossible;
     }
 
+    bool isVisibleTo(const CallerEntry& caller, const JobView& job)
+    {
+        return caller.isOperator || job.spec.workspace == caller.workspace;
+    }
+
+    //! Reading a status changes nothing, so a lost reply leaves no outcome unknown.
+    JobReply readStatus(JobContext& context, const JobId& id, Instant deadline)
+    {
+        auto reply = context.schedulerClient.status({ dataCentreOf(id), id }, deadline);
+        if (reply.status == JobReplyStatus::Unknown)
+            reply.status = JobReplyStatus::Unavailable;
+        return reply;
+    }
+
     void writeJob(
         const JobReply& reply, const CallerEntry& caller, const JobId& id, int successStatus, http::Response& response)
     {
-        bool isVisible = caller.isOperator || reply.job.spec.workspace == caller.workspace;
-        if (reply.status == JobReplyStatus::Found && isVisible) {
+        if (reply.status == JobReplyStatus::Found && isVisibleTo(caller, reply.job)) {
             response.status = successStatus;
             response.body = json::dump(toJson(reply.job));
         } else if (reply.status == JobReplyStatus::Found || reply.status == JobReplyStatus::NotFound) {
@@ -181,11 +194,7 @@
     JobId id { request.matches.at(1) };
     if (!catalogue->dataCentres.contains(dataCentreOf(id)))
         return refuse(response, 404, "no such job", "", std::nullopt);
-    auto reply = context.schedulerClient.status({ dataCentreOf(id), id }, now() + context.defaultTimeout);
-    // Reading a status changes nothing, so a lost reply leaves no outcome unknown.
-    if (reply.status == JobReplyStatus::Unknown)
-        reply.status = JobReplyStatus::Unavailable;
-    writeJob(reply, *caller, id, 200, response);
+    writeJob(readStatus(context, id, now() + context.defaultTimeout), *caller, id, 200, response);
 }
 
 void cancelJob(JobContext& context, const http::Request& request, http::Response& response)
@@ -199,11 +208,8 @@
     if (!catalogue->dataCentres.contains(dataCentreOf(id)))
         return refuse(response, 404, "no such job", "", std::nullopt);
     // The request to the owner does not name the caller, so the job's workspace is checked here before it is cancelled.
-    auto job = context.schedulerClient.status({ dataCentreOf(id), id }, deadline);
-    if (job.status == JobReplyStatus::Unknown)
-        job.status = JobReplyStatus::Unavailable;
-    bool isVisible = caller->isOperator || job.job.spec.workspace == caller->workspace;
-    if (job.status != JobReplyStatus::Found || !isVisible)
+    auto job = readStatus(context, id, deadline);
+    if (job.status != JobReplyStatus::Found || !isVisibleTo(*caller, job.job))
         return writeJob(job, *caller, id, 200, response);
     writeJob(context.schedulerClient.cancel({ dataCentreOf(id), id }, deadline), *caller, id, 202, response);
 }
