--- a/standins/platform/replies.h
+++ b/standins/platform/replies.h
@@ -5,10 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-//! Functions shared by the HTTP interfaces of the platform stand-in.
+//! Functions and constants shared by the HTTP interfaces of the platform stand-in.
 namespace agatevane::standin {
 
 constexpr int statusNotFound = 404;
+//! Time between two looks of a waiting request at its model.
+constexpr Millis recheckInterval { 10 };
 
 //! The current time in milliseconds, in the form that the models take.
 inline std::int64_t modelMillis()
