Check in the simulation that runs of cancelled jobs end within the rule's bound

Cause: nothing stated or checked how long a run that nobody wants may go on. The check within the simulation counts again from each change of owners and from each time a worker is reached, and only the mixes of the randomised tests cancel, most of them within 3 s of the submission.

Callers see no change.

--- a/tests/fleet/simulation.cpp
+++ b/tests/fleet/simulation.cpp
@@ -7,7 +7,6 @@
 namespace {
 
     constexpr int workersPerRack = 4;
-    constexpr std::int64_t maxCancelDelayMs = 3000;
     constexpr const char* serviceName = "training";
 
     bool hasEnded(std::optional<fleet::VisibleState> state)
@@ -94,7 +93,7 @@
     fleet().desired.queues.push_back(queue);
     fleet::submit(fleet(), entered, queue, nowMs_, at(nowMs_));
     if (options_.cancelShare > 0 && occurs(options_.cancelShare))
-        schedule(uniform(random_, 20, maxCancelDelayMs), [this, id = spec.id] { cancel(id); });
+        schedule(uniform(random_, 20, options_.longestCancelDelayMs), [this, id = spec.id] { cancel(id); });
 }
 
 void FleetSimulation::cancel(const fleet::JobId& job)
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -39,6 +39,7 @@
     double cutFromOwnersShare = 0; //!< share of these that are also cut from all owners, or from every second one
     double restartBehindCutShare = 0; //!< share of these that restart while they are cut from the store
     double cancelShare = 0; //!< share of jobs that their caller cancels, some right after their acceptance
+    std::int64_t longestCancelDelayMs = 3000; //!< from the submission to the cancellation
     std::int64_t longestTaskMs = 4000; //!< duration of the longest random task
     std::int64_t maxLeaseMs = 6000; //!< workers shorten a longer lease to this
 };
@@ -70,7 +71,19 @@
     Instant at(std::int64_t ms) const;
     fleet::Fleet& fleet() { return current_->fleet; }
     standin::WorkerModel& workers() { return workers_; }
+    const standin::WorkerModel& workers() const { return workers_; }
     Random& random() { return random_; }
+    //! Positions in the history of the modelled workers of the runs that have not ended.
+    const std::vector<std::size_t>& liveRuns() const { return liveRuns_; }
+    //! When the cancellation of the job was acknowledged; nothing if it was not.
+    std::optional<std::int64_t> cancelledMs(const fleet::JobId& job) const;
+    //! When the start of the run at this position of the history was sent.
+    std::int64_t startSentMs(std::size_t run) const;
+    //! When a cut, an end of its own, or an order that was lost or late last harmed the worker; 0: never.
+    std::int64_t harmedMs(const fleet::WorkerId& worker) const;
+    //! When two owners, or a change of owners, were last seen.
+    std::int64_t lastSuccessionMs() const { return lastSuccessionMs_; }
+    std::string describe(std::size_t run) const;
     //! Submitted jobs that have not ended.
     std::vector<fleet::JobId> openJobs();
     std::optional<fleet::VisibleState> stateOf(const fleet::JobId& job);
@@ -119,6 +132,8 @@
     void schedule(std::int64_t delayMs, std::function<void()> action);
     std::int64_t delay();
     bool occurs(double share);
+    //! True if an order to the worker is lost.
+    bool isLost(const fleet::WorkerId& worker);
 
     void replaceOwner();
     void inheritJobs();
@@ -146,11 +161,11 @@
     //! True if a late order is carried out, by whatever incarnation is there.
     bool takesLateOrder(const Owner& owner, const fleet::WorkerId& worker) const;
 
-    std::string describe(std::size_t run) const;
     const char* knownState(const fleet::WorkerId& worker);
     bool isKnownDone(const fleet::TaskId& task);
     void noteRuns();
     void noteReach();
+    void noteHarm();
     void checkCapacity();
     void checkStart(const fleet::StartOrder& order);
     void checkTracking(std::size_t run);
@@ -164,6 +179,8 @@
     std::map<fleet::WorkerId, fleet::WorkerListing> listings_;
     std::map<fleet::WorkerId, std::int64_t> unreachableUntil_;
     std::map<fleet::WorkerId, Cut> cuts_;
+    std::map<fleet::WorkerId, std::int64_t> harmedMs_;
+    std::int64_t lastSuccessionMs_ = 0;
     std::map<fleet::JobId, fleet::JobSpec> specs_;
     std::map<fleet::JobId, desired_state::Queue> queues_;
     std::map<std::string, std::string> store_;
--- a/tests/fleet/simulation_checks.cpp
+++ b/tests/fleet/simulation_checks.cpp
@@ -64,6 +64,34 @@
     }
 }
 
+std::optional<std::int64_t> FleetSimulation::cancelledMs(const fleet::JobId& job) const
+{
+    auto found = cancelledMs_.find(job);
+    return found == cancelledMs_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::int64_t FleetSimulation::startSentMs(std::size_t run) const
+{
+    auto note = startNotes_.find(run);
+    return note == startNotes_.end() ? workers_.history()[run].orderedMs : note->second.sentMs;
+}
+
+std::int64_t FleetSimulation::harmedMs(const fleet::WorkerId& worker) const
+{
+    auto found = harmedMs_.find(worker);
+    return found == harmedMs_.end() ? 0 : found->second;
+}
+
+void FleetSimulation::noteHarm()
+{
+    if (!earlierOwners_.empty())
+        lastSuccessionMs_ = nowMs_;
+    for (const auto& [id, listing] : listings_) {
+        if (!workers_.isUp(id) || !isReachable(*current_, id) || cuts_.contains(id))
+            harmedMs_[id] = nowMs_;
+    }
+}
+
 void FleetSimulation::noteRuns()
 {
     const auto& history = workers_.history();
--- a/tests/fleet/simulation_faults.cpp
+++ b/tests/fleet/simulation_faults.cpp
@@ -20,6 +20,14 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
 
+bool FleetSimulation::isLost(const fleet::WorkerId& worker)
+{
+    bool isLost = occurs(options_.lostOrderShare);
+    if (isLost)
+        harmedMs_[worker] = nowMs_;
+    return isLost;
+}
+
 bool FleetSimulation::isReachable(const Owner& owner, const fleet::WorkerId& worker) const
 {
     auto unreachable = unreachableUntil_.find(worker);
--- a/tests/fleet/simulation_owners.cpp
+++ b/tests/fleet/simulation_owners.cpp
@@ -29,6 +29,8 @@
     if (!current_)
         return;
     current_->isReplaced = true;
+    if (options_.overlapMs > 0 || options_.storeUnavailableMs > 0)
+        lastSuccessionMs_ = nowMs_;
     if (options_.overlapMs > 0) {
         current_->stopsAtMs = nowMs_ + uniform(random_, 0, options_.overlapMs);
         earlierOwners_.push_back(current_);
@@ -101,6 +103,7 @@
         stepOwner(owner);
     }
     noteReach();
+    noteHarm();
     noteRuns();
     checkCapacity();
     checkActiveCounts();
@@ -139,9 +142,10 @@
             fleet::applyStartOutcome(owner->fleet, order.worker, key, outcome, at(nowMs_));
     };
     auto unanswered = [this, answer] { schedule(answerTimeoutMs, [answer] { answer(fleet::OrderOutcome::Unknown); }); };
-    if (occurs(options_.lostOrderShare))
+    if (isLost(order.worker))
         return unanswered();
     if (occurs(options_.lateOrderShare)) {
+        harmedMs_[order.worker] = nowMs_;
         schedule(uniform(random_, 1000, options_.maxLateMs), [this, owner, order, sentMs = nowMs_] {
             if (takesLateOrder(*owner, order.worker))
                 carryOutStart(*owner, order, sentMs);
@@ -178,7 +182,7 @@
             fleet::applyStopOutcome(owner->fleet, order.worker, key, outcome, at(nowMs_));
     };
     schedule(delay(), [this, owner, order, answer] {
-        if (!isReachable(*owner, order.worker) || occurs(options_.lostOrderShare)) {
+        if (!isReachable(*owner, order.worker) || isLost(order.worker)) {
             schedule(answerTimeoutMs, [answer] { answer(fleet::OrderOutcome::Unknown); });
             return;
         }
@@ -198,7 +202,7 @@
                 owner->fleet, order.worker, { order.task, order.run }, order.percent, outcome, at(nowMs_));
     };
     schedule(delay(), [this, owner, order, answer] {
-        if (!isReachable(*owner, order.worker) || occurs(options_.lostOrderShare)) {
+        if (!isReachable(*owner, order.worker) || isLost(order.worker)) {
             schedule(answerTimeoutMs, [answer] { answer(fleet::OrderOutcome::Unknown); });
             return;
         }
@@ -219,7 +223,7 @@
     schedule(delay() + wait, [this, owner, order] {
         if (owner->isStopped)
             return;
-        if (!isReachable(*owner, order.worker) || occurs(options_.lostOrderShare)) {
+        if (!isReachable(*owner, order.worker) || isLost(order.worker)) {
             schedule(answerTimeoutMs, [this, owner, order] {
                 if (!owner->isStopped)
                     fleet::applyPollFailure(owner->fleet, order.worker, at(nowMs_));
@@ -239,6 +243,7 @@
 
 void FleetSimulation::sendLatePoll(const OwnerPointer& owner, const fleet::PollOrder& order)
 {
+    harmedMs_[order.worker] = nowMs_;
     schedule(uniform(random_, 1000, options_.maxLateMs), [this, owner, order] {
         if (takesLateOrder(*owner, order.worker))
             workers_.poll(order, nowMs_);
