Poll unlisted workers until no earlier owner's start can begin there

Cause: an earlier owner sends starts for up to 8 s beside its successor, and each may be carried out 12 s late, so up to 20 s after the takeover. The successor forgot a worker that is not listed 12.5 s after it. A start on a new lifetime of that worker, which has no fencing token, began unseen and went on until its lease ended or the worker was listed.

Change: such workers are polled for as long as an owner goes on unconfirmed (maxUnconfirmedOwnership) and the bound of late orders together: 20.5 s. Listed workers report a new lifetime within a report interval, and are polled then.

What callers saw: a job whose cancellation was acknowledged, and work on it until its lease ended, by 10 s later. It needs a restart under the same id while the worker has no path to the store. Price: some 8 s more of polls for each worker that is not listed at a takeover.

--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -195,7 +195,9 @@
     //! of an earlier owner if the worker's restart would not be listed.
     bool mayTakeLateStart(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        return !worker.unansweredStarts.empty() || (!worker.isListed && at < fleet.tookOverAt + lateOrderBound);
+        // An earlier owner sends starts beside its successor until it steps down.
+        auto lastEarlierStart = fleet.tookOverAt + maxUnconfirmedOwnership(fleet.limits) + lateOrderBound;
+        return !worker.unansweredStarts.empty() || (!worker.isListed && at < lastEarlierStart);
     }
 
     bool needsPoll(const Fleet& fleet, const Worker& worker, Instant at)
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -55,6 +55,8 @@
     void runUntil(std::int64_t endMs);
     //! Another owner takes over.
     void takeOver();
+    //! Cuts a worker from the store until `healsMs`: it is not listed from now on, and all owners reach it.
+    void cutFromStore(const fleet::WorkerId& worker, std::int64_t healsMs);
     //! No further owner takes over.
     void stopTakeovers() { nextTakeoverMs_ = std::numeric_limits<std::int64_t>::max(); }
     //! No further worker is cut off or restarts; cuts heal in their time.
@@ -81,7 +83,7 @@
     std::int64_t startSentMs(std::size_t run) const;
     //! When a cut, an end of its own, or an order that was lost or late last harmed the worker; 0: never.
     std::int64_t harmedMs(const fleet::WorkerId& worker) const;
-    //! When two owners, or a change of owners, were last seen.
+    //! When an owner was last replaced that the store did not answer, or that goes on; 0: never.
     std::int64_t lastSuccessionMs() const { return lastSuccessionMs_; }
     std::string describe(std::size_t run) const;
     //! Submitted jobs that have not ended.
--- a/tests/fleet/simulation_faults.cpp
+++ b/tests/fleet/simulation_faults.cpp
@@ -109,6 +109,16 @@
     cuts_[id] = cut;
 }
 
+void FleetSimulation::cutFromStore(const fleet::WorkerId& worker, std::int64_t healsMs)
+{
+    Cut cut;
+    cut.entry = workers_.listing(worker);
+    cut.entryLapsesMs = nowMs_;
+    cut.healsMs = healsMs;
+    cut.restartsMs = never;
+    cuts_[worker] = cut;
+}
+
 void FleetSimulation::advanceCuts()
 {
     for (auto each = cuts_.begin(); each != cuts_.end();) {
