--- a/tests/fleet/simulation_faults.cpp
+++ b/tests/fleet/simulation_faults.cpp
@@ -20,6 +20,14 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
 
+bool FleetSimulation::isLost(const fleet::WorkerId& worker)
+{
+    bool isLost = occurs(options_.lostOrderShare);
+    if (isLost)
+        harmedMs_[worker] = nowMs_;
+    return isLost;
+}
+
 bool FleetSimulation::isReachable(const Owner& owner, const fleet::WorkerId& worker) const
 {
     auto unreachable = unreachableUntil_.find(worker);
@@ -101,6 +109,16 @@
     cuts_[id] = cut;
 }
 
+void FleetSimulation::cutFromStore(const fleet::WorkerId& worker, std::int64_t healsMs)
+{
+    Cut cut;
+    cut.entry = workers_.listing(worker);
+    cut.entryLapsesMs = nowMs_;
+    cut.healsMs = healsMs;
+    cut.restartsMs = never;
+    cuts_[worker] = cut;
+}
+
 void FleetSimulation::advanceCuts()
 {
     for (auto each = cuts_.begin(); each != cuts_.end();) {
