--- a/src/agatevane/event_log/log_reader.cpp
+++ b/src/agatevane/event_log/log_reader.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+    constexpr std::string_view lineStart = "{\"time_ms\"";
+
     bool isStructuredLine(const nlohmann::json& value)
     {
         if (!value.is_object())
@@ -27,7 +29,13 @@
 {
     std::size_t skipped = 0;
     for (std::string text; std::getline(log, text);) {
-        auto value = nlohmann::json::parse(text, nullptr, false);
+        auto begin = text.find(lineStart);
+        if (begin == std::string::npos) {
+            ++skipped;
+            continue;
+        }
+        auto value
+            = nlohmann::json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
         if (!isStructuredLine(value)) {
             ++skipped;
             continue;
--- a/src/timeline_tool/main.cpp
+++ b/src/timeline_tool/main.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/settings/addresses.h"
 #include "agatevane/settings/settings.h"
+#include "timeline_tool/cancellation_check.h"
 #include "timeline_tool/collect.h"
 #include "timeline_tool/logs.h"
 #include <fstream>
@@ -24,7 +25,17 @@
 
 namespace {
 
-enum ExitCode { AllAnswered = 0, CannotWrite = 1, WrongSettings = 2, SomeUnanswered = 3, NoneAnswered = 4 };
+enum ExitCode {
+    AllAnswered = 0,
+    CannotWrite = 1,
+    WrongSettings = 2,
+    SomeUnanswered = 3,
+    NoneAnswered = 4,
+    SymptomsFound = 5
+};
+
+//! Reports of each symptom that `--check-cancellations` prints in full.
+constexpr std::size_t printedPerSymptom = 10;
 
 struct Options {
     std::vector<http::Endpoint> processes;
@@ -34,6 +45,7 @@
     timeline_tool::OutputFormat format = timeline_tool::OutputFormat::Table;
     std::string outputFile;
     std::string caFile;
+    bool checksCancellations = false;
 };
 
 std::optional<int> readOptions(int argc, char** argv, Options& options)
@@ -42,11 +54,13 @@
         "Asks processes for their latest events, or reads the logs of nodes, merges them in causal order and prints "
         "them.\n"
         "Exit codes: 0 all processes answered, 1 the output cannot be written, 2 wrong settings, 3 some processes did "
-        "not answer (the rest is printed), 4 none answered.",
+        "not answer (the rest is printed), 4 none answered, 5 a cancelled job went on or an accepted one was denied.",
         "agatevane-timeline --processes 10.0.0.1:8080,10.0.0.1:8090 --job tartu.1f2e --format html --output-file "
         "job.html");
     settings.endpoints("--processes", options.processes, "HTTP addresses of entries and schedulers");
     settings.text("--logs", options.logs, "log files of agatevane-node, separated by commas");
+    settings.toggle("--check-cancellations", options.checksCancellations,
+        "instead of a time line, print what the logs tell of cancelled jobs that go on");
     settings.duration(
         "--timeout-ms", options.timeout, Millis(100), Millis(60000), "time limit for all answers together");
     settings.text("--job", options.filter.job.value, "keep events of this job");
@@ -66,19 +80,30 @@
     return exitCode;
 }
 
-//! Adds the pages of the log files. A file that cannot be opened is added to `failures`.
-void readLogs(const std::string& files, timeline_tool::Collected& collected)
+//! Reads the log files. A file that cannot be opened is added to `failures`.
+std::vector<event_log::LogLine> readLogs(const std::string& files, Findings& failures)
 {
     std::vector<event_log::LogLine> lines;
     for (const auto& path : settings::splitList(files)) {
         std::ifstream log(path, std::ios::binary);
         if (!log)
-            collected.failures.push_back({ path, "cannot be read" });
+            failures.push_back({ path, "cannot be read" });
         else if (auto unreadableLines = event_log::readLog(log, lines))
             std::cerr << path << ": " << unreadableLines << " lines are not structured log lines\n";
     }
-    for (auto& page : timeline_tool::pagesFromLogs(lines))
-        collected.pages.push_back(std::move(page));
+    return lines;
+}
+
+int printCancellationCheck(const Options& options)
+{
+    Findings failures;
+    auto reports = timeline_tool::checkCancellations(readLogs(options.logs, failures));
+    for (const auto& finding : failures)
+        std::cerr << finding.place << ": " << finding.text << "\n";
+    std::cout << timeline_tool::formatSymptoms(reports, printedPerSymptom) << std::flush;
+    if (!failures.empty())
+        return SomeUnanswered;
+    return reports.empty() ? AllAnswered : SymptomsFound;
 }
 
 std::string render(const Options& options, const std::vector<timeline::Event>& events)
@@ -101,8 +126,11 @@
     Options options;
     if (auto exitCode = readOptions(argc, argv, options))
         return *exitCode;
+    if (options.checksCancellations)
+        return printCancellationCheck(options);
     auto collected = timeline_tool::collect(options.processes, options.timeout);
-    readLogs(options.logs, collected);
+    for (auto& page : timeline_tool::pagesFromLogs(readLogs(options.logs, collected.failures)))
+        collected.pages.push_back(std::move(page));
     for (const auto& finding : collected.failures)
         std::cerr << "no timeline from " << finding.place << ": " << finding.text << "\n";
     if (collected.pages.empty() && !collected.failures.empty())
