Tell faults from steps in the check of cancellations

Cause: the draft listed every run that ended after the acknowledgement and every answer of a replaced owner, so its exit code alarmed for each failover. Change: histories of jobs, runs, tenures and clocks are a module of their own; runs count from a bound on (--run-bound-ms) and say what they waited for; runs without an end, unconfirmed answers and denials to other tenants are listed apart; each age says whether it was reckoned on one clock, on two, or on one that was set back. Exit code 5 only for faults.

--- a/src/timeline_tool/cancellation_check.cpp
+++ b/src/timeline_tool/cancellation_check.cpp
@@ -1,7 +1,9 @@
 #include "timeline_tool/cancellation_check.h"
 
+#include "timeline_tool/job_histories.h"
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <sstream>
 
 namespace agatevane::timeline_tool {
@@ -11,216 +13,243 @@
     using event_log::LogLine;
     using event_log::textOf;
 
-    //! An instant on the clock of the process that logged it.
-    struct LogInstant {
-        std::int64_t unixMs = 0;
-        std::string process;
+    struct Check {
+        Histories histories;
+        CheckLimits limits;
+        std::vector<SymptomReport> reports;
     };
 
-    struct JobHistory {
-        std::optional<LogInstant> accepted; //!< earliest acceptance
-        std::optional<LogInstant> cancelled; //!< earliest acknowledgement of a cancellation
-    };
-
-    struct RunHistory {
-        LogInstant lastSeen;
-        std::string lastEvent;
-        std::string worker;
-        std::string owner;
-        std::string stopReason;
-        std::optional<LogInstant> stopOrdered;
-    };
-
-    struct Election {
-        LogInstant at;
-        std::uint32_t tenure = 0;
-        std::int64_t revision = 0; //!< of the owner's record in the store
-    };
+    Certainty certaintyOf(const Histories& histories, const std::string& left, const std::string& right)
+    {
+        if (histories.clockSteps.contains(left) || histories.clockSteps.contains(right))
+            return Certainty::SteppedClock;
+        return left == right ? Certainty::OneClock : Certainty::TwoClocks;
+    }
 
-    bool isAnswer(const LogLine& line, std::string_view call, std::string_view status)
+    SymptomReport& add(Check& check, Symptom symptom, const LogLine& line, const LogInstant& since)
     {
-        return line.event == "call_answered" && textOf(line, "call") == call && textOf(line, "status") == status;
+        auto certainty = certaintyOf(check.histories, line.process, since.process);
+        check.reports.push_back({ symptom, line.timeMs, line.timeMs - since.unixMs, certainty, line.process,
+            textOf(line, "owner"), jobOf(line), nameOfRun(line), textOf(line, "worker"), {} });
+        return check.reports.back();
     }
 
-    std::string jobOf(const LogLine& line)
+    const JobHistory* findJob(const Check& check, const LogLine& line)
     {
-        auto job = textOf(line, "job");
-        return job.empty() ? textOf(line, "task").substr(0, textOf(line, "task").find('.')) : job;
+        auto found = check.histories.jobs.find(jobOf(line));
+        return found == check.histories.jobs.end() ? nullptr : &found->second;
     }
 
-    std::string runOf(const LogLine& line)
+    bool isForgotten(const Check& check, const JobHistory& job, std::int64_t unixMs)
     {
-        return textOf(line, "task") + " run " + std::to_string(line.fields.value("run", 0));
+        return job.ended && unixMs > job.ended->unixMs + check.limits.statusRetention.count();
     }
 
-    LogInstant instantOf(const LogLine& line)
+    Symptom symptomOfDenial(const LogLine& line, const JobHistory& job)
     {
-        return { line.timeMs, line.process };
+        if (textOf(line, "tenant") != job.tenant && textOf(line, "queue") != job.queue)
+            return Symptom::DeniedToOther;
+        return textOf(line, "call") == "cancel" ? Symptom::CancellationDenied : Symptom::QueryDenied;
     }
 
-    //! The state that the lines tell of, filled in order of time.
-    class Check {
-    public:
-        explicit Check(const std::vector<LogLine>& lines)
-            : lines_(lines)
-        {
-            for (const auto& line : lines_)
-                noteAnswer(line);
-            for (const auto& line : lines_)
-                noteElection(line);
-        }
+    void checkDenial(Check& check, const LogLine& line)
+    {
+        const auto* job = findJob(check, line);
+        if (answerStatus(line) != "no_such_job" || !job || !job->accepted || job->accepted->unixMs > line.timeMs)
+            return;
+        if (isForgotten(check, *job, line.timeMs))
+            return;
+        auto& report = add(check, symptomOfDenial(line, *job), line, *job->accepted);
+        if (job->ended && job->ended->unixMs <= line.timeMs)
+            report.detail = "ended " + std::to_string(line.timeMs - job->ended->unixMs) + " ms before";
+    }
 
-        std::vector<SymptomReport> run()
-        {
-            for (const auto& line : lines_) {
-                checkAnswer(line);
-                checkStart(line);
-                checkReportedRun(line);
-                checkOwnershipEnd(line);
-                noteRun(line);
+    //! Checks answers that tell a fact: others change nothing for the caller.
+    void checkAnsweringOwner(Check& check, const LogLine& line)
+    {
+        auto status = answerStatus(line);
+        if (status != "ok" && status != "no_such_job")
+            return;
+        auto revision = line.fields.value("owner_revision", std::int64_t(0));
+        auto symptom = status == "ok" ? Symptom::AnswerOfReplacedOwner : Symptom::DenialOfReplacedOwner;
+        for (const auto& tenure : check.histories.tenures) {
+            if (revision > 0 && tenure.revision > revision && tenure.elected.unixMs <= line.timeMs) {
+                add(check, symptom, line, tenure.elected).detail = textOf(line, "call");
+                break;
             }
-            checkRuns();
-            return std::move(reports_);
-        }
-
-    private:
-        void noteAnswer(const LogLine& line)
-        {
-            auto& job = jobs_[jobOf(line)];
-            if (!job.accepted && isAnswer(line, "submit", "ok"))
-                job.accepted = instantOf(line);
-            bool isAcknowledged = isAnswer(line, "cancel", "ok") || isAnswer(line, "cancel", "no_such_job");
-            if (!job.cancelled && isAcknowledged)
-                job.cancelled = instantOf(line);
         }
+        if (line.fields.value("owner_confirmed", true))
+            return;
+        auto& report = add(check, Symptom::UnconfirmedAnswer, line, instantOf(line));
+        report.ageMs = line.fields.value("confirmed_age_ms", std::int64_t(0));
+        report.detail = textOf(line, "call") + " " + status;
+    }
 
-        void noteElection(const LogLine& line)
-        {
-            if (line.event == "ownership_gained")
-                elections_.push_back({ instantOf(line), line.fields.value("tenure", 0U),
-                    line.fields.value("revision", std::int64_t(0)) });
-        }
+    std::optional<LogInstant> cancelledBefore(const Check& check, const LogLine& line)
+    {
+        const auto* job = findJob(check, line);
+        if (!job || !job->cancelled || job->cancelled->unixMs > line.timeMs)
+            return std::nullopt;
+        return job->cancelled;
+    }
 
-        SymptomReport& add(Symptom symptom, const LogLine& line, const LogInstant& since)
-        {
-            reports_.push_back({ symptom, line.timeMs, line.timeMs - since.unixMs, line.process != since.process,
-                line.process, textOf(line, "owner"), jobOf(line), {}, textOf(line, "worker"), {} });
-            if (line.fields.contains("run"))
-                reports_.back().run = runOf(line);
-            return reports_.back();
-        }
+    std::optional<LogInstant> endedBefore(const Check& check, const LogLine& line)
+    {
+        const auto* job = findJob(check, line);
+        if (!job || !job->ended || job->ended->unixMs > line.timeMs)
+            return std::nullopt;
+        return job->ended;
+    }
 
-        void checkAnswer(const LogLine& line)
-        {
-            if (line.event != "call_answered")
-                return;
-            const auto& job = jobs_[jobOf(line)];
-            bool isDenied = textOf(line, "status") == "no_such_job";
-            if (isDenied && job.accepted && job.accepted->unixMs <= line.timeMs) {
-                auto isCancellation = textOf(line, "call") == "cancel";
-                add(isCancellation ? Symptom::CancellationDenied : Symptom::QueryDenied, line, *job.accepted);
-            }
-            auto revision = line.fields.value("owner_revision", std::int64_t(0));
-            auto answered = line.timeMs;
-            for (const auto& election : elections_) {
-                if (election.revision > revision && revision > 0 && election.at.unixMs <= answered) {
-                    add(Symptom::AnswerOfReplacedOwner, line, election.at).detail
-                        = textOf(line, "call") + " " + textOf(line, "status");
-                    break;
-                }
-            }
-        }
+    void checkStart(Check& check, const LogLine& line)
+    {
+        if (line.event != "start_ordered")
+            return;
+        if (auto cancelled = cancelledBefore(check, line))
+            add(check, Symptom::StartAfterCancellation, line, *cancelled);
+    }
 
-        void checkStart(const LogLine& line)
-        {
-            if (line.event != "start_ordered")
-                return;
-            if (auto cancelled = cancelledBefore(line))
-                add(Symptom::StartAfterCancellation, line, *cancelled);
-        }
+    void checkReportedRun(Check& check, const LogLine& line)
+    {
+        if (line.event != "run_adopted" && line.event != "run_unwanted")
+            return;
+        if (auto cancelled = cancelledBefore(check, line))
+            add(check, Symptom::UnknownRun, line, *cancelled).detail = line.event;
+        else if (auto ended = endedBefore(check, line))
+            add(check, Symptom::UnknownRun, line, *ended).detail = line.event + ", job ended";
+    }
 
-        void checkReportedRun(const LogLine& line)
-        {
-            if (line.event != "run_adopted" && line.event != "run_unwanted")
-                return;
-            if (auto cancelled = cancelledBefore(line))
-                add(Symptom::UnknownRun, line, *cancelled).detail = line.event;
+    void checkOwnershipEnd(Check& check, const LogLine& line)
+    {
+        if (line.event != "ownership_lost")
+            return;
+        auto number = line.fields.value("tenure", 0U);
+        for (const auto& tenure : check.histories.tenures) {
+            if (tenure.number > number && tenure.elected.unixMs < line.timeMs) {
+                auto& report = add(check, Symptom::TwoOwners, line, tenure.elected);
+                report.owner = line.process;
+                report.detail = textOf(line, "reason");
+                break;
+            }
         }
+    }
 
-        void checkOwnershipEnd(const LogLine& line)
-        {
-            if (line.event != "ownership_lost")
+    //! Says what a run waited for between two instants: an owner, its loading, the stop order, the end.
+    std::string waitsOf(const Check& check, const RunHistory& run, const LogInstant& cancelled)
+    {
+        std::ostringstream text;
+        auto reached = cancelled.unixMs;
+        auto step = [&](std::string_view what, std::int64_t unixMs) {
+            if (unixMs <= reached || unixMs > run.lastSeen.unixMs)
                 return;
-            auto tenure = line.fields.value("tenure", 0U);
-            for (const auto& election : elections_) {
-                if (election.tenure > tenure && election.at.unixMs < line.timeMs) {
-                    auto& report = add(Symptom::TwoOwners, line, election.at);
-                    report.owner = line.process;
-                    report.detail = textOf(line, "reason");
-                    break;
-                }
-            }
+            text << what << " " << unixMs - reached << " ms, ";
+            reached = unixMs;
+        };
+        for (const auto& tenure : check.histories.tenures) {
+            step("owner", tenure.elected.unixMs);
+            if (tenure.loaded)
+                step("loading", tenure.loaded->unixMs);
         }
+        if (run.stopOrdered)
+            step("stop order", run.stopOrdered->unixMs);
+        text << run.lastEvent << " " << run.lastSeen.unixMs - reached << " ms";
+        if (run.stopOrdered)
+            text << "; stop ordered at " << run.stopOrdered->unixMs - cancelled.unixMs << " ms (" << run.stopReason
+                 << ")";
+        return "waited for: " + text.str();
+    }
 
-        std::optional<LogInstant> cancelledBefore(const LogLine& line) const
-        {
-            auto job = jobs_.find(jobOf(line));
-            if (job == jobs_.end() || !job->second.cancelled || job->second.cancelled->unixMs > line.timeMs)
-                return std::nullopt;
-            return job->second.cancelled;
-        }
+    //! True if a line says that the run is gone, or if a later owner has looked at the workers and didn't report it.
+    bool isGone(const Histories& histories, const RunHistory& run)
+    {
+        if (run.lastEvent == "run_ended" || run.lastEvent == "run_missing" || run.lastEvent == "run_lost")
+            return true;
+        auto removed = histories.workersRemovedAt.find(run.worker);
+        if (removed != histories.workersRemovedAt.end() && removed->second >= run.lastSeen.unixMs)
+            return true;
+        return std::any_of(histories.tenures.begin(), histories.tenures.end(),
+            [&run](const auto& tenure) { return tenure.elected.unixMs >= run.lastSeen.unixMs; });
+    }
 
-        void noteRun(const LogLine& line)
-        {
-            if (!line.fields.contains("task") || !line.fields.contains("run"))
-                return;
-            auto& run = runs_[runOf(line)];
-            run.lastSeen = instantOf(line);
-            run.lastEvent = line.event;
-            run.worker = textOf(line, "worker");
-            run.owner = line.process;
-            if (line.event == "stop_ordered" && !run.stopOrdered) {
-                run.stopOrdered = instantOf(line);
-                run.stopReason = textOf(line, "reason");
-            }
-        }
+    std::optional<Symptom> symptomOfRun(const Check& check, const RunHistory& run, std::int64_t cancelledAt)
+    {
+        auto bound = check.limits.runBound.count();
+        if (!isGone(check.histories, run) && check.histories.lastLineAt - cancelledAt > bound)
+            return Symptom::RunNotEnded;
+        if (run.lastSeen.unixMs - cancelledAt > bound)
+            return Symptom::LongRun;
+        return std::nullopt;
+    }
 
-        //! Runs of cancelled jobs, by how long after the acknowledgement they were last known.
-        void checkRuns()
-        {
-            for (const auto& [name, run] : runs_) {
-                auto job = name.substr(0, name.find('.'));
-                const auto& cancelled = jobs_[job].cancelled;
-                if (!cancelled || run.lastSeen.unixMs <= cancelled->unixMs)
-                    continue;
-                std::string detail = "last known: " + run.lastEvent;
-                if (run.stopOrdered)
-                    detail += ", stop ordered after " + std::to_string(run.stopOrdered->unixMs - cancelled->unixMs)
-                        + " ms (" + run.stopReason + ")";
-                reports_.push_back({ Symptom::RunAfterCancellation, run.lastSeen.unixMs,
-                    run.lastSeen.unixMs - cancelled->unixMs, run.lastSeen.process != cancelled->process,
-                    run.lastSeen.process, run.owner, job, name, run.worker, detail });
-            }
+    void checkRuns(Check& check)
+    {
+        for (const auto& [name, run] : check.histories.runs) {
+            const auto& cancelled = check.histories.jobs[run.job].cancelled;
+            if (!cancelled)
+                continue;
+            auto symptom = symptomOfRun(check, run, cancelled->unixMs);
+            if (!symptom)
+                continue;
+            auto isOpen = *symptom == Symptom::RunNotEnded;
+            auto known = isOpen ? check.histories.lastLineAt : run.lastSeen.unixMs;
+            check.reports.push_back({ *symptom, run.lastSeen.unixMs, known - cancelled->unixMs,
+                certaintyOf(check.histories, run.lastSeen.process, cancelled->process), run.lastSeen.process,
+                run.lastSeen.process, run.job, name, run.worker, waitsOf(check, run, *cancelled) });
         }
+    }
 
-        const std::vector<LogLine>& lines_;
-        std::map<std::string, JobHistory> jobs_;
-        std::map<std::string, RunHistory> runs_;
-        std::vector<Election> elections_;
-        std::vector<SymptomReport> reports_;
-    };
+    void print(std::ostream& text, const SymptomReport& report)
+    {
+        text << report.unixMs << "  " << nameOf(report.symptom) << "  age_ms=" << report.ageMs << " "
+             << nameOf(report.certainty) << " process=" << report.process;
+        if (!report.owner.empty())
+            text << " owner=" << report.owner;
+        if (!report.job.empty())
+            text << " job=" << report.job;
+        if (!report.run.empty())
+            text << " run=\"" << report.run << "\" worker=" << report.worker;
+        if (!report.detail.empty())
+            text << " (" << report.detail << ")";
+        text << "\n";
+    }
 
 } // namespace
 
-std::vector<SymptomReport> checkCancellations(std::vector<event_log::LogLine> lines)
+bool isFault(Symptom symptom)
 {
-    std::stable_sort(
-        lines.begin(), lines.end(), [](const auto& left, const auto& right) { return left.timeMs < right.timeMs; });
-    auto reports = Check(lines).run();
-    std::stable_sort(reports.begin(), reports.end(), [](const auto& left, const auto& right) {
+    switch (symptom) {
+    case Symptom::CancellationDenied:
+    case Symptom::QueryDenied:
+    case Symptom::StartAfterCancellation:
+    case Symptom::LongRun:
+    case Symptom::RunNotEnded:
+        return true;
+    case Symptom::DeniedToOther:
+    case Symptom::UnknownRun:
+    case Symptom::DenialOfReplacedOwner:
+    case Symptom::AnswerOfReplacedOwner:
+    case Symptom::UnconfirmedAnswer:
+    case Symptom::TwoOwners:
+        break;
+    }
+    return false;
+}
+
+std::vector<SymptomReport> checkCancellations(std::vector<LogLine> lines, const CheckLimits& limits)
+{
+    Check check { gatherHistories(lines), limits, {} };
+    for (const auto& line : lines) {
+        checkDenial(check, line);
+        checkAnsweringOwner(check, line);
+        checkStart(check, line);
+        checkReportedRun(check, line);
+        checkOwnershipEnd(check, line);
+    }
+    checkRuns(check);
+    std::stable_sort(check.reports.begin(), check.reports.end(), [](const auto& left, const auto& right) {
         return std::pair(left.symptom, -left.ageMs) < std::pair(right.symptom, -right.ageMs);
     });
-    return reports;
+    return std::move(check.reports);
 }
 
 std::string formatSymptoms(const std::vector<SymptomReport>& reports, std::size_t perSymptom)
@@ -230,17 +259,11 @@
     for (const auto& report : reports)
         ++counts[report.symptom];
     for (const auto& [symptom, name] : EnumNames<Symptom>::table)
-        text << name << " " << counts[symptom] << "\n";
+        text << (isFault(symptom) ? "fault  " : "step   ") << name << " " << counts[symptom] << "\n";
     std::map<Symptom, std::size_t> shown;
     for (const auto& report : reports) {
-        if (shown[report.symptom]++ >= perSymptom)
-            continue;
-        text << report.unixMs << "  " << nameOf(report.symptom) << "  age_ms=" << report.ageMs
-             << (report.isAcrossClocks ? " (two clocks)" : "") << " process=" << report.process
-             << " owner=" << report.owner << " job=" << report.job;
-        if (!report.run.empty())
-            text << " run=\"" << report.run << "\" worker=" << report.worker;
-        text << " " << report.detail << "\n";
+        if (shown[report.symptom]++ < perSymptom)
+            print(text, report);
     }
     return text.str();
 }
--- a/src/timeline_tool/main.cpp
+++ b/src/timeline_tool/main.cpp
@@ -3,6 +3,7 @@
 #include "timeline_tool/cancellation_check.h"
 #include "timeline_tool/collect.h"
 #include "timeline_tool/logs.h"
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -31,7 +32,7 @@
     WrongSettings = 2,
     SomeUnanswered = 3,
     NoneAnswered = 4,
-    SymptomsFound = 5
+    FaultFound = 5
 };
 
 //! Reports of each symptom that `--check-cancellations` prints in full.
@@ -46,6 +47,7 @@
     std::string outputFile;
     std::string caFile;
     bool checksCancellations = false;
+    timeline_tool::CheckLimits checkLimits;
 };
 
 std::optional<int> readOptions(int argc, char** argv, Options& options)
@@ -54,13 +56,15 @@
         "Asks processes for their latest events, or reads the logs of nodes, merges them in causal order and prints "
         "them.\n"
         "Exit codes: 0 all processes answered, 1 the output cannot be written, 2 wrong settings, 3 some processes did "
-        "not answer (the rest is printed), 4 none answered, 5 a cancelled job went on or an accepted one was denied.",
+        "not answer (the rest is printed), 4 none answered, 5 the check of cancellations found a fault.",
         "agatevane-timeline --processes 10.0.0.1:8080,10.0.0.1:8090 --job tartu.1f2e --format html --output-file "
         "job.html");
     settings.endpoints("--processes", options.processes, "HTTP addresses of entries and schedulers");
     settings.text("--logs", options.logs, "log files of agatevane-node, separated by commas");
     settings.toggle("--check-cancellations", options.checksCancellations,
-        "instead of a time line, print what the logs tell of cancelled jobs that go on");
+        "instead of a time line, print what the logs tell of cancelled jobs that go on and of denied ones");
+    settings.duration("--run-bound-ms", options.checkLimits.runBound, Millis(0), Millis(600000),
+        "--check-cancellations: a run of a cancelled job may be reported for this long after the acknowledgement");
     settings.duration(
         "--timeout-ms", options.timeout, Millis(100), Millis(60000), "time limit for all answers together");
     settings.text("--job", options.filter.job.value, "keep events of this job");
@@ -97,13 +101,15 @@
 int printCancellationCheck(const Options& options)
 {
     Findings failures;
-    auto reports = timeline_tool::checkCancellations(readLogs(options.logs, failures));
+    auto reports = timeline_tool::checkCancellations(readLogs(options.logs, failures), options.checkLimits);
     for (const auto& finding : failures)
         std::cerr << finding.place << ": " << finding.text << "\n";
     std::cout << timeline_tool::formatSymptoms(reports, printedPerSymptom) << std::flush;
     if (!failures.empty())
         return SomeUnanswered;
-    return reports.empty() ? AllAnswered : SymptomsFound;
+    bool hasFault = std::any_of(
+        reports.begin(), reports.end(), [](const auto& report) { return timeline_tool::isFault(report.symptom); });
+    return hasFault ? FaultFound : AllAnswered;
 }
 
 std::string render(const Options& options, const std::vector<timeline::Event>& events)
