--- a/src/timeline_tool/cancellation_check.cpp
+++ b/src/timeline_tool/cancellation_check.cpp
@@ -163,7 +163,7 @@
     //! True if a line says that the run is gone, or if a later owner has looked at the workers and didn't report it.
     bool isGone(const Histories& histories, const RunHistory& run)
     {
-        if (run.lastEvent == "run_ended" || run.lastEvent == "run_missing" || run.lastEvent == "run_lost")
+        if (run.isGone)
             return true;
         auto removed = histories.workersRemovedAt.find(run.worker);
         if (removed != histories.workersRemovedAt.end() && removed->second >= run.lastSeen.unixMs)
--- a/src/timeline_tool/job_histories.cpp
+++ b/src/timeline_tool/job_histories.cpp
@@ -64,20 +64,34 @@
         }
     }
 
+    bool isEndOfRun(const LogLine& line)
+    {
+        return line.event == "run_ended" || line.event == "run_missing" || line.event == "run_lost";
+    }
+
+    bool isReportOfWorker(const LogLine& line)
+    {
+        return line.event == "run_adopted" || line.event == "run_unwanted" || line.event == "run_held";
+    }
+
     void noteRun(Histories& histories, const LogLine& line)
     {
         auto name = nameOfRun(line);
         if (name.empty())
             return;
         auto& run = histories.runs[name];
-        run.job = jobOf(line);
-        run.lastSeen = instantOf(line);
-        run.lastEvent = line.event;
-        run.worker = textOf(line, "worker");
         if (line.event == "stop_ordered" && !run.stopOrdered) {
             run.stopOrdered = instantOf(line);
             run.stopReason = textOf(line, "reason");
         }
+        // An owner that doesn't know of the end may still order something.
+        if (run.isGone && !isEndOfRun(line) && !isReportOfWorker(line))
+            return;
+        run.job = jobOf(line);
+        run.lastSeen = instantOf(line);
+        run.lastEvent = line.event;
+        run.worker = textOf(line, "worker");
+        run.isGone = isEndOfRun(line);
     }
 
 } // namespace
--- a/src/timeline_tool/job_histories.h
+++ b/src/timeline_tool/job_histories.h
@@ -27,8 +27,9 @@
 
 struct RunHistory {
     std::string job;
-    LogInstant lastSeen; //!< last line on the run
-    std::string lastEvent;
+    LogInstant lastSeen; //!< last line that tells of the run
+    std::string lastEvent; //!< event of that line
+    bool isGone = false; //!< an owner logged its end, and no worker has reported it since
     std::string worker;
     std::optional<LogInstant> stopOrdered; //!< first stop order
     std::string stopReason; //!< of the first stop order
--- a/tests/timeline_tool/cancellation_check_tests.cpp
+++ b/tests/timeline_tool/cancellation_check_tests.cpp
@@ -162,6 +162,23 @@
         !find(check({ acceptedAtNode1, cancelledAtNode1, stop, at(8000, "ownership_gained") }), Symptom::RunNotEnded));
 }
 
+// Guards against a check that takes the order of an owner that doesn't know of a run's end for a sign of life.
+BOOST_AUTO_TEST_CASE(A_stop_order_after_the_end_is_no_sign_of_life, *boost::unit_test::label("logs"))
+{
+    auto at = [](int timeMs, const std::string& event, const std::string& process) {
+        return R"({"time_ms":)" + std::to_string(timeMs) + R"(,"event":")" + event + R"(","process":")" + process
+            + R"(","job":"a","task":"a.0.0.0","run":2,"worker":"w1"})";
+    };
+    auto late = R"({"time_ms":9000,"event":"x","process":"n1"})";
+    auto gone = check(
+        { acceptedAtNode1, cancelledAtNode1, at(2500, "run_ended", "n5"), at(6900, "stop_ordered", "n9"), late });
+    BOOST_CHECK(gone.empty());
+    // A worker's report is one.
+    auto back = check(
+        { acceptedAtNode1, cancelledAtNode1, at(2500, "run_lost", "n5"), at(6900, "run_unwanted", "n5"), late });
+    BOOST_CHECK(find(back, Symptom::RunNotEnded));
+}
+
 // Guards against a check without power where no denial is wrong: an owner that goes on and answers beside its
 // successor.
 BOOST_AUTO_TEST_CASE(Facts_that_a_replaced_owner_tells_are_found, *boost::unit_test::label("logs"))
