Deny a job only if there is none, whatever the caller's key

Cause: a question through another queue than the job's was answered with 410 unless the tenants were equal. A call on a route that needs no key has no tenant, so a job handed in with a key was denied once its prefix led to such a route, and a job handed in without one was denied to callers with a key. 410 means that no such job exists, and counts as an acknowledged cancellation.

Change: through a queue that needs no key, each job may be asked for; a job without a tenant may be asked for with any key. Where the queue needs a key and the tenants are known to differ, the answer is 403: the job is neither shown nor changed, nor denied. A key that moved to another tenant is that tenant's: 403 through other queues, as before through the job's own queue no check.

What callers saw: 410 to the query and the cancellation of a running job. An older node that forwards such a call to a newer owner answers 504 instead of 403.

--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -256,13 +256,15 @@
         return answer({ CallStatus::Ok, std::nullopt, fleet::waitingJobCount(fleet_, queue.name), {} });
     case CallKind::QueryState: {
         auto state = fleet::visibleState(fleet_, request.job);
-        if (!state || !mayAskFor(request.job, queue, tenant))
+        if (!state)
             return denyIfProven(request.job, deadline, std::move(answer));
+        if (!mayAskFor(request.job, queue, tenant))
+            return answer(jobOfOtherTenant());
         return answer({ CallStatus::Ok, state, std::nullopt, {} });
     }
     case CallKind::Cancel: {
         if (!mayAskFor(request.job, queue, tenant))
-            return denyIfProven(request.job, deadline, std::move(answer));
+            return answer(jobOfOtherTenant());
         auto sequence = fleet::cancel(fleet_, request.job, unixMillis(), bootNow());
         if (!sequence)
             return denyIfProven(request.job, deadline, std::move(answer));
@@ -281,12 +283,21 @@
     scheduleAdvance();
 }
 
-//! The desired state may have given the prefix of the job's queue to another queue, so that a caller with a key of the
-//! job's tenant may ask through any queue. False if the job is not known.
+//! The desired state may have given the prefix of the job's queue to another queue, which may need a key where the
+//! earlier one needed none, or the other way round. So a caller may ask through any queue unless the job's tenant and
+//! the caller's key, which the queue must need, are known to differ. True if there is no such job.
 bool FleetOwner::mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant)
 {
     const auto* job = fleet::findJob(fleet_, id);
-    return job && (job->spec.queue == queue.name || job->spec.tenant == tenant);
+    if (!job || job->spec.queue == queue.name || queue.allowsAnonymous || tenant.empty())
+        return true;
+    return job->spec.tenant.empty() || job->spec.tenant == tenant;
+}
+
+//! The job exists, so that it is not denied; the caller learns nothing else of it.
+CallerAnswer FleetOwner::jobOfOtherTenant()
+{
+    return { CallStatus::OtherTenant, std::nullopt, std::nullopt, "the key is not of the job's tenant" };
 }
 
 //! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -88,6 +88,7 @@
 
     bool mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant);
     void denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer);
+    static CallerAnswer jobOfOtherTenant();
     static CallerAnswer unreadableJob(CallKind kind);
 
     bool hasWaitingCaller() const;
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -90,14 +90,15 @@
     OutcomeUnknown, //!< the request may have had an effect; the caller may repeat it with the same job id
     WrongNode, //!< only between nodes: the receiver does not own the fleet, is not ready or can't prove that it is the
                //!< owner; the request had no effect there
-    OwnershipEnded //!< only between nodes: the receiver was replaced; the request may have had an effect, and the next
-                   //!< owner decides on it
+    OwnershipEnded, //!< only between nodes: the receiver was replaced; the request may have had an effect, and the next
+                    //!< owner decides on it
+    OtherTenant //!< the job exists, and the caller's key is of another tenant
 };
 
 } // namespace agatevane::node
 
 template <> struct agatevane::EnumNames<agatevane::node::CallStatus> {
-    static constexpr std::array<std::pair<agatevane::node::CallStatus, std::string_view>, 9> table { {
+    static constexpr std::array<std::pair<agatevane::node::CallStatus, std::string_view>, 10> table { {
         { agatevane::node::CallStatus::Ok, "ok" },
         { agatevane::node::CallStatus::NoSuchJob, "no_such_job" },
         { agatevane::node::CallStatus::NoSuchQueue, "no_such_queue" },
@@ -107,6 +108,7 @@
         { agatevane::node::CallStatus::OutcomeUnknown, "not_known" },
         { agatevane::node::CallStatus::WrongNode, "wrong_node" },
         { agatevane::node::CallStatus::OwnershipEnded, "ownership_ended" },
+        { agatevane::node::CallStatus::OtherTenant, "other_tenant" },
     } };
 };
 
--- a/tests/node/owner_fixture.h
+++ b/tests/node/owner_fixture.h
@@ -63,6 +63,25 @@
         return answer;
     }
 
+    //! Calls through `queue` with a key of `tenant` and waits for the answer.
+    node::CallerAnswer callThrough(const desired_state::Queue& queue, const std::string& tenant, node::CallKind kind,
+        const std::string& id, std::int64_t durationMs = 100)
+    {
+        std::optional<node::CallerAnswer> answer;
+        owner->call({ kind, id, sampleJob(id, durationMs) }, queue, tenant, now() + Millis(1000),
+            [&answer](node::CallerAnswer received) { answer = std::move(received); });
+        BOOST_REQUIRE(waitUntil(Millis(1500), [&answer] { return answer.has_value(); }));
+        return *answer;
+    }
+
+    //! Submits a job that runs for as long as a test takes.
+    void submitAs(const std::string& tenant, const std::string& id)
+    {
+        constexpr std::int64_t longMs = 20000;
+        auto answer = callThrough(sampleQueue(), tenant, node::CallKind::Submit, id, longMs);
+        BOOST_REQUIRE(answer.status == node::CallStatus::Ok);
+    }
+
     void list(const fleet::WorkerListing& listing)
     {
         kvModel.commit({ {}, { { "workers/" + listing.id, net::encode(listing), 0 } }, {} }, modelTimeMs());
