Use the readable rows of a worker's answer beside odd ones

Cause: one row that could not be decoded made the whole answer a failed poll. Neither ends nor runs of that worker were seen, and after some polls its runs' leases lapsed.

Change, runs: a row that names a run says that it is there, whatever else can't be read. A row that names none means that a run is there that can't be named: the worker is polled on and gets no work, inherited tasks wait for it, no known run that the list lacks is taken for gone, and the lease is renewed only if the row can be one of the known runs. A run hidden so for 3.5 s is stopped, and is gone once the stop must have worked.

Change, ends: an unreadable one keeps its place with the lowest number that it can have. No acknowledgement passes it, so that an owner of another build may read it, until 250 ends wait (workers return at most 500). Its run is missing from the list and its task runs again, also if it was done. One line in the log for each odd end and each change of unnamed runs.

--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -124,6 +124,7 @@
     std::optional<int> pace; //!< for fillers: pace in percent that the worker has confirmed; nothing: unknown
     bool isPaceInFlight = false;
     Instant nextPaceAt;
+    std::optional<Instant> hiddenSince; //!< since then, the run may be the one in a row that can't be read
 };
 
 using RunKey = std::pair<TaskId, RunNumber>;
@@ -132,6 +133,7 @@
 struct UnacknowledgedEnd {
     std::int64_t number = 0;
     CommitSequence sequence = 0; //!< 0: nothing has to be stored
+    bool isReadable = true; //!< false: kept at the worker, for an owner that can read it
 };
 
 //! How fast the fillers of a worker are to work, and how much they are known to interfere with tasks that serve users.
@@ -186,6 +188,9 @@
 
     std::map<RunKey, Run> runs;
     Capacity used; //!< sum over `runs`
+    bool hasUnnamedRun = false; //!< the last answer contains a run that can't be named
+    //! As `hasUnnamedRun`, and it is none of `runs`. Its lease is not renewed, so that it ends.
+    bool hasForeignRun = false;
     bool hasRunOfUnknownSize = false; //!< a run needs an unknown capacity, so that nothing is placed on the worker
     int failuresInRow = 0; //!< runs that failed since the last one that succeeded
     Instant avoidUntil; //!< no new work until then, because runs failed or stalled, or the worker refused orders
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -32,6 +32,10 @@
     //! As `stallTimeout`, for fillers, which only have the cores that other tasks leave idle.
     constexpr Millis fillerStallTimeout { 12000 };
     constexpr Millis avoidAfterStall { 8000 };
+    //! A run that may be the one in a row that can't be read is stopped after this long.
+    constexpr Millis hiddenRunPatience { 3500 };
+    //! Once this many ends wait, the first unreadable one is given up: workers return at most 500 at a time.
+    constexpr std::size_t maxWaitingEnds = 250;
 
     void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
     {
@@ -49,6 +53,11 @@
                                                           : worker.unacknowledgedEnds.back().number;
             if (end.number <= last)
                 continue;
+            if (!end.isReadable) {
+                worker.unacknowledgedEnds.push_back({ end.number, neverCommitted, false });
+                Line("end_unreadable").with("worker", worker.id).with("number_at_least", end.number);
+                continue;
+            }
             logEndOfOtherRun(fleet, worker, end);
             removeRun(fleet, worker, end.key);
             if (auto* job = findJob(fleet, end.key.first.job); job && findTask(fleet, end.key.first))
@@ -60,8 +69,8 @@
         }
     }
 
-    //! True if the worker reports a run that its answer to the stop order said would have ended by then.
-    bool isStopIneffective(const Fleet& fleet, const Worker& worker, const Run& run)
+    //! True if the run had ended before the last poll was sent, according to the worker's answer to the stop order.
+    bool mustHaveStopped(const Fleet& fleet, const Worker& worker, const Run& run)
     {
         return run.state == RunState::Stopping && run.isConfirmed
             && worker.pollSentAt > run.confirmedAt + maxLeaseDuration(fleet.limits.stopDuration);
@@ -69,7 +78,8 @@
 
     void refreshRun(Fleet& fleet, const Worker& worker, Run& run, const RunningReport& report, Instant at)
     {
-        if (isStopIneffective(fleet, worker, run)) {
+        run.hiddenSince.reset();
+        if (mustHaveStopped(fleet, worker, run)) {
             Line("stop_without_effect")
                 .with("job", run.task.job)
                 .with("task", toString(run.task))
@@ -85,7 +95,7 @@
         run.isReported = true;
         if (run.state == RunState::Running && !std::exchange(run.isConfirmed, true))
             run.confirmedAt = at;
-        if (report.percent != run.percent) {
+        if (report.percent != unknownPercent && report.percent != run.percent) {
             run.percent = report.percent;
             run.progressAt = at;
         }
@@ -117,14 +127,30 @@
             refreshRun(fleet, worker, worker.runs.at(key), report, at);
     }
 
-    //! Removes runs that were confirmed before the poll was sent and that its answer does not report.
-    void removeMissingRuns(Fleet& fleet, Worker& worker, const std::set<RunKey>& seen, Instant at)
+    //! Stops a run that has been hidden for long, since neither its progress nor its absence would ever show.
+    void hideRun(Fleet& fleet, const RunKey& key, Run& run, Instant at)
+    {
+        if (!run.hiddenSince)
+            run.hiddenSince = at;
+        auto* job = findJob(fleet, key.first.job);
+        if (job && run.isWanted && at - *run.hiddenSince >= hiddenRunPatience)
+            stopTaskRuns(fleet, *job, key.first, at, "hidden_by_unreadable_row");
+    }
+
+    //! Removes runs that were confirmed before the poll was sent and that its answer does not report. While the answer
+    //! contains a run that can't be named, each of them may be it, except those that were stopped.
+    void removeMissingRuns(Fleet& fleet, Worker& worker, const std::set<RunKey>& seen, bool hasUnnamedRun, Instant at)
     {
         std::vector<RunKey> missing;
+        std::vector<RunKey> hidden;
         for (const auto& [key, run] : worker.runs) {
-            if (!seen.contains(key) && run.isConfirmed && run.confirmedAt < worker.pollSentAt)
-                missing.push_back(key);
+            if (seen.contains(key) || !run.isConfirmed || run.confirmedAt >= worker.pollSentAt)
+                continue;
+            bool isHidden = hasUnnamedRun && !mustHaveStopped(fleet, worker, run);
+            (isHidden ? hidden : missing).push_back(key);
         }
+        for (const auto& key : hidden)
+            hideRun(fleet, key, worker.runs.at(key), at);
         for (const auto& key : missing) {
             Line("run_missing")
                 .with("job", key.first.job)
@@ -138,10 +164,37 @@
         }
     }
 
+    //! Notes the runs that the answer contains and that can't be named. More of them than known runs that it doesn't
+    //! report are of others.
+    void noteUnnamedRuns(
+        const Fleet& fleet, Worker& worker, const std::set<RunKey>& seen, std::size_t count, Instant at)
+    {
+        auto hidden = std::count_if(
+            worker.runs.begin(), worker.runs.end(), [&seen](const auto& each) { return !seen.contains(each.first); });
+        bool isForeign = count > static_cast<std::size_t>(hidden);
+        if (isForeign && !worker.hasForeignRun)
+            assumeLongestLease(fleet, worker, at);
+        if (worker.hasUnnamedRun != (count > 0) || worker.hasForeignRun != isForeign)
+            Line("runs_unnamed").with("worker", worker.id).with("rows", count).with("of_others", isForeign);
+        worker.hasUnnamedRun = count > 0;
+        worker.hasForeignRun = isForeign;
+    }
+
+    //! True if the first end may be acknowledged.
     bool hasDurableEnd(const Fleet& fleet, const Worker& worker)
     {
-        return !worker.unacknowledgedEnds.empty()
-            && worker.unacknowledgedEnds.front().sequence <= fleet.committedSequence;
+        const auto& ends = worker.unacknowledgedEnds;
+        if (ends.empty())
+            return false;
+        return ends.front().isReadable ? ends.front().sequence <= fleet.committedSequence
+                                       : ends.size() >= maxWaitingEnds;
+    }
+
+    //! True if the first end waits for its commit or its acknowledgement. An unreadable one, and those behind it, wait
+    //! for nothing that this owner could do soon.
+    bool hasEndToAcknowledge(const Worker& worker)
+    {
+        return !worker.unacknowledgedEnds.empty() && worker.unacknowledgedEnds.front().isReadable;
     }
 
     void acknowledgeCommitted(const Fleet& fleet, Worker& worker)
@@ -200,7 +253,8 @@
 
     bool needsPoll(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        if (!worker.hasAnsweredPoll || !worker.runs.empty() || isAcknowledgementDue(fleet, worker))
+        if (!worker.hasAnsweredPoll || !worker.runs.empty() || worker.hasUnnamedRun
+            || isAcknowledgementDue(fleet, worker))
             return true;
         return mayTakeLateStart(fleet, worker, at) && at - worker.lastAnswerAt >= idlePollInterval;
     }
@@ -242,7 +296,8 @@
         else
             handleUnknownRun(fleet, *worker, report, at);
     }
-    removeMissingRuns(fleet, *worker, seen, at);
+    removeMissingRuns(fleet, *worker, seen, answer.unreadableRuns > 0, at);
+    noteUnnamedRuns(fleet, *worker, seen, answer.unreadableRuns, at);
     decidePace(fleet, *worker, at);
     if (!std::exchange(worker->hasAnsweredPoll, true))
         fleet.isPlacementDue = true;
@@ -267,8 +322,9 @@
 bool isUsable(const Worker& worker, Instant at)
 {
     return worker.isListed && worker.hasAnsweredPoll && !worker.awaitsNaming && !worker.isDraining
-        && !worker.isEvacuating && !worker.hasRunOfUnknownSize && worker.missedPolls < missedPollLimit
-        && at >= worker.avoidUntil && !mayReceiveLateAcknowledgement(worker, at);
+        && !worker.isEvacuating && !worker.hasRunOfUnknownSize && !worker.hasUnnamedRun
+        && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil
+        && !mayReceiveLateAcknowledgement(worker, at);
 }
 
 bool haveInheritedRunsEnded(const Fleet& fleet, Instant at)
@@ -296,8 +352,8 @@
     bool isAnyMeant = fleet.earlierWorkers == EarlierWorkers::AnyListed;
     return std::any_of(fleet.workers.begin(), fleet.workers.end(), [isAnyMeant](const auto& each) {
         const auto& worker = each.second;
-        return (isAnyMeant || worker.isInEarlierRecord) && !worker.hasAnsweredPoll
-            && worker.leaseExpiryBound == Instant {};
+        bool hasSaidNothing = !worker.hasAnsweredPoll && worker.leaseExpiryBound == Instant {};
+        return (isAnyMeant || worker.isInEarlierRecord) && (hasSaidNothing || worker.hasForeignRun);
     });
 }
 
@@ -325,9 +381,9 @@
             worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStall);
             stopTaskRuns(fleet, *job, key.first, at, "no_progress");
         }
-        bool isRemovable = !worker.isListed && worker.runs.empty() && worker.unacknowledgedEnds.empty()
-            && worker.unansweredAcknowledgements.empty() && !mayTakeLateStart(fleet, worker, at)
-            && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
+        bool isRemovable = !worker.isListed && worker.runs.empty() && !hasEndToAcknowledge(worker)
+            && !(worker.hasUnnamedRun && at < worker.leaseExpiryBound) && worker.unansweredAcknowledgements.empty()
+            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
         fleet.haveWorkersChanged = fleet.haveWorkersChanged || isRemovable;
         if (isRemovable)
             logRemoved(worker, at);
@@ -346,11 +402,11 @@
         PollOrder poll { id, worker.address, worker.pollAcknowledges, std::nullopt, Millis(0), fleet.fencingToken };
         // A poll that may stay unanswered must not postpone the time when the runs of an unreachable worker are
         // removed.
-        if (worker.clockMs > 0 && isIncarnationCertain)
+        if (worker.clockMs > 0 && isIncarnationCertain && !worker.hasForeignRun)
             poll.leaseUntilMs = extendLease(fleet, worker, at);
         // An acknowledgement would apply to the ends of runs that a new incarnation begins while the poll waits there.
         bool mayWait = worker.unacknowledgedEnds.empty() && !isAcknowledgementDue(fleet, worker);
-        if (worker.hasAnsweredPoll && isIncarnationCertain && mayWait && !worker.runs.empty())
+        if (worker.hasAnsweredPoll && isIncarnationCertain && mayWait && (!worker.runs.empty() || worker.hasUnnamedRun))
             poll.wait = pollWaitOf(fleet, worker, at);
         worker.isPollInFlight = true;
         worker.pollIncarnation = worker.incarnation;
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -31,10 +31,13 @@
     }
 };
 
+//! Progress of a run whose row doesn't tell it in a readable form.
+constexpr int unknownPercent = -1;
+
 struct RunningReport {
     RunKey key;
     std::string checkpoint;
-    int percent = 0; //!< share of the work that is done
+    int percent = 0; //!< share of the work that is done; may be `unknownPercent`
     //! Over the last half second: the tail latency in milliseconds for a task that serves users, the used thousandths
     //! of a core for any other task.
     std::int64_t recentMeasurement = 0;
@@ -45,6 +48,7 @@
     RunKey key;
     EndKind kind = EndKind::Stopped;
     std::string checkpoint;
+    bool isReadable = true; //!< false: only `number` holds, as a lower bound
 };
 
 struct PollAnswer {
@@ -52,6 +56,7 @@
     std::int64_t clockMs = 0;
     std::vector<RunningReport> running;
     std::vector<EndReport> ended;
+    std::size_t unreadableRuns = 0; //!< number of runs whose rows name no run
 };
 
 void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at);
