Refuse a submission that was under way when its cancellation was denied

Cause: a node sends a submission on until its caller's deadline. A caller whose first try got no answer may cancel the job at another node in the meantime. The owner has never seen the job and answers 410; then the held submission arrives and is accepted. The caller sees a job that runs although its cancellation was acknowledged.

Change: the owner notes for 60 s when it answered a cancellation with 410. A submission of an unknown job that had reached a node before that is refused with 503. Nodes tell in a new message for how long they have held a submission; a delay on the way makes it look younger, never older, so that one that is sent after the 410 is accepted, and so is a repeat of an accepted one. An owner of an earlier build answers the new message with nothing and gets the old one. A node that was paused beyond a call's deadline doesn't hand the call to its own owner any more.

--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -22,6 +22,9 @@
     //! Time beyond `wait`, for which a worker may delay the answer to a poll.
     constexpr Millis pollMargin { 600 };
     constexpr Millis pruneInterval { 10000 };
+    //! Longer than callers usually wait for an answer: a node holds a submission no longer than that.
+    constexpr Millis deniedRetention { 60000 };
+    constexpr std::size_t maxDeniedCancellations = 20000;
     //! A submission that has not been sent to the store after this time is withdrawn, so that the caller can try again.
     constexpr Millis withdrawDelay { 800 };
 
@@ -85,7 +88,9 @@
     auto unixMs = unixMillis();
     if (unixMs >= nextPruneUnixMs_) {
         nextPruneUnixMs_ = unixMs + pruneInterval.count();
-        fleet::pruneEnded(fleet_, unixMs, bootNow());
+        auto at = bootNow();
+        fleet::pruneEnded(fleet_, unixMs, at);
+        std::erase_if(deniedCancellations_, [at](const auto& each) { return at - each.second >= deniedRetention; });
     }
     advance();
     if (isReady_)
@@ -257,7 +262,7 @@
     case CallKind::QueryState: {
         auto state = fleet::visibleState(fleet_, request.job);
         if (!state)
-            return denyIfProven(request.job, deadline, std::move(answer));
+            return denyIfProven(request, deadline, std::move(answer));
         if (!mayAskFor(request.job, queue, tenant))
             return answer(jobOfOtherTenant());
         return answer({ CallStatus::Ok, state, std::nullopt, {} });
@@ -267,22 +272,47 @@
             return answer(jobOfOtherTenant());
         auto sequence = fleet::cancel(fleet_, request.job, unixMillis(), bootNow());
         if (!sequence)
-            return denyIfProven(request.job, deadline, std::move(answer));
+            return denyIfProven(request, deadline, std::move(answer));
         awaitCommit(*sequence, request, deadline, std::move(answer));
         break;
     }
-    case CallKind::Submit: {
-        auto spec = request.spec;
-        spec.queue = queue.name;
-        spec.tenant = tenant;
-        auto sequence = fleet::submit(fleet_, std::move(spec), queue, unixMillis(), bootNow());
-        awaitCommit(sequence, request, deadline, std::move(answer));
+    case CallKind::Submit:
+        submit(request, queue, tenant, deadline, std::move(answer));
         break;
     }
-    }
     scheduleAdvance();
 }
 
+void FleetOwner::submit(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
+    Instant deadline, Answer answer)
+{
+    if (!fleet_.jobs.contains(request.job) && wasCancellationDeniedSince(request))
+        return answer({ CallStatus::NotAccepted, std::nullopt, std::nullopt, "a later cancellation was answered" });
+    auto spec = request.spec;
+    spec.queue = queue.name;
+    spec.tenant = tenant;
+    auto sequence = fleet::submit(fleet_, std::move(spec), queue, unixMillis(), bootNow());
+    awaitCommit(sequence, request, deadline, std::move(answer));
+}
+
+//! True if the submission had reached a node before a cancellation of the job was answered with "no such job". The
+//! caller of that cancellation may count on the job not to run. A caller that submits the job anew after that answer
+//! is not meant.
+bool FleetOwner::wasCancellationDeniedSince(const CallerRequest& submission) const
+{
+    auto denied = deniedCancellations_.find(submission.job);
+    return denied != deniedCancellations_.end() && submission.receivedBy && *submission.receivedBy < denied->second;
+}
+
+void FleetOwner::noteDeniedCancellation(const fleet::JobId& job)
+{
+    auto at = bootNow();
+    if (deniedCancellations_.size() >= maxDeniedCancellations)
+        std::erase_if(deniedCancellations_, [at](const auto& each) { return at - each.second >= deniedRetention / 2; });
+    if (deniedCancellations_.size() < maxDeniedCancellations)
+        deniedCancellations_[job] = at;
+}
+
 //! The desired state may have given the prefix of the job's queue to another queue, which may need a key where the
 //! earlier one needed none, or the other way round. So a caller may ask through any queue unless the job's tenant and
 //! the caller's key, which the queue must need, are known to differ. True if there is no such job.
@@ -302,21 +332,26 @@
 
 //! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
 //! no such job only if the store says, after the question, that there is no later owner.
-void FleetOwner::denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer)
+void FleetOwner::denyIfProven(const CallerRequest& request, Instant deadline, Answer answer)
 {
+    const auto& job = request.job;
     if (!environment_.isOwnershipConfirmed())
         return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
     bool wasKnown = fleet_.jobs.contains(job);
-    tenureCheck_.ask(deadline, liveness_.guard([this, job, wasKnown, answer = std::move(answer)](TenureState state) {
-        // A submission may have overtaken the question, which is then asked again.
-        if (fleet_.jobs.contains(job) && !wasKnown)
-            return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the job has just been submitted" });
-        if (state == TenureState::Current)
-            return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
-        answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
-        if (state == TenureState::Replaced && !isStopped_)
-            environment_.ownershipLost("store_knows_later_owner");
-    }));
+    tenureCheck_.ask(deadline,
+        liveness_.guard([this, job, wasKnown, kind = request.kind, answer = std::move(answer)](TenureState state) {
+            // A submission may have overtaken the question, which is then asked again.
+            if (fleet_.jobs.contains(job) && !wasKnown)
+                return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the job has just been submitted" });
+            if (state == TenureState::Current) {
+                if (kind == CallKind::Cancel)
+                    noteDeniedCancellation(job);
+                return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
+            }
+            answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+            if (state == TenureState::Replaced && !isStopped_)
+                environment_.ownershipLost("store_knows_later_owner");
+        }));
 }
 
 //! The answer about a job whose records this owner can't read. It exists, so that it is not denied; it may have ended,
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -87,7 +87,11 @@
     void handleFencedAnswer();
 
     bool mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant);
-    void denyIfProven(const fleet::JobId& job, Instant deadline, Answer answer);
+    void denyIfProven(const CallerRequest& request, Instant deadline, Answer answer);
+    void noteDeniedCancellation(const fleet::JobId& job);
+    bool wasCancellationDeniedSince(const CallerRequest& submission) const;
+    void submit(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
+        Instant deadline, Answer answer);
     static CallerAnswer jobOfOtherTenant();
     static CallerAnswer unreadableJob(CallKind kind);
 
@@ -113,6 +117,8 @@
     Millis placementInterval_ { 0 };
     std::int64_t nextPruneUnixMs_ = 0;
 
+    //! When a cancellation of the job was last answered with "no such job", on the clock of bootNow().
+    std::map<fleet::JobId, Instant> deniedCancellations_;
     Waiters waiters_; //!< by the sequence number whose commit they wait for
 
     // Results of the reads at a takeover. The fleet is loaded once all four are there.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,6 +83,7 @@
     Instant noOwnerDeadline; //!< the request is refused if no owner can be reached by then
     bool mayHaveEffect = false; //!< the request reached a node that has not answered, or an owner that was replaced
     bool isForwardInFlight = false;
+    bool isTimeHeldUnknown = false; //!< the owner can't read for how long the submission was held
     bool isAnswered = false;
     int attempts = 0;
     std::optional<OwnershipConfirmation> confirmation; //!< when this node's owner answered; nothing: another node did
@@ -208,6 +209,7 @@
     auto call = std::make_shared<CallState>();
     call->number = nextRequestNumber_++;
     call->receivedAt = now();
+    auto receivedBy = bootNow();
     call->respond = std::move(respond);
     call->translation = &translation_;
     auto timeout = translation_.timeoutOf(request).value_or(defaultCallTimeout);
@@ -235,6 +237,7 @@
     if (!decoded)
         return finish(call, { CallStatus::Malformed, std::nullopt, std::nullopt, format(findings) });
     call->request = std::move(*decoded);
+    call->request.receivedBy = receivedBy;
     call->tenant = tenant ? tenant->name : std::string();
     route(call);
 }
@@ -258,6 +261,9 @@
 {
     if (call->isAnswered)
         return;
+    // The process may have been paused since the last attempt.
+    if (call->attempts > 0 && now() >= call->deadline)
+        return retryRoute(call);
     ++call->attempts;
     if (mayHandle(call->request.kind)) {
         return fleetOwner_->call(call->request, call->queue, call->tenant, call->deadline,
@@ -306,9 +312,17 @@
     message.tenant = call->tenant;
     message.timeoutMs = elapsed(at, call->deadline - forwardMargin).count();
     call->isForwardInFlight = true;
-    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Call), net::encode(message), call->deadline,
-        liveness_.guard([this, call](std::error_code error, const std::string& payload) {
+    bool tellsTimeHeld = call->request.kind == CallKind::Submit && !call->isTimeHeldUnknown;
+    auto kind = tellsTimeHeld ? PeerMessage::Submission : PeerMessage::Call;
+    auto heldMs = elapsed(*call->request.receivedBy, bootNow()).count();
+    auto bytes = tellsTimeHeld ? net::encode(ForwardedSubmission { message, heldMs }) : net::encode(message);
+    clientOf(address).call(static_cast<std::uint16_t>(kind), bytes, call->deadline,
+        liveness_.guard([this, call, tellsTimeHeld](std::error_code error, const std::string& payload) {
             call->isForwardInFlight = false;
+            if (!error && payload.empty() && tellsTimeHeld) {
+                call->isTimeHeldUnknown = true;
+                return retryRoute(call);
+            }
             ForwardedAnswer answer;
             if (!error && !net::decode(payload, answer))
                 error = Errc::Malformed;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -62,7 +62,7 @@
     void handleOperator(const event_http::Request& request, const event_http::Respond& respond);
     void handlePeer(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
     void handlePullRequest(const PullRequest& request, const net::Reply& reply);
-    void handleForwardedCall(const ForwardedCall& call, const net::Reply& reply);
+    void handleForwardedCall(const ForwardedCall& call, std::optional<Instant> receivedBy, const net::Reply& reply);
     void handlePageRequest(const PageRequest& request, const net::Reply& reply);
 
     event_http::Response metricsPage() const;
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -12,6 +12,7 @@
 
     constexpr Millis pullInterval { 500 };
     constexpr Millis pullTimeout { 600 };
+    constexpr Millis maxHeldTime = std::chrono::hours(1);
     constexpr std::size_t maxPeers = 64;
     constexpr std::size_t maxPeersPerReply = 16;
     constexpr std::size_t pullsByUnconfirmedOwner = 3;
@@ -27,7 +28,13 @@
     } else if (kind == static_cast<std::uint16_t>(PeerMessage::Call)) {
         ForwardedCall call;
         if (net::decode(payload, call))
-            return handleForwardedCall(call, reply);
+            return handleForwardedCall(call, std::nullopt, reply);
+    } else if (kind == static_cast<std::uint16_t>(PeerMessage::Submission)) {
+        ForwardedSubmission submission;
+        if (net::decode(payload, submission)) {
+            auto held = Millis(std::clamp<std::int64_t>(submission.heldMs, 0, maxHeldTime.count()));
+            return handleForwardedCall(submission.call, bootNow() - held, reply);
+        }
     } else if (kind == static_cast<std::uint16_t>(PeerMessage::Page)) {
         PageRequest request;
         if (net::decode(payload, request))
@@ -54,14 +61,14 @@
     reply(net::encode(answer));
 }
 
-void Node::handleForwardedCall(const ForwardedCall& call, const net::Reply& reply)
+void Node::handleForwardedCall(const ForwardedCall& call, std::optional<Instant> receivedBy, const net::Reply& reply)
 {
     if (!mayHandle(call.kind)) {
         ForwardedAnswer answer;
         answer.status = CallStatus::WrongNode;
         return reply(net::encode(answer));
     }
-    CallerRequest request { call.kind, call.job, call.spec };
+    CallerRequest request { call.kind, call.job, call.spec, receivedBy };
     auto deadline = now() + Millis(std::max<std::int64_t>(0, call.timeoutMs));
     fleetOwner_->call(
         request, call.queue, call.tenant, deadline, liveness_.guard([this, request, reply](const CallerAnswer& answer) {
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -10,7 +10,7 @@
 //! Messages between nodes.
 namespace agatevane::node {
 
-enum class PeerMessage : std::uint16_t { Pull = 1, Call = 2, Page = 3 };
+enum class PeerMessage : std::uint16_t { Pull = 1, Call = 2, Page = 3, Submission = 4 };
 
 //! Asks another node for a newer owner, a newer desired state and its peers, and carries the sender's own knowledge.
 struct PullRequest {
@@ -80,6 +80,15 @@
     }
 };
 
+//! A submission with the time for which the sender has held it. Answered with nothing by a node that doesn't know this
+//! message; it is then sent as a ForwardedCall.
+struct ForwardedSubmission {
+    ForwardedCall call;
+    std::int64_t heldMs = 0;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(call, heldMs); }
+};
+
 struct ForwardedAnswer {
     CallStatus status = CallStatus::OutcomeUnknown;
     std::int32_t state = -1; //!< a fleet::VisibleState; -1: none
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -78,6 +78,8 @@
     CallKind kind = CallKind::QueryState;
     fleet::JobId job; //!< empty for CountWaiting
     fleet::JobSpec spec; //!< set for Submit; the node fills in queue and tenant
+    //! Set for Submit: the request had reached a node by then, on the clock of bootNow(). Nothing: it has just done so.
+    std::optional<Instant> receivedBy;
 };
 
 enum class CallStatus {
