Skip no unreadable end after an acknowledgement, and tell nobody of other tenants' jobs

Found by the review of the parts, before they were joined.

Cause and change, ends: an unreadable end got the lowest number that its place in the answer allows, counted from 1, and was dropped as known once any end had been acknowledged; the next acknowledgement passed it. It now counts from the last acknowledged end. No_later_acknowledgement_passes_an_unreadable_end guards it; it was not run without the change.

Cause and change, tenants: any queue without need of a key gave access to each tenant's jobs, to whoever knew an id. It now does so only if the job's own queue is gone. The answer to others is 503 with a reason in place of 403: the key and the queue are valid, and a refusal of either would be untrue.

--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -51,11 +51,14 @@
         for (const auto& end : ends) {
             auto last = worker.unacknowledgedEnds.empty() ? worker.lastAcknowledgedEnd
                                                           : worker.unacknowledgedEnds.back().number;
-            if (end.number <= last)
+            // The number of an unreadable end is the lowest that its place in the answer allows; what was acknowledged
+            // is not reported again.
+            auto number = end.isReadable ? end.number : std::max(end.number, worker.lastAcknowledgedEnd + 1);
+            if (number <= last)
                 continue;
             if (!end.isReadable) {
-                worker.unacknowledgedEnds.push_back({ end.number, neverCommitted, false });
-                Line("end_unreadable").with("worker", worker.id).with("number_at_least", end.number);
+                worker.unacknowledgedEnds.push_back({ number, neverCommitted, false });
+                Line("end_unreadable").with("worker", worker.id).with("number_at_least", number);
                 continue;
             }
             logEndOfOtherRun(fleet, worker, end);
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -313,21 +313,21 @@
         deniedCancellations_[job] = at;
 }
 
-//! The desired state may have given the prefix of the job's queue to another queue, which may need a key where the
-//! earlier one needed none, or the other way round. So a caller may ask through any queue unless the job's tenant and
-//! the caller's key, which the queue must need, are known to differ. True if there is no such job.
+//! The desired state may have given the prefix of the job's queue to another queue. So a caller may ask through any
+//! queue with a key of the job's tenant; without one, if the job has no tenant, or if the asked queue needs no key and
+//! the job's own queue, through which all keys may ask, is gone. True if there is no such job.
 bool FleetOwner::mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant)
 {
     const auto* job = fleet::findJob(fleet_, id);
-    if (!job || job->spec.queue == queue.name || queue.allowsAnonymous || tenant.empty())
+    if (!job || job->spec.queue == queue.name || job->spec.tenant.empty() || job->spec.tenant == tenant)
         return true;
-    return job->spec.tenant.empty() || job->spec.tenant == tenant;
+    return queue.allowsAnonymous && !desired_state::findQueueByName(fleet_.desired, job->spec.queue);
 }
 
 //! The job exists, so that it is not denied; the caller learns nothing else of it.
 CallerAnswer FleetOwner::jobOfOtherTenant()
 {
-    return { CallStatus::OtherTenant, std::nullopt, std::nullopt, "the key is not of the job's tenant" };
+    return { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the key is not of the job's tenant" };
 }
 
 //! Answers a question about a job that this owner does not know. A later owner may have accepted it, so that there is
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -92,15 +92,14 @@
     OutcomeUnknown, //!< the request may have had an effect; the caller may repeat it with the same job id
     WrongNode, //!< only between nodes: the receiver does not own the fleet, is not ready or can't prove that it is the
                //!< owner; the request had no effect there
-    OwnershipEnded, //!< only between nodes: the receiver was replaced; the request may have had an effect, and the next
-                    //!< owner decides on it
-    OtherTenant //!< the job exists, and the caller's key is of another tenant
+    OwnershipEnded //!< only between nodes: the receiver was replaced; the request may have had an effect, and the next
+                   //!< owner decides on it
 };
 
 } // namespace agatevane::node
 
 template <> struct agatevane::EnumNames<agatevane::node::CallStatus> {
-    static constexpr std::array<std::pair<agatevane::node::CallStatus, std::string_view>, 10> table { {
+    static constexpr std::array<std::pair<agatevane::node::CallStatus, std::string_view>, 9> table { {
         { agatevane::node::CallStatus::Ok, "ok" },
         { agatevane::node::CallStatus::NoSuchJob, "no_such_job" },
         { agatevane::node::CallStatus::NoSuchQueue, "no_such_queue" },
@@ -110,7 +109,6 @@
         { agatevane::node::CallStatus::OutcomeUnknown, "not_known" },
         { agatevane::node::CallStatus::WrongNode, "wrong_node" },
         { agatevane::node::CallStatus::OwnershipEnded, "ownership_ended" },
-        { agatevane::node::CallStatus::OtherTenant, "other_tenant" },
     } };
 };
 
--- a/src/timeline_tool/cancellation_check.cpp
+++ b/src/timeline_tool/cancellation_check.cpp
@@ -160,7 +160,8 @@
         return "waited for: " + text.str();
     }
 
-    //! True if a line says that the run is gone, or if a later owner has looked at the workers and didn't report it.
+    //! True if a line says that the run is gone, or if a later owner has loaded the fleet and didn't report it. A poll
+    //! that finds nothing unknown is not logged, so that a worker which that owner never polled is overlooked.
     bool isGone(const Histories& histories, const RunHistory& run)
     {
         if (run.isGone)
@@ -169,7 +170,7 @@
         if (removed != histories.workersRemovedAt.end() && removed->second >= run.lastSeen.unixMs)
             return true;
         return std::any_of(histories.tenures.begin(), histories.tenures.end(),
-            [&run](const auto& tenure) { return tenure.elected.unixMs >= run.lastSeen.unixMs; });
+            [&run](const auto& tenure) { return tenure.loaded && tenure.elected.unixMs >= run.lastSeen.unixMs; });
     }
 
     std::optional<Symptom> symptomOfRun(const Check& check, const RunHistory& run, std::int64_t cancelledAt)
--- a/tests/fleet/odd_row_tests.cpp
+++ b/tests/fleet/odd_row_tests.cpp
@@ -147,6 +147,23 @@
     BOOST_CHECK_EQUAL(orders.polls.front().lastAcknowledgedEnd, 4);
 }
 
+// Guards against an unreadable end that is taken for one that was acknowledged before, and so passed.
+BOOST_AUTO_TEST_CASE(No_later_acknowledgement_passes_an_unreadable_end, *boost::unit_test::label("tracking"))
+{
+    using fleet::EndKind;
+    answer(1010, { { firstRun, "", 10 }, { secondRun, "", 10 } }, 0);
+    answer(1500, { { secondRun, "", 20 } }, 0, { { 10, firstRun, EndKind::Done, "" } });
+    commitAll();
+    BOOST_REQUIRE_EQUAL(advance(2100).polls.size(), 1U);
+    for (std::int64_t ms : { 2200, 2300 })
+        answer(ms, {}, 0, { unreadableEnd(1), { 12, secondRun, EndKind::Done, "" } });
+    BOOST_CHECK_EQUAL(worker().unacknowledgedEnds.size(), 2U);
+    commitAll();
+    auto orders = advance(2900);
+    BOOST_REQUIRE_EQUAL(orders.polls.size(), 1U);
+    BOOST_CHECK_LE(orders.polls.front().lastAcknowledgedEnd, 10);
+}
+
 // Guards against ends that pile up behind an unreadable one until newer ones no longer fit into an answer.
 BOOST_AUTO_TEST_CASE(An_unreadable_end_is_given_up_when_many_wait, *boost::unit_test::label("tracking"))
 {
