--- a/src/timeline_tool/cancellation_check.cpp
+++ b/src/timeline_tool/cancellation_check.cpp
@@ -172,12 +172,19 @@
             [&run](const auto& tenure) { return tenure.elected.unixMs >= run.lastSeen.unixMs; });
     }
 
+    //! True if a process that may have logged the run's end has dropped lines.
+    bool mayEndBeDropped(const Histories& histories, const RunHistory& run)
+    {
+        return histories.lossyProcesses.contains(run.lastSeen.process)
+            || std::any_of(histories.tenures.begin(), histories.tenures.end(),
+                [&histories](const auto& tenure) { return histories.lossyProcesses.contains(tenure.elected.process); });
+    }
+
     std::optional<Symptom> symptomOfRun(const Check& check, const RunHistory& run, std::int64_t cancelledAt)
     {
         auto bound = check.limits.runBound.count();
         if (!isGone(check.histories, run) && check.histories.lastLineAt - cancelledAt > bound)
-            return check.histories.lossyProcesses.contains(run.lastSeen.process) ? Symptom::EndNotLogged
-                                                                                 : Symptom::RunNotEnded;
+            return mayEndBeDropped(check.histories, run) ? Symptom::EndNotLogged : Symptom::RunNotEnded;
         if (run.lastSeen.unixMs - cancelledAt > bound)
             return Symptom::LongRun;
         return std::nullopt;
--- a/src/timeline_tool/cancellation_check.h
+++ b/src/timeline_tool/cancellation_check.h
@@ -18,7 +18,7 @@
     StartAfterCancellation, //!< a start was ordered after the acknowledgement
     LongRun, //!< a run was reported later after the acknowledgement than the bound allows
     RunNotEnded, //!< no end of the run is logged, and the logs go on for longer than the bound
-    EndNotLogged, //!< the same, but the process that knew the run has dropped lines
+    EndNotLogged, //!< the same, but an owner that may have logged it has dropped lines
     DeniedToOther, //!< "no such job" to a caller with another tenant and another queue than the submission's
     UnknownRun, //!< a worker reported a run that its owner didn't know, of a cancelled or ended job
     DenialOfReplacedOwner, //!< "no such job" from an owner after a later one had been elected
--- a/tests/timeline_tool/cancellation_check_tests.cpp
+++ b/tests/timeline_tool/cancellation_check_tests.cpp
@@ -157,6 +157,11 @@
     auto lossy = check({ acceptedAtNode1, cancelledAtNode1, stop, at(8000, "log_lines_dropped") });
     BOOST_CHECK(!find(lossy, Symptom::RunNotEnded));
     BOOST_CHECK(find(lossy, Symptom::EndNotLogged));
+    auto lossySuccessor = check(
+        { R"({"time_ms":500,"event":"ownership_gained","process":"n5","tenure":7,"revision":5})", acceptedAtNode1,
+            cancelledAtNode1, stop, R"({"time_ms":8000,"event":"log_lines_dropped","process":"n5","total":9})" });
+    BOOST_CHECK(!find(lossySuccessor, Symptom::RunNotEnded));
+    BOOST_CHECK(find(lossySuccessor, Symptom::EndNotLogged));
     // A later owner would have reported the run.
     BOOST_CHECK(
         !find(check({ acceptedAtNode1, cancelledAtNode1, stop, at(8000, "ownership_gained") }), Symptom::RunNotEnded));
