--- a/src/agatevane/event_log/log_reader.h
+++ b/src/agatevane/event_log/log_reader.h
@@ -19,8 +19,8 @@
 //! The value of a string field; empty if the field is missing or not a string.
 std::string textOf(const LogLine& line, const char* field);
 
-//! Appends the structured lines of `log` to `lines`. What a collector of logs has put before a line, such as the name of
-//! the machine, is ignored. Returns the number of lines that it skipped because they are not structured lines.
+//! Appends the structured lines of `log` to `lines`. What a collector of logs has put before a line, such as the name
+//! of the machine, is ignored. Returns the number of lines that it skipped because they are not structured lines.
 std::size_t readLog(std::istream& log, std::vector<LogLine>& lines);
 
 } // namespace agatevane::event_log
