--- a/tests/timeline_tool/cancellation_check_tests.cpp
+++ b/tests/timeline_tool/cancellation_check_tests.cpp
@@ -162,9 +162,11 @@
             cancelledAtNode1, stop, R"({"time_ms":8000,"event":"log_lines_dropped","process":"n5","total":9})" });
     BOOST_CHECK(!find(lossySuccessor, Symptom::RunNotEnded));
     BOOST_CHECK(find(lossySuccessor, Symptom::EndNotLogged));
-    // A later owner would have reported the run.
-    BOOST_CHECK(
-        !find(check({ acceptedAtNode1, cancelledAtNode1, stop, at(8000, "ownership_gained") }), Symptom::RunNotEnded));
+    // A later owner would have reported the run, but only once it has loaded the fleet.
+    auto elected = at(8000, "ownership_gained");
+    BOOST_CHECK(find(check({ acceptedAtNode1, cancelledAtNode1, stop, elected }), Symptom::RunNotEnded));
+    auto loaded = at(8100, "fleet_loaded");
+    BOOST_CHECK(!find(check({ acceptedAtNode1, cancelledAtNode1, stop, elected, loaded }), Symptom::RunNotEnded));
 }
 
 // Guards against a check that takes the order of an owner that doesn't know of a run's end for a sign of life.
