Log and count calls for the desired state that fail, and a newer one that is known

What callers saw: calls decided by a version that was replaced seconds before. The logs could not tell a node whose answers are given up while they arrive from one that gets none, nor that it knew of a later revision. Change: TransferLimits carries the progress of an answer to the store's callers; desired_state_not_received names each read, watch and pull that ended without an answer, with the bytes that had come; desired_state_behind names a later revision that another node has. Metrics of the age, of failures by reason and of received bytes. No decision changes.

--- a/src/agatevane/event_http/client.cpp
+++ b/src/agatevane/event_http/client.cpp
@@ -53,12 +53,14 @@
     {
     }
 
-    void run(const Request& request, Instant deadline, ResponseHandler done)
+    void run(const Request& request, TransferLimits limits, ResponseHandler done)
     {
         encode(request);
+        limits_ = std::move(limits);
+        progress_ = {};
         done_ = std::move(done);
         response_.reset();
-        timer_.expires_at(deadline);
+        timer_.expires_at(limits_.deadline);
         timer_.async_wait([self = shared_from_this(), number = ++requestNumber_](std::error_code error) {
             if (!error && number == self->requestNumber_)
                 self->expireRequest();
@@ -140,6 +142,7 @@
                 }
                 if (!self->done_ || !self->parser_.feed({ self->chunk_.data(), size }))
                     return self->done_ ? self->fail(Errc::Malformed) : self->close();
+                self->noteProgress(size);
                 if (self->response_)
                     self->complete();
                 if (self->socket_.is_open())
@@ -147,6 +150,14 @@
             });
     }
 
+    void noteProgress(std::size_t size)
+    {
+        progress_.receivedBytes += size;
+        progress_.expectedBytes = parser_.announcedBodyBytes();
+        if (limits_.progressed)
+            limits_.progressed(progress_);
+    }
+
     void complete()
     {
         auto response = std::move(*response_);
@@ -193,6 +204,8 @@
     std::array<char, readChunkBytes> chunk_ {};
     std::string out_;
     std::optional<Response> response_;
+    TransferLimits limits_;
+    TransferProgress progress_;
     ResponseHandler done_;
     std::uint64_t requestNumber_ = 0; //!< number of the current request; completions of earlier ones are ignored
     bool didStartSending_ = false; //!< the peer may have received a part of the request
@@ -211,6 +224,11 @@
 }
 
 void Client::send(const PeerAddress& peer, Request request, Instant deadline, ResponseHandler done)
+{
+    send(peer, std::move(request), TransferLimits { deadline, {} }, std::move(done));
+}
+
+void Client::send(const PeerAddress& peer, Request request, const TransferLimits& limits, ResponseHandler done)
 {
     ++state_->counters.requests;
     std::shared_ptr<ClientConnection> connection;
@@ -224,8 +242,8 @@
     }
     if (!connection)
         connection = std::make_shared<ClientConnection>(state_, peer);
-    asio::post(state_->context, [connection, request = std::move(request), deadline, done = std::move(done)]() mutable {
-        connection->run(request, deadline, std::move(done));
+    asio::post(state_->context, [connection, request = std::move(request), limits, done = std::move(done)]() mutable {
+        connection->run(request, std::move(limits), std::move(done));
     });
 }
 
--- a/src/agatevane/event_http/client.h
+++ b/src/agatevane/event_http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/base/instant.h"
+#include "agatevane/base/transfer.h"
 #include "agatevane/event_http/message.h"
 #include "agatevane/net/rpc.h"
 #include <asio/io_context.hpp>
@@ -31,6 +32,8 @@
     ~Client();
 
     //! `done` is called exactly once, never from within this call.
+    void send(const PeerAddress& peer, Request request, const TransferLimits& limits, ResponseHandler done);
+    //! The response has to be complete by `deadline`.
     void send(const PeerAddress& peer, Request request, Instant deadline, ResponseHandler done);
     //! Closes the idle connections to `peer`, for example when it has left.
     void closeIdleConnections(const PeerAddress& peer);
--- a/src/agatevane/event_http/parser.cpp
+++ b/src/agatevane/event_http/parser.cpp
@@ -43,6 +43,7 @@
         callbacks.on_url = onUrl;
         callbacks.on_header_field = onHeaderName;
         callbacks.on_header_value = onHeaderValue;
+        callbacks.on_headers_complete = onHeadersComplete;
         callbacks.on_body = onBody;
         callbacks.on_message_complete = onMessageComplete;
         return callbacks;
@@ -62,6 +63,7 @@
     self.isInMessage_ = true;
     self.wasLastPartHeaderName_ = false;
     self.headerBytes_ = 0;
+    self.announcedBodyBytes_ = 0;
     self.target_.clear();
     self.headers_.clear();
     self.body_.clear();
@@ -94,6 +96,15 @@
     return self.countHeaderBytes(size) ? 0 : 1;
 }
 
+int Parser::onHeadersComplete(http_parser* parser)
+{
+    // The parser sets all bits if the message does not say its length.
+    constexpr auto unknownLength = static_cast<std::uint64_t>(-1);
+    if (parser->content_length != unknownLength)
+        static_cast<Parser*>(parser->data)->announcedBodyBytes_ = parser->content_length;
+    return 0;
+}
+
 int Parser::onBody(http_parser* parser, const char* data, std::size_t size)
 {
     auto& self = *static_cast<Parser*>(parser->data);
--- a/src/agatevane/event_http/parser.h
+++ b/src/agatevane/event_http/parser.h
@@ -32,12 +32,15 @@
     bool finish();
     //! True if a message has begun and is not complete.
     bool isInMessage() const { return isInMessage_; }
+    //! The length of the current message's body, once its headers have announced it; otherwise 0.
+    std::size_t announcedBodyBytes() const { return announcedBodyBytes_; }
 
 private:
     static int onMessageBegin(http_parser* parser);
     static int onUrl(http_parser* parser, const char* data, std::size_t size);
     static int onHeaderName(http_parser* parser, const char* data, std::size_t size);
     static int onHeaderValue(http_parser* parser, const char* data, std::size_t size);
+    static int onHeadersComplete(http_parser* parser);
     static int onBody(http_parser* parser, const char* data, std::size_t size);
     static int onMessageComplete(http_parser* parser);
     static const http_parser_settings& settings();
@@ -49,6 +52,7 @@
     bool isInMessage_ = false;
     bool wasLastPartHeaderName_ = false; //!< otherwise the next part of a header name starts a new header
     std::size_t headerBytes_ = 0;
+    std::size_t announcedBodyBytes_ = 0;
     std::string target_;
     Headers headers_;
     std::string body_;
--- a/src/agatevane/kv/kv.h
+++ b/src/agatevane/kv/kv.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/base/instant.h"
+#include "agatevane/base/transfer.h"
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -83,13 +84,14 @@
 public:
     virtual ~Store() = default;
 
-    virtual void get(const std::string& key, Instant deadline, std::function<void(ReadResult)> done) = 0;
+    virtual void get(const std::string& key, const TransferLimits& limits, std::function<void(ReadResult)> done) = 0;
     //! Reads all keys that start with `prefix`, in as many pages as needed. The pages are not a snapshot: each shows
     //! the store at the time of its own read.
-    virtual void list(const std::string& prefix, Instant deadline, std::function<void(ReadResult)> done) = 0;
+    virtual void list(const std::string& prefix, const TransferLimits& limits, std::function<void(ReadResult)> done)
+        = 0;
     //! Waits up to `wait` for changes after the revision `after` to keys that start with `prefix`.
-    virtual void watch(
-        const std::string& prefix, Revision after, Millis wait, Instant deadline, std::function<void(WatchResult)> done)
+    virtual void watch(const std::string& prefix, Revision after, Millis wait, const TransferLimits& limits,
+        std::function<void(WatchResult)> done)
         = 0;
     virtual void commit(const Txn& txn, Instant deadline, std::function<void(TxnResult)> done) = 0;
     virtual void grantLease(Millis ttl, Instant deadline, std::function<void(LeaseResult)> done) = 0;
--- a/src/agatevane/net/peer_address.cpp
+++ b/src/agatevane/net/peer_address.cpp
@@ -30,4 +30,10 @@
     return {};
 }
 
+std::string toString(const PeerAddress& address)
+{
+    bool isV6 = address.address.find(':') != std::string::npos;
+    return (isV6 ? "[" + address.address + "]" : address.address) + ":" + std::to_string(address.port);
+}
+
 } // namespace agatevane::net
--- a/src/agatevane/net/peer_address.h
+++ b/src/agatevane/net/peer_address.h
@@ -18,5 +18,7 @@
 //! Reads "ip:port". Returns what is wrong with `text`, or an empty string. Host names are refused, since VMs have no
 //! name service; IPv6 addresses are written in brackets. Port 0 means any free port.
 std::string readAddress(std::string_view text, PeerAddress& result);
+//! "ip:port", for logs and pages.
+std::string toString(const PeerAddress& address);
 
 } // namespace agatevane::net
--- a/src/agatevane/net/rpc.h
+++ b/src/agatevane/net/rpc.h
@@ -51,6 +51,9 @@
     //! `done` is called exactly once, on a thread of the io_context.
     void call(std::uint16_t kind, std::string payload, Instant deadline, CallResult done);
 
+    //! Bytes received since the client was created, also those of replies that were cut off.
+    std::uint64_t receivedBytes() const;
+
     //! Blocks until the call ends; must not be called on a thread of the io_context.
     std::error_code callAndWait(std::uint16_t kind, std::string payload, Instant deadline, std::string& reply);
 
--- a/src/agatevane/net/rpc_client.cpp
+++ b/src/agatevane/net/rpc_client.cpp
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <deque>
 #include <future>
 #include <map>
@@ -151,9 +152,19 @@
         call.writtenAt = now();
     }
 
+    //! A completion condition that reads until the buffer is full, and counts what has arrived.
+    auto countBytes()
+    {
+        return [self = shared_from_this(), counted = std::size_t(0)](
+                   std::error_code error, std::size_t size) mutable -> std::size_t {
+            self->receivedBytes += size - std::exchange(counted, size);
+            return asio::transfer_all()(error, size);
+        };
+    }
+
     void readHeader()
     {
-        asio::async_read(connection->socket, asio::buffer(connection->header),
+        asio::async_read(connection->socket, asio::buffer(connection->header), countBytes(),
             [self = shared_from_this(), current = connection](std::error_code error, std::size_t) {
                 if (current != self->connection)
                     return;
@@ -167,7 +178,7 @@
     void readPayload()
     {
         connection->incoming.resize(connection->frame.payloadBytes);
-        asio::async_read(connection->socket, asio::buffer(connection->incoming),
+        asio::async_read(connection->socket, asio::buffer(connection->incoming), countBytes(),
             [self = shared_from_this(), current = connection](std::error_code error, std::size_t) {
                 if (current != self->connection)
                     return;
@@ -204,6 +215,7 @@
     std::map<std::uint64_t, PendingCall> pendingCalls;
     std::deque<OutgoingFrame> outgoing;
     Instant lastReceived;
+    std::atomic<std::uint64_t> receivedBytes { 0 };
 };
 
 RpcClient::RpcClient(asio::io_context& context, const PeerAddress& peer)
@@ -224,6 +236,11 @@
         });
 }
 
+std::uint64_t RpcClient::receivedBytes() const
+{
+    return state_->receivedBytes;
+}
+
 std::error_code RpcClient::callAndWait(std::uint16_t kind, std::string payload, Instant deadline, std::string& reply)
 {
     auto promise = std::make_shared<std::promise<std::pair<std::error_code, std::string>>>();
--- a/src/node/desired_state_feed.cpp
+++ b/src/node/desired_state_feed.cpp
@@ -1,6 +1,7 @@
 #include "node/desired_state_feed.h"
 
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/metrics/registry.h"
 
 namespace agatevane::node {
 
@@ -19,6 +20,20 @@
     //! Time beyond the wait in which the store has to answer a watch.
     constexpr Millis watchMargin { 600 };
 
+    std::shared_ptr<StateReception> begin(StateSource source)
+    {
+        return std::make_shared<StateReception>(StateReception { source, now(), {}, {} });
+    }
+
+    void countBytes(const StateReception& reception)
+    {
+        metrics::registry()
+            .counter("agatevane_desired_state_received_bytes_total",
+                "Bytes received in answers to calls for the desired state",
+                { { "source", std::string(nameOf(reception.source)) } })
+            .add(reception.progress.receivedBytes);
+    }
+
 } // namespace
 
 DesiredStateFeed::DesiredStateFeed(asio::io_context& context, kv::Store& store, const Translation& translation,
@@ -36,15 +51,61 @@
     read();
 }
 
+TransferLimits DesiredStateFeed::limitsOf(const std::shared_ptr<StateReception>& reception, Instant deadline) const
+{
+    return { deadline, [reception](const TransferProgress& progress) { reception->progress = progress; } };
+}
+
+void DesiredStateFeed::noteStoreAnswer(const StateReception& reception)
+{
+    storeAnsweredAt_ = bootNow();
+    countBytes(reception);
+}
+
+void DesiredStateFeed::reportFailure(const StateReception& reception, std::string_view reason) const
+{
+    countBytes(reception);
+    metrics::registry()
+        .counter("agatevane_desired_state_failures_total", "Calls for the desired state that ended without an answer",
+            { { "source", std::string(nameOf(reception.source)) }, { "reason", std::string(reason) } })
+        .add();
+    Line("desired_state_not_received")
+        .with("source", nameOf(reception.source))
+        .with("peer", reception.peer)
+        .with("reason", reason)
+        .with("bytes", reception.progress.receivedBytes)
+        .with("expected_bytes", reception.progress.expectedBytes)
+        .with("took_ms", elapsed(reception.startedAt, now()).count())
+        .with("revision", item_.revision)
+        .with("newest_revision", newestRevision());
+}
+
+void DesiredStateFeed::noteRevision(kv::Revision revision, std::string_view toldBy)
+{
+    if (revision <= newestRevision())
+        return;
+    newestRevision_ = revision;
+    if (!behindSince_)
+        behindSince_ = bootNow();
+    Line("desired_state_behind")
+        .with("revision", item_.revision)
+        .with("newest_revision", revision)
+        .with("told_by", toldBy)
+        .with("behind_ms", elapsed(*behindSince_, bootNow()).count());
+}
+
 void DesiredStateFeed::read()
 {
+    auto reception = begin(StateSource::Read);
     // Unlike a get, a listing with the key as prefix returns a revision to watch from even if the key does not exist.
-    store_.list(
-        translation_.desiredStateKey, now() + readTimeout, liveness_.guard([this](const kv::ReadResult& result) {
+    store_.list(translation_.desiredStateKey, limitsOf(reception, now() + readTimeout),
+        liveness_.guard([this, reception](const kv::ReadResult& result) {
             if (result.error) {
+                reportFailure(*reception, result.error.message());
                 timer_.arm(retryPause, [this] { read(); });
                 return;
             }
+            noteStoreAnswer(*reception);
             watchedRevision_ = std::max(watchedRevision_, result.asOf);
             for (const auto& item : result.items) {
                 if (item.key == translation_.desiredStateKey)
@@ -56,13 +117,17 @@
 
 void DesiredStateFeed::watch()
 {
+    auto reception = begin(StateSource::Watch);
     auto wait = needsPromptUpdates_() ? shortWatchWait : longWatchWait;
-    store_.watch(translation_.desiredStateKey, watchedRevision_, wait, now() + wait + watchMargin,
-        liveness_.guard([this](const kv::WatchResult& result) {
+    store_.watch(translation_.desiredStateKey, watchedRevision_, wait, limitsOf(reception, now() + wait + watchMargin),
+        liveness_.guard([this, reception](const kv::WatchResult& result) {
             if (result.error) {
+                reportFailure(
+                    *reception, result.isHistoryCompacted ? std::string("history dropped") : result.error.message());
                 timer_.arm(result.isHistoryCompacted ? Millis(0) : retryPause, [this] { read(); });
                 return;
             }
+            noteStoreAnswer(*reception);
             watchedRevision_ = std::max(watchedRevision_, result.asOf);
             for (const auto& change : result.changes) {
                 if (!change.isRemoval && change.item.key == translation_.desiredStateKey)
@@ -88,10 +153,15 @@
     if (!state)
         return;
     item_ = item;
+    auto behind = behindSince_ ? elapsed(*behindSince_, bootNow()) : Millis(0);
+    if (item_.revision >= newestRevision_)
+        behindSince_.reset();
     Line("desired_state_applied")
         .with("version", state->version)
         .with("revision", item.revision)
         .with("source", source)
+        .with("bytes", item.value.size())
+        .with("behind_ms", behind.count())
         .with("queues", state->queues.size())
         .with("tenants", state->tenants.size());
     current_ = std::move(state);
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -33,7 +33,7 @@
         if (target)
             return;
         environment_.store.list(
-            prefix, now() + loadTimeout, liveness_.guard([this, &target](const kv::ReadResult& result) {
+            prefix, { now() + loadTimeout, {} }, liveness_.guard([this, &target](const kv::ReadResult& result) {
                 if (isStopped_)
                     return;
                 if (result.error) {
@@ -164,7 +164,7 @@
 
 void FleetOwner::listWorkers()
 {
-    environment_.store.list(environment_.translation.workerPrefix, now() + loadTimeout,
+    environment_.store.list(environment_.translation.workerPrefix, { now() + loadTimeout, {} },
         liveness_.guard([this](const kv::ReadResult& result) {
             if (isStopped_)
                 return;
@@ -181,7 +181,7 @@
 void FleetOwner::watchWorkers()
 {
     auto deadline = now() + watchWait + watchMargin;
-    environment_.store.watch(environment_.translation.workerPrefix, workersRevision_, watchWait, deadline,
+    environment_.store.watch(environment_.translation.workerPrefix, workersRevision_, watchWait, { deadline, {} },
         liveness_.guard([this](const kv::WatchResult& result) {
             if (isStopped_)
                 return;
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -26,11 +26,6 @@
         return jsonResponse(status, { { "status", status }, { "title", title } });
     }
 
-    std::string textOf(const net::PeerAddress& address)
-    {
-        return address.address + ":" + std::to_string(address.port);
-    }
-
 } // namespace
 
 void Node::handleOperator(const event_http::Request& request, const event_http::Respond& respond)
@@ -87,7 +82,7 @@
     auto add = [&](const std::string& name, const net::PeerAddress& address) {
         bool isOwner = name == election_.owner().record.name;
         rows.push_back(
-            { { "member", name }, { "address", textOf(address) }, { "state", isOwner ? "owner" : "follower" } });
+            { { "member", name }, { "address", net::toString(address) }, { "state", isOwner ? "owner" : "follower" } });
     };
     add(settings_.name, settings_.peerAddress);
     for (const auto& [name, address] : peers_)
@@ -102,7 +97,7 @@
     auto rows = nlohmann::json::array();
     if (owner.revision != 0) {
         rows.push_back({ { "dataCentre", "all" }, { "owner", owner.record.name },
-            { "address", textOf(owner.record.address) }, { "revision", owner.revision } });
+            { "address", net::toString(owner.record.address) }, { "revision", owner.revision } });
     }
     return { { "owners", std::move(rows) } };
 }
@@ -113,6 +108,19 @@
     registry.gauge("agatevane_is_owner", "1 while this node owns the fleet").set(fleetOwner_ ? 1 : 0);
     registry.gauge("agatevane_desired_revision", "Revision of the desired state in force")
         .set(static_cast<double>(desiredFeed_.revision()));
+    auto at = bootNow();
+    auto secondsSince = [at](Instant since) { return std::chrono::duration<double>(at - since).count(); };
+    registry.gauge("agatevane_desired_state_newest_revision", "Newest revision of the desired state that is known")
+        .set(static_cast<double>(desiredFeed_.newestRevision()));
+    auto behindSince = desiredFeed_.behindSince();
+    registry
+        .gauge("agatevane_desired_state_behind_seconds",
+            "Time for which a newer desired state has been known and not in force")
+        .set(behindSince ? secondsSince(*behindSince) : 0);
+    registry
+        .gauge("agatevane_desired_state_unchecked_seconds",
+            "Time since the store last answered a call for the desired state")
+        .set(secondsSince(desiredFeed_.storeAnsweredAt()));
     registry.gauge("agatevane_log_lines_dropped", "Log lines dropped since the start")
         .set(static_cast<double>(event_log::droppedLines()));
     if (fleetOwner_) {
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -48,6 +48,7 @@
 {
     addPeer(request.name, request.address);
     election_.applyOwnerView(request.owner);
+    desiredFeed_.noteRevision(request.desiredRevision, request.name);
     PullReply answer;
     answer.owner = election_.owner();
     answer.isServingOwner = fleetOwner_ && fleetOwner_->isReady();
@@ -159,11 +160,18 @@
 void Node::pull(const net::PeerAddress& address)
 {
     PullRequest request { settings_.name, settings_.peerAddress, election_.owner(), desiredFeed_.revision() };
-    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Pull), net::encode(request), now() + pullTimeout,
-        liveness_.guard([this, address, sentAt = bootNow()](std::error_code error, const std::string& payload) {
+    auto& client = clientOf(address);
+    StateReception reception { StateSource::Pull, now(), net::toString(address), {} };
+    client.call(static_cast<std::uint16_t>(PeerMessage::Pull), net::encode(request), now() + pullTimeout,
+        liveness_.guard([this, address, &client, reception, sentAt = bootNow(), bytesBefore = client.receivedBytes()](
+                            std::error_code error, const std::string& payload) mutable {
             PullReply reply;
-            if (!error && net::decode(payload, reply))
-                applyPull(address, sentAt, reply);
+            if (!error && !net::decode(payload, reply))
+                error = Errc::Malformed;
+            reception.progress.receivedBytes = client.receivedBytes() - bytesBefore;
+            if (error)
+                return desiredFeed_.reportFailure(reception, error.message());
+            applyPull(address, sentAt, reply);
         }));
 }
 
@@ -172,6 +180,7 @@
     election_.applyOwnerView(reply.owner);
     if (fleetOwner_)
         ownershipAgreedAt_ = std::max(ownershipAgreedAt_, sentAt);
+    desiredFeed_.noteRevision(reply.desiredRevision, net::toString(from));
     if (!reply.desiredState.empty())
         desiredFeed_.applyFromPeer(reply.desiredRevision, reply.desiredState);
     for (const auto& peer : reply.peers)
--- a/src/node/owner_campaign.cpp
+++ b/src/node/owner_campaign.cpp
@@ -38,7 +38,7 @@
 void OwnerElection::startCampaign()
 {
     isClaimInProgress_ = true;
-    store_.get(commitKey, now() + callTimeout, liveness_.guard([this](const kv::ReadResult& result) {
+    store_.get(commitKey, { now() + callTimeout, {} }, liveness_.guard([this](const kv::ReadResult& result) {
         noteStoreAnswer(result.error);
         if (result.error)
             return abandonCampaign(retryPause);
@@ -56,21 +56,22 @@
 //! of an earlier owner would be worse than no owner.
 void OwnerElection::readTenure(kv::Revision commitRevision)
 {
-    store_.get(tenureKey, now() + callTimeout, liveness_.guard([this, commitRevision](const kv::ReadResult& result) {
-        noteStoreAnswer(result.error);
-        if (result.error)
-            return abandonCampaign(retryPause);
-        if (result.items.empty()) {
-            if (commitRevision != 0)
-                return abandonCampaign(uncertainTenurePause);
-            return beginCampaign(0, commitRevision);
-        }
-        const auto& item = result.items.front();
-        if (auto record = decodeRecord<TenureRecord>(item.value))
-            return beginCampaign(record->tenure, commitRevision);
-        reportUnreadableRecord(item);
-        abandonCampaign(uncertainTenurePause);
-    }));
+    store_.get(
+        tenureKey, { now() + callTimeout, {} }, liveness_.guard([this, commitRevision](const kv::ReadResult& result) {
+            noteStoreAnswer(result.error);
+            if (result.error)
+                return abandonCampaign(retryPause);
+            if (result.items.empty()) {
+                if (commitRevision != 0)
+                    return abandonCampaign(uncertainTenurePause);
+                return beginCampaign(0, commitRevision);
+            }
+            const auto& item = result.items.front();
+            if (auto record = decodeRecord<TenureRecord>(item.value))
+                return beginCampaign(record->tenure, commitRevision);
+            reportUnreadableRecord(item);
+            abandonCampaign(uncertainTenurePause);
+        }));
 }
 
 void OwnerElection::abandonCampaign(Millis pause)
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -170,7 +170,7 @@
 {
     // Makes the answer of a pending watch obsolete.
     auto generation = ++watchGeneration_;
-    store_.get(ownerKey, now() + callTimeout, liveness_.guard([this, generation](const kv::ReadResult& result) {
+    store_.get(ownerKey, { now() + callTimeout, {} }, liveness_.guard([this, generation](const kv::ReadResult& result) {
         noteStoreAnswer(result.error);
         if (generation != watchGeneration_)
             return;
@@ -183,24 +183,25 @@
             return watch();
         }
         // A missing key has no revision to watch from, but a listing returns the revision up to which it has read.
-        store_.list(ownerKey, now() + callTimeout, liveness_.guard([this, generation](const kv::ReadResult& listed) {
-            noteStoreAnswer(listed.error);
-            if (generation != watchGeneration_)
-                return;
-            if (listed.error) {
-                watchTimer_.arm(retryPause, [this] { readOwner(); });
-                return;
-            }
-            applyOwnerItem(listed.items.empty() ? nullptr : &listed.items.front(), listed.asOf);
-            watch();
-        }));
+        store_.list(
+            ownerKey, { now() + callTimeout, {} }, liveness_.guard([this, generation](const kv::ReadResult& listed) {
+                noteStoreAnswer(listed.error);
+                if (generation != watchGeneration_)
+                    return;
+                if (listed.error) {
+                    watchTimer_.arm(retryPause, [this] { readOwner(); });
+                    return;
+                }
+                applyOwnerItem(listed.items.empty() ? nullptr : &listed.items.front(), listed.asOf);
+                watch();
+            }));
     }));
 }
 
 void OwnerElection::watch()
 {
     auto deadline = now() + watchWait + watchMargin;
-    store_.watch(ownerKey, watchedRevision_, watchWait, deadline,
+    store_.watch(ownerKey, watchedRevision_, watchWait, { deadline, {} },
         liveness_.guard([this, generation = watchGeneration_](const kv::WatchResult& result) {
             noteStoreAnswer(result.error);
             if (generation != watchGeneration_)
--- a/src/node/tenure_check.cpp
+++ b/src/node/tenure_check.cpp
@@ -43,7 +43,7 @@
         return;
     isReadInFlight_ = true;
     asked_ = std::exchange(waiting_, {});
-    store_.get(commitKey, now() + readTimeout, liveness_.guard([this](const kv::ReadResult& result) {
+    store_.get(commitKey, { now() + readTimeout, {} }, liveness_.guard([this](const kv::ReadResult& result) {
         isReadInFlight_ = false;
         auto asked = std::exchange(asked_, {});
         readIfNeeded();
--- a/src/node/upkeep_controller.cpp
+++ b/src/node/upkeep_controller.cpp
@@ -37,25 +37,26 @@
 
 void UpkeepController::readRecord()
 {
-    environment_.store.get(upkeepKey, now() + readTimeout, liveness_.guard([this](const kv::ReadResult& result) {
-        if (isStopped_)
-            return;
-        if (result.error) {
-            watchTimer_.arm(retryPause, [this] { readRecord(); });
-            return;
-        }
-        for (const auto& item : result.items) {
-            if (!upkeep::decodeRecord(state_, item.value))
-                reportUnreadableRecord(item);
-        }
-        listWaves();
-    }));
+    environment_.store.get(
+        upkeepKey, { now() + readTimeout, {} }, liveness_.guard([this](const kv::ReadResult& result) {
+            if (isStopped_)
+                return;
+            if (result.error) {
+                watchTimer_.arm(retryPause, [this] { readRecord(); });
+                return;
+            }
+            for (const auto& item : result.items) {
+                if (!upkeep::decodeRecord(state_, item.value))
+                    reportUnreadableRecord(item);
+            }
+            listWaves();
+        }));
 }
 
 void UpkeepController::listWaves()
 {
-    environment_.store.list(
-        environment_.translation.wavePrefix, now() + readTimeout, liveness_.guard([this](const kv::ReadResult& result) {
+    environment_.store.list(environment_.translation.wavePrefix, { now() + readTimeout, {} },
+        liveness_.guard([this](const kv::ReadResult& result) {
             if (isStopped_)
                 return;
             if (result.error) {
@@ -73,7 +74,7 @@
 void UpkeepController::watchWaves()
 {
     auto deadline = now() + watchWait + watchMargin;
-    environment_.store.watch(environment_.translation.wavePrefix, wavesRevision_, watchWait, deadline,
+    environment_.store.watch(environment_.translation.wavePrefix, wavesRevision_, watchWait, { deadline, {} },
         liveness_.guard([this](const kv::WatchResult& result) {
             if (isStopped_)
                 return;
--- a/tests/node/desired_state_feed_tests.cpp
+++ b/tests/node/desired_state_feed_tests.cpp
@@ -1,5 +1,6 @@
 #include "fakes.h"
 
+#include "agatevane/metrics/registry.h"
 #include "node/desired_state_feed.h"
 #include <boost/test/unit_test.hpp>
 
@@ -23,4 +24,43 @@
     BOOST_CHECK_EQUAL(feed.revision(), 5);
 }
 
+// Guards against a node that is behind and does not show it.
+BOOST_AUTO_TEST_CASE(A_newer_revision_is_known_until_it_is_in_force, *boost::unit_test::label("node"))
+{
+    asio::io_context context;
+    standin::KvModel model;
+    test::FakeStore store(context, model);
+    auto translation = test::plainTranslation();
+    node::DesiredStateFeed feed(
+        context, store, translation, [] {}, [] { return false; });
+    feed.applyFromPeer(4, "1");
+    BOOST_CHECK(!feed.behindSince());
+    feed.noteRevision(7, "n2");
+    feed.noteRevision(6, "n3");
+    BOOST_CHECK(feed.behindSince());
+    BOOST_CHECK_EQUAL(feed.newestRevision(), 7);
+    feed.applyFromPeer(6, "2");
+    BOOST_CHECK(feed.behindSince());
+    feed.applyFromPeer(7, "3");
+    BOOST_CHECK(!feed.behindSince());
+    BOOST_CHECK_EQUAL(feed.newestRevision(), 7);
+}
+
+// Guards against failures that leave no trace.
+BOOST_AUTO_TEST_CASE(A_failed_read_is_counted_with_its_reason, *boost::unit_test::label("node"))
+{
+    asio::io_context context;
+    standin::KvModel model;
+    test::FakeStore store(context, model);
+    store.setFault(test::StoreFault::Refusing);
+    auto translation = test::plainTranslation();
+    auto& failures = metrics::registry().counter("agatevane_desired_state_failures_total",
+        "Calls for the desired state that ended without an answer", { { "source", "read" }, { "reason", "refused" } });
+    auto before = failures.value();
+    node::DesiredStateFeed feed(
+        context, store, translation, [] {}, [] { return false; });
+    feed.start();
+    BOOST_CHECK(test::runUntil(context, Millis(1000), [&] { return failures.value() > before; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatevane/base/error.h"
+#include "modelled_link.h"
 #include "node/fleet_owner.h"
 #include "node/node.h"
 #include "node/timer.h"
@@ -39,22 +40,29 @@
     }
 
     void setFault(StoreFault fault) { fault_ = fault; }
+    //! Answers to reads and watches cross `link`, which must exist for as long as the store.
+    void setLink(ModelledLink& link) { link_ = &link; }
+    //! Reads and watches are answered this much later.
+    void setDelay(Millis delay) { delay_ = delay; }
     int commits() const { return commits_; }
 
-    void get(const std::string& key, Instant deadline, std::function<void(kv::ReadResult)> done) override
+    void get(const std::string& key, const TransferLimits& limits, std::function<void(kv::ReadResult)> done) override
     {
-        answer<kv::ReadResult>(deadline, std::move(done), [this, key] { return model_.get(key, modelTimeMs()); });
+        answer<kv::ReadResult>(
+            limits.deadline, overLink(limits, std::move(done)), [this, key] { return model_.get(key, modelTimeMs()); });
     }
-    void list(const std::string& prefix, Instant deadline, std::function<void(kv::ReadResult)> done) override
+    void list(
+        const std::string& prefix, const TransferLimits& limits, std::function<void(kv::ReadResult)> done) override
     {
         constexpr bool isListing = true;
         answer<kv::ReadResult>(
-            deadline, std::move(done), [this, prefix] { return model_.list(prefix, modelTimeMs()); }, isListing);
+            limits.deadline, overLink(limits, std::move(done)),
+            [this, prefix] { return model_.list(prefix, modelTimeMs()); }, isListing);
     }
-    void watch(const std::string& prefix, kv::Revision after, Millis wait, Instant,
+    void watch(const std::string& prefix, kv::Revision after, Millis wait, const TransferLimits& limits,
         std::function<void(kv::WatchResult)> done) override
     {
-        pollWatch(prefix, after, now() + wait, std::move(done));
+        pollWatch(prefix, after, now() + wait, overLink(limits, std::move(done)));
     }
     void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
     {
@@ -92,6 +100,50 @@
         return result;
     }
 
+    //! Bytes of an item in an answer: the value in base64, and the item's other members.
+    static std::size_t encodedBytes(const kv::Item& item) { return (item.value.size() + 2) / 3 * 4 + 100; }
+
+    static std::size_t bytesOf(const kv::ReadResult& result)
+    {
+        std::size_t bytes = 0;
+        for (const auto& item : result.items)
+            bytes += encodedBytes(item);
+        return bytes;
+    }
+
+    static std::size_t bytesOf(const kv::WatchResult& result)
+    {
+        std::size_t bytes = 0;
+        for (const auto& change : result.changes)
+            bytes += encodedBytes(change.item);
+        return bytes;
+    }
+
+    //! Passes on a result once the link has carried it.
+    template <typename Result>
+    std::function<void(Result)> overLink(const TransferLimits& limits, std::function<void(Result)> done)
+    {
+        if (!link_ && delay_ == Millis(0))
+            return done;
+        return [this, limits, done](const Result& result) {
+            if (result.error)
+                return done(result);
+            auto timer = std::make_shared<node::Timer>(context_);
+            timer->arm(delay_, [this, timer, limits, done, result] {
+                if (!link_)
+                    return done(result);
+                link_->carry(bytesOf(result), limits, [done, result](std::error_code error) {
+                    auto carried = result;
+                    if (error) {
+                        carried = {};
+                        carried.error = error;
+                    }
+                    done(carried);
+                });
+            });
+        };
+    }
+
     template <typename Result>
     void answer(
         Instant deadline, std::function<void(Result)> done, std::function<Result()> execute, bool isListing = false)
@@ -135,6 +187,8 @@
     asio::io_context& context_;
     standin::KvModel& model_;
     StoreFault fault_ = StoreFault::None;
+    ModelledLink* link_ = nullptr; //!< null: answers take no time on the way
+    Millis delay_ { 0 };
     int commits_ = 0;
 };
 
--- a/tests/node/owner_election_tests.cpp
+++ b/tests/node/owner_election_tests.cpp
@@ -44,11 +44,11 @@
         commitExecuted_ = std::move(executed);
     }
 
-    void get(const std::string& key, Instant deadline, std::function<void(kv::ReadResult)> done) override
+    void get(const std::string& key, const TransferLimits& limits, std::function<void(kv::ReadResult)> done) override
     {
         if (!losesReads_)
-            return FakeStore::get(key, deadline, std::move(done));
-        answerLater<kv::ReadResult>(elapsed(now(), deadline), Errc::Timeout, std::move(done));
+            return FakeStore::get(key, limits, std::move(done));
+        answerLater<kv::ReadResult>(elapsed(now(), limits.deadline), Errc::Timeout, std::move(done));
     }
     void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
     {
--- a/tests/node/tenure_check_tests.cpp
+++ b/tests/node/tenure_check_tests.cpp
@@ -17,10 +17,10 @@
 
     int reads() const { return reads_; }
 
-    void get(const std::string& key, Instant deadline, std::function<void(kv::ReadResult)> done) override
+    void get(const std::string& key, const TransferLimits& limits, std::function<void(kv::ReadResult)> done) override
     {
         ++reads_;
-        FakeStore::get(key, deadline, std::move(done));
+        FakeStore::get(key, limits, std::move(done));
     }
 
 private:
