Show that a large desired state does not reach nodes on slow links in time

Seen to fail here: sizes of 768 KiB and more at most phases of a watch, a change crosses the link several times, no large state arrives from other nodes (a reply to a pull has 600 ms, and above 1 MiB breaks the connection), and a series of versions leaves the node behind for good.

--- a/standins/relay/link.h
+++ b/standins/relay/link.h
@@ -20,6 +20,7 @@
     bool isStalled = false; //!< TCP: forwards nothing and keeps connections; UDP: drops everything
     bool holdsAnswers = false; //!< TCP: forwards only what the connecting side sends
     std::chrono::milliseconds delay { 0 }; //!< added in each direction
+    std::uint64_t bytesPerSecond = 0; //!< TCP: rate of all connections together, in each direction; 0: no limit
 };
 
 struct LinkCounts {
@@ -58,10 +59,16 @@
 private:
     struct Session;
 
+    //! The time at which the link has carried one of its directions' bytes.
+    using BusyUntil = std::chrono::steady_clock::time_point;
+
     void open();
     void accept();
+    std::chrono::nanoseconds queueBytes(BusyUntil& direction, std::size_t length) const;
 
     asio::io_context& context_;
+    BusyUntil toServerBusyUntil_;
+    BusyUntil toClientBusyUntil_;
     asio::ip::tcp::endpoint listen_;
     asio::ip::tcp::endpoint target_;
     asio::ip::tcp::acceptor acceptor_;
--- a/standins/relay/relay.cpp
+++ b/standins/relay/relay.cpp
@@ -174,15 +174,18 @@
         nlohmann::json body;
         LinkState state;
         std::int64_t delayMs = 0;
+        std::int64_t bytesPerSecond = 0;
         if (json::parse(request.body, "body", body, findings)) {
             json::ObjectReader reader(body, "", findings);
             reader.read("cut", state.isCut, json::Presence::Optional);
             reader.read("stalled", state.isStalled, json::Presence::Optional);
             reader.read("holdsAnswers", state.holdsAnswers, json::Presence::Optional);
             reader.read("delayMs", delayMs, json::Presence::Optional, 0, 600000);
+            reader.read("bytesPerSecond", bytesPerSecond, json::Presence::Optional, 0);
             reader.finish();
         }
         state.delay = std::chrono::milliseconds(delayMs);
+        state.bytesPerSecond = static_cast<std::uint64_t>(bytesPerSecond);
         int count = findings.empty() ? apply(request.matches.at(1), state) : 0;
         response.status = !findings.empty() ? 400 : count > 0 ? 200 : 404;
         response.body = json::dump({ { "links", count } });
--- a/standins/relay/tcp_link.cpp
+++ b/standins/relay/tcp_link.cpp
@@ -1,5 +1,6 @@
 #include "standins/relay/link.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
@@ -18,12 +19,14 @@
     struct Pump {
         tcp::socket& from;
         tcp::socket& to;
+        BusyUntil& busyUntil;
         asio::steady_timer timer;
         std::array<char, 65536> buffer {};
 
-        Pump(tcp::socket& source, tcp::socket& sink)
+        Pump(tcp::socket& source, tcp::socket& sink, BusyUntil& direction)
             : from(source)
             , to(sink)
+            , busyUntil(direction)
             , timer(source.get_executor())
         {
         }
@@ -33,8 +36,8 @@
         : link(owner)
         , client(std::move(accepted))
         , server(link.context_)
-        , clientToServer(client, server)
-        , serverToClient(server, client)
+        , clientToServer(client, server, link.toServerBusyUntil_)
+        , serverToClient(server, client, link.toClientBusyUntil_)
     {
     }
 
@@ -62,11 +65,11 @@
                 else if (error)
                     self->endDirection(pump);
                 else if (!self->isClosed)
-                    self->wait(pump, length, self->link.state_.delay);
+                    self->wait(pump, length, self->link.state_.delay + self->link.queueBytes(pump.busyUntil, length));
             });
     }
 
-    void wait(Pump& pump, std::size_t length, std::chrono::milliseconds delay)
+    void wait(Pump& pump, std::size_t length, std::chrono::nanoseconds delay)
     {
         bool isHeld = link.state_.isStalled || (link.state_.holdsAnswers && &pump == &serverToClient);
         if (delay.count() == 0 && !isHeld) {
@@ -77,10 +80,10 @@
             end();
             return;
         }
-        pump.timer.expires_after(delay.count() == 0 ? stallCheckInterval : delay);
+        pump.timer.expires_after(delay.count() == 0 ? std::chrono::nanoseconds(stallCheckInterval) : delay);
         pump.timer.async_wait([self = shared_from_this(), &pump, length](std::error_code error) {
             if (!error && !self->isClosed)
-                self->wait(pump, length, std::chrono::milliseconds(0));
+                self->wait(pump, length, std::chrono::nanoseconds(0));
         });
     }
 
@@ -180,6 +183,17 @@
     });
 }
 
+//! Returns how long it takes until the link has carried `length` more bytes.
+std::chrono::nanoseconds TcpLink::queueBytes(BusyUntil& direction, std::size_t length) const
+{
+    if (state_.bytesPerSecond == 0)
+        return std::chrono::nanoseconds(0);
+    auto at = BusyUntil::clock::now();
+    auto duration = std::chrono::nanoseconds(std::chrono::seconds(length)) / state_.bytesPerSecond;
+    direction = std::max(direction, at) + duration;
+    return direction - at;
+}
+
 void TcpLink::apply(const LinkState& state)
 {
     bool wasCut = state_.isCut;
--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -14,6 +14,12 @@
     constexpr Millis startTimeout { 15000 };
     constexpr Millis pollInterval { 50 };
 
+    nlohmann::json queueNamed(const std::string& name, const std::string& prefix)
+    {
+        return { { "name", name }, { "host", "127.0.0.1" }, { "prefix", prefix }, { "service", "training" },
+            { "priority", 1 }, { "maxAttempts", 3 }, { "stretch", 3.0 }, { "targetLatencyMs", 1000 } };
+    }
+
     void require(bool condition, const std::string& what)
     {
         if (!condition)
@@ -207,13 +213,18 @@
     return readControl("/runs");
 }
 
-void PlatformDeployment::putDesiredState(int version, const std::vector<std::string>& keys)
+void PlatformDeployment::putDesiredState(int version, const std::vector<std::string>& keys, std::size_t bytes)
 {
-    nlohmann::json state { { "version", version },
-        { "routes",
-            { { { "name", "queue-1" }, { "host", "127.0.0.1" }, { "prefix", "/jobs/" }, { "service", "training" },
-                { "priority", 1 }, { "maxAttempts", 3 }, { "stretch", 3.0 }, { "targetLatencyMs", 1000 } } } },
-        { "services", { { { "name", "training" } } } },
+    auto queues = nlohmann::json::array({ queueNamed("queue-1", "/jobs/") });
+    auto unused = [](std::size_t number) {
+        auto name = "unused-" + std::to_string(number);
+        return queueNamed(name, "/" + name + "/");
+    };
+    constexpr std::size_t fixedBytes = 1024; // what else the state has
+    auto queueBytes = unused(bytes).dump().size() + 1;
+    for (std::size_t number = 0; fixedBytes + queues.size() * queueBytes < bytes; ++number)
+        queues.push_back(unused(number));
+    nlohmann::json state { { "version", version }, { "routes", queues }, { "services", { { { "name", "training" } } } },
         { "tenants", { { { "name", "tenant-1" }, { "apiKeys", keys }, { "guaranteed", { { "gpu", 8 } } } } } } };
     postControl("/desired", state.dump());
 }
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -41,8 +41,9 @@
     nlohmann::json readControl(const std::string& path);
     //! All runs that the stand-in's workers have started.
     nlohmann::json runs();
-    //! Writes a desired state with one queue and one tenant, whose API keys are `keys`.
-    void putDesiredState(int version, const std::vector<std::string>& keys);
+    //! Writes a desired state with one queue that jobs use and one tenant, whose API keys are `keys`. Unused queues are
+    //! added until it has `bytes`; 0: none.
+    void putDesiredState(int version, const std::vector<std::string>& keys, std::size_t bytes = 0);
     //! The node that owns the fleet according to the nodes' metrics; -1 if there is none. Nodes that don't answer
     //! within `timeout` don't count.
     int owner(Millis timeout = defaultTimeout);
