End a read when nothing arrives any more, not by a limit on the whole

Cause: a read of the store had 1,000 ms in all, a watch 600 ms beyond its wait. A state of 1 MiB takes 1.12 s in base64 on such a link; each failure threw away what had come and began anew, so the link stayed full and the node behind for good. A limit on the whole of a transfer whose size grows is the class of the fault: listings of jobs and workers had it too, and began again from their first page. A page of a listing that fails is read again by itself. A receiver may set the longest body it wants; a longer one ends at its headers.

--- a/src/agatevane/event_http/client.h
+++ b/src/agatevane/event_http/client.h
@@ -31,9 +31,9 @@
     explicit Client(asio::io_context& context);
     ~Client();
 
-    //! `done` is called exactly once, never from within this call.
+    //! `done` is called exactly once, never from within this call. The response may be of any size within the limits.
     void send(const PeerAddress& peer, Request request, const TransferLimits& limits, ResponseHandler done);
-    //! The response has to be complete by `deadline`.
+    //! For responses of bounded size: the response has to be complete by `deadline`.
     void send(const PeerAddress& peer, Request request, Instant deadline, ResponseHandler done);
     //! Closes the idle connections to `peer`, for example when it has left.
     void closeIdleConnections(const PeerAddress& peer);
--- a/src/agatevane/event_http/parser.cpp
+++ b/src/agatevane/event_http/parser.cpp
@@ -100,15 +100,25 @@
 {
     // The parser sets all bits if the message does not say its length.
     constexpr auto unknownLength = static_cast<std::uint64_t>(-1);
-    if (parser->content_length != unknownLength)
-        static_cast<Parser*>(parser->data)->announcedBodyBytes_ = parser->content_length;
+    // Any other result than 0 to 2 is an error.
+    constexpr int failure = -1;
+    auto& self = *static_cast<Parser*>(parser->data);
+    if (parser->content_length == unknownLength)
+        return 0;
+    self.announcedBodyBytes_ = parser->content_length;
+    self.isTooLarge_ = self.announcedBodyBytes_ > self.limits_.bodyBytes;
+    if (self.isTooLarge_)
+        return failure;
+    if (parser->type == HTTP_RESPONSE)
+        self.body_.reserve(self.announcedBodyBytes_);
     return 0;
 }
 
 int Parser::onBody(http_parser* parser, const char* data, std::size_t size)
 {
     auto& self = *static_cast<Parser*>(parser->data);
-    if (self.body_.size() + size > self.limits_.bodyBytes)
+    self.isTooLarge_ = self.body_.size() + size > self.limits_.bodyBytes;
+    if (self.isTooLarge_)
         return 1;
     self.body_.append(data, size);
     return 0;
--- a/src/agatevane/event_http/parser.h
+++ b/src/agatevane/event_http/parser.h
@@ -27,6 +27,10 @@
 
     //! False if the bytes are not valid HTTP or exceed the limits.
     bool feed(std::string_view bytes);
+    //! Applies to the messages that begin from now on.
+    void limitBody(std::size_t bytes) { limits_.bodyBytes = bytes; }
+    //! True if a body has exceeded its limit, or its announced length does.
+    bool isTooLarge() const { return isTooLarge_; }
     //! Call this when the peer has closed its side, which completes a response without a length. False if a message was
     //! cut off.
     bool finish();
@@ -53,6 +57,7 @@
     bool wasLastPartHeaderName_ = false; //!< otherwise the next part of a header name starts a new header
     std::size_t headerBytes_ = 0;
     std::size_t announcedBodyBytes_ = 0;
+    bool isTooLarge_ = false;
     std::string target_;
     Headers headers_;
     std::string body_;
--- a/src/agatevane/kv/kv.h
+++ b/src/agatevane/kv/kv.h
@@ -78,18 +78,21 @@
     Millis ttl { 0 }; //!< duration of the granted lease; 0: as requested
 };
 
-//! Each call ends by its deadline. Calls and their `done` run on the event loop's thread; `done` is never called from
-//! within the call itself.
+//! Commits and calls for leases end by their deadline. Reads and watches have to be answered from their `beginBy` on
+//! and may take any time while the answer arrives; they end soon after it stops arriving. Calls and their `done` run on
+//! the event loop's thread; `done` is never called from within the call itself.
 class Store {
 public:
     virtual ~Store() = default;
 
     virtual void get(const std::string& key, const TransferLimits& limits, std::function<void(ReadResult)> done) = 0;
-    //! Reads all keys that start with `prefix`, in as many pages as needed. The pages are not a snapshot: each shows
-    //! the store at the time of its own read.
+    //! Reads all keys that start with `prefix`, in as many pages as needed; a page that fails is read again a few
+    //! times. `limits` apply to each page. The pages are not a snapshot: each shows the store at the time of its own
+    //! read.
     virtual void list(const std::string& prefix, const TransferLimits& limits, std::function<void(ReadResult)> done)
         = 0;
-    //! Waits up to `wait` for changes after the revision `after` to keys that start with `prefix`.
+    //! Waits up to `wait` for changes after the revision `after` to keys that start with `prefix`. The answer has each
+    //! value that was written, so it can be large.
     virtual void watch(const std::string& prefix, Revision after, Millis wait, const TransferLimits& limits,
         std::function<void(WatchResult)> done)
         = 0;
--- a/tests/event_http/event_http_tests.cpp
+++ b/tests/event_http/event_http_tests.cpp
@@ -34,8 +34,108 @@
     asio::ip::tcp::socket socket;
 };
 
+//! Accepts one connection and sends a response piece by piece, whatever the request.
+struct PiecewisePeer {
+    PiecewisePeer(asio::io_context& context, std::string response, std::size_t piece, Millis pause)
+        : acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(context)
+        , timer(context)
+        , text(std::move(response))
+        , pieceBytes(piece)
+        , pauseBetween(pause)
+    {
+        acceptor.async_accept(socket, [this](std::error_code error) {
+            if (!error)
+                sendNext();
+        });
+    }
+    net::PeerAddress address() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
+
+    void sendNext()
+    {
+        auto piece = std::make_shared<std::string>(text.substr(0, pieceBytes));
+        text.erase(0, pieceBytes);
+        asio::async_write(socket, asio::buffer(*piece), [this, piece](std::error_code error, std::size_t) {
+            if (error || text.empty())
+                return;
+            timer.expires_after(pauseBetween);
+            timer.async_wait([this](std::error_code) { sendNext(); });
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::string text;
+    std::size_t pieceBytes;
+    Millis pauseBetween;
+};
+
+std::string responseOf(std::size_t bodyBytes)
+{
+    return "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+}
+
+//! How a request to a PiecewisePeer ended.
+struct Outcome {
+    bool isDone = false;
+    std::error_code error;
+    std::size_t bodyBytes = 0;
+    Millis took { 0 };
+    TransferProgress progress;
+};
+
+Outcome receive(const std::string& response, std::size_t piece, Millis pause, std::size_t maxBytes = 0)
+{
+    constexpr Millis beginTimeout { 300 };
+    EventLoop loop;
+    PiecewisePeer peer(loop.context, response, piece, pause);
+    Client client(loop.context);
+    Outcome outcome;
+    auto startedAt = now();
+    client.send(peer.address(), { "GET", "/", {}, {} },
+        { now() + beginTimeout, [&](const TransferProgress& progress) { outcome.progress = progress; }, maxBytes },
+        [&](std::error_code error, const Response& received) {
+            outcome = { true, error, received.body.size(), elapsed(startedAt, now()), outcome.progress };
+            loop.context.stop();
+        });
+    loop.runFor(Millis(5000));
+    return outcome;
+}
+
 } // namespace
 
+// Guards against a large response that is given up while it arrives.
+BOOST_AUTO_TEST_CASE(A_response_that_arrives_steadily_may_take_any_time, *boost::unit_test::label("event_http"))
+{
+    constexpr std::size_t bodyBytes = 200000;
+    auto outcome = receive(responseOf(bodyBytes), 10000, Millis(50));
+    BOOST_REQUIRE(outcome.isDone);
+    BOOST_CHECK(!outcome.error);
+    BOOST_CHECK_EQUAL(outcome.bodyBytes, bodyBytes);
+    BOOST_CHECK_EQUAL(outcome.progress.expectedBytes, bodyBytes);
+    BOOST_CHECK_GT(outcome.progress.receivedBytes, bodyBytes);
+    BOOST_CHECK_GT(outcome.took.count(), 900);
+}
+
+// Guards against a request that never ends because a byte comes now and then.
+BOOST_AUTO_TEST_CASE(A_response_that_hardly_arrives_ends, *boost::unit_test::label("event_http"))
+{
+    auto outcome = receive(responseOf(200000), 100, Millis(300));
+    BOOST_REQUIRE(outcome.isDone);
+    BOOST_CHECK(outcome.error == Errc::Timeout);
+    BOOST_CHECK_LT(outcome.took.count(), 3000);
+    BOOST_CHECK_GT(outcome.progress.receivedBytes, 0U);
+}
+
+BOOST_AUTO_TEST_CASE(A_response_that_announces_too_much_ends_at_once, *boost::unit_test::label("event_http"))
+{
+    auto outcome = receive(responseOf(200000), 10000, Millis(50), 150000);
+    BOOST_REQUIRE(outcome.isDone);
+    BOOST_CHECK(outcome.error == Errc::TooLarge);
+    BOOST_CHECK_LT(outcome.progress.receivedBytes, 100000U);
+}
+
 BOOST_AUTO_TEST_CASE(
     Consecutive_requests_are_answered_over_one_kept_alive_connection, *boost::unit_test::label("event_http"))
 {
