Send a reply above the longest frame as an empty one

A reply above maxFrameBytes made the client close the connection beneath the calls that shared it; each further pull did so again. Cause: the server wrote what no client accepts. And a client took a peer for unresponsive by the last frame's header, so that a payload that took longer than a call's limit closed the connection while it arrived. Change: a too long reply is sent empty, which no message decodes from; any byte counts as a sign of life. Evidence: A_reply_above_the_longest_frame_is_empty_and_keeps_the_connection; without the check the late reply of the other call is lost.

--- a/src/agatevane/net/rpc.h
+++ b/src/agatevane/net/rpc.h
@@ -11,7 +11,8 @@
 #include <system_error>
 
 //! Requests and replies between agatevane's own processes over TCP, and single datagrams over UDP.
-//! A TCP frame is: u32 length of the rest, u64 request id, u16 kind, payload. The length is at most `maxFrameBytes`.
+//! A TCP frame is: u32 length of the rest, u64 request id, u16 kind, payload. The length is at most `maxFrameBytes`; a
+//! longer reply is sent as an empty one, so that it doesn't end the connection.
 namespace agatevane::net {
 
 constexpr std::size_t maxFrameBytes = 1 << 20;
--- a/src/agatevane/net/rpc_client.cpp
+++ b/src/agatevane/net/rpc_client.cpp
@@ -157,7 +157,10 @@
     {
         return [self = shared_from_this(), counted = std::size_t(0)](
                    std::error_code error, std::size_t size) mutable -> std::size_t {
-            self->receivedBytes += size - std::exchange(counted, size);
+            auto arrived = size - std::exchange(counted, size);
+            self->receivedBytes += arrived;
+            if (arrived > 0)
+                self->lastReceived = now();
             return asio::transfer_all()(error, size);
         };
     }
@@ -168,7 +171,6 @@
             [self = shared_from_this(), current = connection](std::error_code error, std::size_t) {
                 if (current != self->connection)
                     return;
-                self->lastReceived = now();
                 if (error || !decodeHeader(current->header, current->frame))
                     return self->fail();
                 self->readPayload();
--- a/src/agatevane/net/rpc_server.cpp
+++ b/src/agatevane/net/rpc_server.cpp
@@ -59,7 +59,8 @@
         void handle()
         {
             auto reply = [self = shared_from_this(), id = frame_.requestId, kind = frame_.kind](std::string payload) {
-                auto bytes = encodeFrame(id, kind, payload);
+                bool isTooLarge = payload.size() + headerBytes > maxFrameBytes;
+                auto bytes = encodeFrame(id, kind, isTooLarge ? std::string_view() : std::string_view(payload));
                 asio::post(self->strand_, [self, bytes = std::move(bytes)]() mutable { self->send(std::move(bytes)); });
             };
             (*handler_)(frame_.kind, payload_, std::move(reply));
--- a/tests/net/rpc_tests.cpp
+++ b/tests/net/rpc_tests.cpp
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <future>
 #include <rapidcheck/boost_test.h>
 #include <thread>
 
@@ -28,6 +29,33 @@
 
 } // namespace
 
+// Guards against a large reply that ends the connection beneath other calls.
+BOOST_AUTO_TEST_CASE(A_reply_above_the_longest_frame_is_empty_and_keeps_the_connection, *boost::unit_test::label("rpc"))
+{
+    constexpr std::uint16_t largeKind = 2;
+    constexpr std::uint16_t slowKind = 3;
+    IoThread ioThread;
+    net::Reply slowReply;
+    net::RpcServer server(ioThread.context, [&](std::uint16_t kind, std::string_view, const net::Reply& reply) {
+        if (kind == slowKind) {
+            slowReply = reply;
+            return;
+        }
+        reply(std::string(kind == largeKind ? net::maxFrameBytes : 1, 'x'));
+        if (slowReply)
+            slowReply("late");
+    });
+    BOOST_REQUIRE(!server.listen({ "127.0.0.1", 0 }));
+    net::RpcClient client(ioThread.context, { "127.0.0.1", server.port() });
+    std::promise<std::string> slowAnswer;
+    client.call(slowKind, {}, now() + shortTimeout,
+        [&](std::error_code, std::string payload) { slowAnswer.set_value(std::move(payload)); });
+    std::string reply = "none yet";
+    BOOST_CHECK(!client.callAndWait(largeKind, {}, now() + shortTimeout, reply));
+    BOOST_CHECK(reply.empty());
+    BOOST_CHECK_EQUAL(slowAnswer.get_future().get(), "late");
+}
+
 // Guards against a data race on the acceptor: one thread closed it while another accepted again, and a scheduler that
 // stopped while calls arrived ended with a memory access violation.
 BOOST_AUTO_TEST_CASE(A_server_can_be_closed_while_calls_arrive, *boost::unit_test::label("rpc"))
