Refuse calls while a newer desired state has been known for long

Evidence: A_node_that_stays_behind_a_known_newer_state_refuses_calls; on the code before, the node answers by version 1 for good. The owner's placements still go by its own state; that is left open.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -31,6 +31,8 @@
     //! failed checks, one second apart.
     constexpr Millis maxDrainTime { 2500 };
     constexpr Millis drainCheckInterval { 50 };
+    //! A node knows of a new desired state this long after it was acknowledged, at the latest, while it hears others.
+    constexpr Millis noticeMargin { 1000 };
     //! Calls are answered this long before the machine kills the process.
     constexpr Millis answerMargin { 700 };
     //! The process ends this long before the machine kills it, even if a caller does not read its answer.
@@ -188,7 +190,7 @@
 
 bool Node::isReady() const
 {
-    if (shutdown_ || !desiredFeed_.current())
+    if (shutdown_ || !desiredFeed_.current() || isDesiredStateOutdated())
         return false;
     auto at = bootNow();
     return fleetOwner_ || at - ownerAnsweredAt_ < readinessTimeout || !election_.isStoreUnresponsive();
@@ -225,6 +227,8 @@
     const auto& desired = desiredFeed_.current();
     if (!desired)
         return finish(call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "no desired state yet" });
+    if (isDesiredStateOutdated())
+        return finish(call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the desired state is outdated" });
     std::string_view path = request.target;
     path = path.substr(0, path.find('?'));
     const auto* queue = desired_state::findQueue(*desired, translation_.hostOf(request), path);
@@ -261,6 +265,14 @@
     return election_.isStoreUnresponsive() && bootNow() - heardAt >= readinessTimeout;
 }
 
+//! True if a newer desired state has been known for so long that callers count on it.
+bool Node::isDesiredStateOutdated() const
+{
+    auto since = desiredFeed_.behindSince();
+    auto maxLag = std::max(settings_.stateApplyBound - noticeMargin, settings_.stateApplyBound / 2);
+    return since && bootNow() >= *since + maxLag;
+}
+
 void Node::route(const std::shared_ptr<CallState>& call)
 {
     if (call->isAnswered)
@@ -382,6 +394,7 @@
     settings_.fleetLimits = settings.fleetLimits;
     election_.limitUnconfirmedOwnership(fleet::maxUnconfirmedOwnership(settings.fleetLimits));
     settings_.shutdownGrace = settings.shutdownGrace;
+    settings_.stateApplyBound = settings.stateApplyBound;
 }
 
 void Node::stop(std::function<void()> stopped)
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -28,6 +28,7 @@
     double cpuShare = 1; //!< processor time that the node may use, in cores
     Millis minLeaseTtl { 1000 }; //!< shortest lease that the store grants
     Millis shutdownGrace { 6000 }; //!< time from SIGTERM until the machine kills the process
+    Millis stateApplyBound { 2500 }; //!< a desired state has to be in force this long after it was acknowledged
     fleet::Limits fleetLimits;
 };
 
