Let the soak's links have a rate, and the desired state grow to the largest value

A new kind of fault grows the desired state with each change of keys, up to 1 MiB; runs that may draw it give the links between nodes and to the store 10 Mbit/s. Also names the namespace in outdated_state_tests, which did not compile.

--- a/tests/node/outdated_state_tests.cpp
+++ b/tests/node/outdated_state_tests.cpp
@@ -23,7 +23,7 @@
         BOOST_REQUIRE(waitUntil(Millis(5000), [this] { return readinessOf(members.at("behind")) == 200; }));
     }
 
-    node::Translation behind = plainTranslation();
+    node::Translation behind = test::plainTranslation();
 };
 
 } // namespace
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -19,16 +19,21 @@
     constexpr std::int64_t longestHoldUpMs = 12000;
     //! Paused nodes don't answer.
     constexpr Millis ownerTimeout { 100 };
+    constexpr std::size_t stateGrowthBytes = 350'000;
+    //! The largest value that the store accepts.
+    constexpr std::size_t maxStateBytes = 1024 * 1024;
 
 } // namespace
 
 Injector::Injector(test::PlatformDeployment& deployment, standin::Relay& relay, std::vector<Fault> plan,
-    std::function<void(const std::string& key)> keyChanged)
+    std::function<void(const std::string& key)> keyChanged, std::uint64_t linkBytesPerSecond)
     : deployment_(deployment)
     , relay_(relay)
     , plan_(std::move(plan))
     , keyChanged_(std::move(keyChanged))
+    , linkBytesPerSecond_(linkBytesPerSecond)
 {
+    makeLinksSound();
 }
 
 void Injector::advance(std::int64_t atMs)
@@ -69,6 +74,9 @@
         return beginOnWorker(fault, endMs);
     case FaultKind::KeysChanged:
         return changeKeys();
+    case FaultKind::DesiredStateGrown:
+        stateBytes_ = std::min(stateBytes_ + stateGrowthBytes, maxStateBytes);
+        return changeKeys();
     case FaultKind::WorkerUnlisted:
     case FaultKind::WorkerUnlistedAndCut:
     case FaultKind::WorkerRestartedBehindCut:
@@ -229,8 +237,23 @@
 
 void Injector::applyFor(const std::string& link, const standin::LinkState& state, std::int64_t endMs)
 {
-    relay_.apply(link, state);
-    endAt(endMs, [this, link] { relay_.apply(link, {}); });
+    auto harmed = state;
+    harmed.bytesPerSecond = soundLink(link).bytesPerSecond;
+    relay_.apply(link, harmed);
+    endAt(endMs, [this, link] { relay_.apply(link, soundLink(link)); });
+}
+
+standin::LinkState Injector::soundLink(const std::string& link) const
+{
+    bool hasRate = link.starts_with("store-") || link.starts_with("peer-");
+    return { .bytesPerSecond = hasRate ? linkBytesPerSecond_ : 0 };
+}
+
+void Injector::makeLinksSound()
+{
+    relay_.apply("*", {});
+    for (const std::string links : { "store-*", "peer-*" })
+        relay_.apply(links, soundLink(links));
 }
 
 void Injector::beginOnOwner(const Fault& fault, std::int64_t endMs)
@@ -300,8 +323,9 @@
 {
     auto kind = nameOf(fault.kind);
     if (kind.starts_with("peer_") || kind.starts_with("caller_") || fault.kind == FaultKind::KeysChanged
-        || fault.kind == FaultKind::StoreForgetsHistory || fault.kind == FaultKind::WorkerFailing
-        || fault.kind == FaultKind::WorkerDraining || fault.kind == FaultKind::WorkerUnlisted)
+        || fault.kind == FaultKind::DesiredStateGrown || fault.kind == FaultKind::StoreForgetsHistory
+        || fault.kind == FaultKind::WorkerFailing || fault.kind == FaultKind::WorkerDraining
+        || fault.kind == FaultKind::WorkerUnlisted)
         return;
     if (fault.kind == FaultKind::NodeStopped)
         endMs = atMs + stopGraceMs + restartAfterMs;
@@ -333,7 +357,7 @@
 {
     auto before = "key-" + std::to_string(keyVersion_);
     auto key = "key-" + std::to_string(++keyVersion_);
-    deployment_.putDesiredState(keyVersion_, { before, key });
+    deployment_.putDesiredState(keyVersion_, { before, key }, stateBytes_);
     keyChanged_(before);
 }
 
@@ -344,7 +368,7 @@
         ends_.erase(ends_.begin());
         end();
     }
-    relay_.apply("*", {});
+    makeLinksSound();
     deployment_.postControl("/faults", "{}");
 }
 
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -12,9 +12,10 @@
 //! Injects a plan's faults into a deployment, from outside its processes.
 class Injector {
 public:
-    //! `keyChanged` is called with the API key that callers have to use from then on.
+    //! `keyChanged` is called with the API key that callers have to use from then on. The links between nodes and to
+    //! the store carry `linkBytesPerSecond`; 0: no limit.
     Injector(test::PlatformDeployment& deployment, standin::Relay& relay, std::vector<Fault> plan,
-        std::function<void(const std::string& key)> keyChanged);
+        std::function<void(const std::string& key)> keyChanged, std::uint64_t linkBytesPerSecond = 0);
 
     //! Begins and ends the faults that are due at `atMs` since the start of the plan.
     void advance(std::int64_t atMs);
@@ -40,6 +41,9 @@
     void beginOnListing(const Fault& fault, std::int64_t endMs);
     void holdUpOrders(const Fault& fault, std::int64_t atMs, std::int64_t endMs);
     void applyFor(const std::string& link, const standin::LinkState& state, std::int64_t endMs);
+    //! The state of links without a fault.
+    standin::LinkState soundLink(const std::string& link) const;
+    void makeLinksSound();
     Node nodeOf(const Fault& fault) const;
     //! The present owner, or the node that the fault's target names if there is none.
     Node ownerOr(const Fault& fault);
@@ -59,6 +63,8 @@
     std::map<Node, bool> isDown_; //!< killed or sent SIGTERM, and not restarted yet
     std::map<Node, bool> isStopping_;
     int keyVersion_ = 1;
+    std::size_t stateBytes_ = 0; //!< size of the desired state; 0: as small as it can be
+    std::uint64_t linkBytesPerSecond_;
     std::vector<std::string> unexpectedExits_;
     std::vector<Impairment> impairments_;
 };
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -51,7 +51,8 @@
     OwnerRefusedByStore, //!< the store answers 503 to the present owner alone
     OwnerPaused,
     WorkerOrdersVeryLate, //!< as WorkerOrdersLate, up to 12 s late
-    WorkerRestartedBeforeLateOrders //!< as WorkerOrdersVeryLate, and the worker's next incarnation executes them
+    WorkerRestartedBeforeLateOrders, //!< as WorkerOrdersVeryLate, and the worker's next incarnation executes them
+    DesiredStateGrown //!< as KeysChanged, and the desired state grows, up to the largest value of the store
 };
 
 //! Number of fault kinds before PeerLinkCut. Seeds recorded before PeerLinkCut and the later kinds were added draw from
@@ -59,6 +60,8 @@
 constexpr std::size_t originalFaultKindCount = 18;
 //! Number of fault kinds before WorkerCutFromNode.
 constexpr std::size_t faultKindCountBeforePartialCuts = 30;
+//! Number of fault kinds before DesiredStateGrown.
+constexpr std::size_t faultKindCountBeforeGrowth = 43;
 
 struct Fault {
     std::int64_t atMs = 0;
@@ -71,7 +74,7 @@
 
 template <> struct agatevane::EnumNames<agatevane::soak::FaultKind> {
     using Kind = agatevane::soak::FaultKind;
-    static constexpr std::array<std::pair<Kind, std::string_view>, 43> table { {
+    static constexpr std::array<std::pair<Kind, std::string_view>, 44> table { {
         { Kind::NodeKilled, "node_killed" },
         { Kind::NodeStopped, "node_stopped" },
         { Kind::NodePaused, "node_paused" },
@@ -115,6 +118,7 @@
         { Kind::OwnerPaused, "owner_paused" },
         { Kind::WorkerOrdersVeryLate, "worker_orders_very_late" },
         { Kind::WorkerRestartedBeforeLateOrders, "worker_restarted_before_late_orders" },
+        { Kind::DesiredStateGrown, "desired_state_grown" },
     } };
 };
 
--- a/tests/soak/plan_tests.cpp
+++ b/tests/soak/plan_tests.cpp
@@ -18,5 +18,8 @@
         options.kinds = faultKindCountBeforePartialCuts;
         for (const auto& fault : makePlan(options))
             BOOST_CHECK_MESSAGE(fault.kind < FaultKind::WorkerCutFromNode, agatevane::nameOf(fault.kind));
+        options.kinds = faultKindCountBeforeGrowth;
+        for (const auto& fault : makePlan(options))
+            BOOST_CHECK_MESSAGE(fault.kind < FaultKind::DesiredStateGrown, agatevane::nameOf(fault.kind));
     }
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -60,6 +60,13 @@
         return options.plan.kinds > faultKindCountBeforePartialCuts;
     }
 
+    std::uint64_t linkRateOf(const SoakOptions& options)
+    {
+        constexpr std::uint64_t slowLinkBytesPerSecond = 1'250'000; // 10 Mbit/s
+        bool mayGrow = options.plan.kinds > faultKindCountBeforeGrowth;
+        return options.linkBytesPerSecond.value_or(mayGrow ? slowLinkBytesPerSecond : 0);
+    }
+
     std::int64_t maxLeaseMsOf(const SoakOptions& options)
     {
         constexpr std::int64_t shortMs = 6000;
@@ -134,10 +141,11 @@
         ports.push_back(deployment.advertisedCallersPort(node));
     Callers callers(ledger, ports, options.plan.seed, cancelSoonPercentOf(options));
     std::string key = "key-1";
-    Injector injector(deployment, relay, makePlan(options.plan), [&](const std::string& callersKey) {
+    auto useKey = [&](const std::string& callersKey) {
         key = callersKey;
         callers.useKey(callersKey);
-    });
+    };
+    Injector injector(deployment, relay, makePlan(options.plan), useKey, linkRateOf(options));
     auto startMs = callers.nowMs();
     auto sinceStart = [&] { return callers.nowMs() - startMs; };
     while (!injector.isFinished()) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,9 @@
     std::optional<int> cancelSoonPercent;
     //! Longest lease that workers grant. Without a value, it depends on the seed in the same way, and is 6 s otherwise.
     std::optional<std::int64_t> maxLeaseMs;
+    //! Rate of each node's links to the store and from other nodes. Without a value, 10 Mbit/s if the plan draws from
+    //! DesiredStateGrown, and no limit otherwise.
+    std::optional<std::uint64_t> linkBytesPerSecond;
     std::string logFolder; //!< receives the nodes' logs if a seed violates an invariant; if empty, no logs are saved
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -33,6 +33,9 @@
         ->check(CLI::Range(0, 100));
     app.add_option("--max-lease-ms", options.maxLeaseMs, "Longest lease that workers grant")
         ->check(CLI::Range(6000, 60000));
+    app.add_option("--link-bytes-per-second", options.linkBytesPerSecond,
+           "Rate of each node's links to the store and from other nodes; 0: no limit")
+        ->check(CLI::Range(0, 1'000'000'000));
     app.add_option("--nodes", options.nodes, "Nodes")->check(CLI::Range(1, 150))->capture_default_str();
     app.add_option("--workers", options.workers, "Workers")->check(CLI::Range(1, 300))->capture_default_str();
     app.add_option("--logs", options.logFolder, "Folder for the nodes' logs of a seed that violates an invariant")
