--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -49,9 +49,9 @@
 public:
     virtual ~MachinePort() = default;
 
-    //! Lists all machines.
+    //! Lists all machines, in as many pages as needed. The first page has to begin to arrive by `beginBy`.
     virtual void list(
-        Instant deadline, std::function<void(std::error_code error, std::vector<upkeep::Machine> machines)> done)
+        Instant beginBy, std::function<void(std::error_code error, std::vector<upkeep::Machine> machines)> done)
         = 0;
     virtual void beginUpkeep(
         const upkeep::UpkeepOrder& order, Instant deadline, std::function<void(upkeep::UpkeepOutcome)> done)
