--- a/src/node/state_parts.cpp
+++ b/src/node/state_parts.cpp
@@ -42,14 +42,15 @@
     bytes_ = std::make_shared<const std::string>(std::move(bytes));
 }
 
-std::shared_ptr<const std::string> StateParts::bytesOf(const StatePartRequest& request, kv::Revision& revision) const
+StateParts::Found StateParts::find(const StatePartRequest& request) const
 {
-    revision = revision_;
-    if (request.offset == 0 ? revision_ >= request.revision : revision_ == request.revision)
-        return bytes_;
-    revision = request.revision;
-    auto found = served_.find(request.revision);
-    return found == served_.end() ? nullptr : found->second.bytes;
+    bool isCurrentAsked = request.offset == 0 ? revision_ >= request.revision : revision_ == request.revision;
+    if (isCurrentAsked)
+        return { revision_, bytes_ };
+    auto served = served_.find(request.revision);
+    if (request.offset == 0 || served == served_.end())
+        return {};
+    return { request.revision, served->second.bytes };
 }
 
 void StateParts::forgetUnused(Instant at)
@@ -61,14 +62,11 @@
 
 StatePart StateParts::part(const StatePartRequest& request, Instant at)
 {
-    kv::Revision revision = 0;
-    auto bytes = bytesOf(request, revision);
-    if (!bytes)
+    auto [revision, bytes] = find(request);
+    if (!bytes || request.offset >= bytes->size())
         return { revision_, 0, {} };
     served_.insert_or_assign(revision, Served { bytes, at });
     forgetUnused(at);
-    if (request.offset >= bytes->size())
-        return { revision, bytes->size(), {} };
     return { revision, bytes->size(), bytes->substr(request.offset, maxPartBytes) };
 }
 
--- a/src/node/state_parts.h
+++ b/src/node/state_parts.h
@@ -61,7 +61,13 @@
         Instant lastAskedAt;
     };
 
-    std::shared_ptr<const std::string> bytesOf(const StatePartRequest& request, kv::Revision& revision) const;
+    //! A revision and its bytes; no bytes: it is not here.
+    struct Found {
+        kv::Revision revision = 0;
+        std::shared_ptr<const std::string> bytes;
+    };
+
+    Found find(const StatePartRequest& request) const;
     void forgetUnused(Instant at);
 
     kv::Revision revision_ = 0;
