Deny no queue and no key while a newer desired state is known

It now says 503 with Retry-After: the call was not run, and another node may know its route. The name of the second check says what it knows.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -190,7 +190,7 @@
 
 bool Node::isReady() const
 {
-    if (shutdown_ || !desiredFeed_.current() || isDesiredStateOutdated())
+    if (shutdown_ || !desiredFeed_.current() || isDesiredStateKnownOutdated())
         return false;
     auto at = bootNow();
     return fleetOwner_ || at - ownerAnsweredAt_ < readinessTimeout || !election_.isStoreUnresponsive();
@@ -227,7 +227,7 @@
     const auto& desired = desiredFeed_.current();
     if (!desired)
         return finish(call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "no desired state yet" });
-    if (isDesiredStateOutdated())
+    if (isDesiredStateKnownOutdated())
         return finish(call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the desired state is outdated" });
     std::string_view path = request.target;
     path = path.substr(0, path.find('?'));
@@ -253,7 +253,7 @@
 //! The answer to a call whose queue or key is not in the desired state known here.
 CallerAnswer Node::denial(CallStatus status, std::string reason) const
 {
-    if (mayDesiredStateBeOutdated())
+    if (mayDesiredStateBeOutdated() || desiredFeed_.behindSince())
         return { CallStatus::NotAccepted, std::nullopt, std::nullopt, "the desired state may be outdated" };
     return { status, std::nullopt, std::nullopt, std::move(reason) };
 }
@@ -266,7 +266,7 @@
 }
 
 //! True if a newer desired state has been known for so long that callers count on it.
-bool Node::isDesiredStateOutdated() const
+bool Node::isDesiredStateKnownOutdated() const
 {
     auto since = desiredFeed_.behindSince();
     auto maxLag = std::max(settings_.stateApplyBound - noticeMargin, settings_.stateApplyBound / 2);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -73,7 +73,7 @@
 
     CallerAnswer denial(CallStatus status, std::string reason) const;
     bool mayDesiredStateBeOutdated() const;
-    bool isDesiredStateOutdated() const;
+    bool isDesiredStateKnownOutdated() const;
     void route(const std::shared_ptr<CallState>& call);
     void forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address);
     static bool isForAnotherOwner(CallState& call, CallStatus status);
