--- a/tests/node/desired_state_feed_tests.cpp
+++ b/tests/node/desired_state_feed_tests.cpp
@@ -6,17 +6,24 @@
 
 using namespace agatevane;
 
+namespace {
+
+//! A feed that only the test gives anything.
+struct PlainFeed {
+    asio::io_context context;
+    standin::KvModel model;
+    test::FakeStore store { context, model };
+    node::Translation translation = test::plainTranslation();
+    node::DesiredStateFeed feed { context, store, translation, [] {}, [] { return false; }, test::noPeers() };
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(desired_state_feed)
 
 // Guards against a key or a queue that comes back after it was removed: another node sends an older desired state.
-BOOST_AUTO_TEST_CASE(An_older_desired_state_of_another_node_is_ignored, *boost::unit_test::label("node"))
+BOOST_FIXTURE_TEST_CASE(An_older_desired_state_of_another_node_is_ignored, PlainFeed, *boost::unit_test::label("node"))
 {
-    asio::io_context context;
-    standin::KvModel model;
-    test::FakeStore store(context, model);
-    auto translation = test::plainTranslation();
-    node::DesiredStateFeed feed(
-        context, store, translation, [] {}, [] { return false; }, test::noPeers());
     feed.applyFromPeer(5, "2");
     feed.applyFromPeer(4, "1");
     BOOST_REQUIRE(feed.current());
@@ -25,14 +32,8 @@
 }
 
 // Guards against a node that is behind and does not show it.
-BOOST_AUTO_TEST_CASE(A_newer_revision_is_known_until_it_is_in_force, *boost::unit_test::label("node"))
+BOOST_FIXTURE_TEST_CASE(A_newer_revision_is_known_until_it_is_in_force, PlainFeed, *boost::unit_test::label("node"))
 {
-    asio::io_context context;
-    standin::KvModel model;
-    test::FakeStore store(context, model);
-    auto translation = test::plainTranslation();
-    node::DesiredStateFeed feed(
-        context, store, translation, [] {}, [] { return false; }, test::noPeers());
     feed.applyFromPeer(4, "1");
     BOOST_CHECK(!feed.behindSince());
     feed.noteRevision(7, { "127.0.0.1", 1 });
@@ -47,18 +48,12 @@
 }
 
 // Guards against failures that leave no trace.
-BOOST_AUTO_TEST_CASE(A_failed_read_is_counted_with_its_reason, *boost::unit_test::label("node"))
+BOOST_FIXTURE_TEST_CASE(A_failed_read_is_counted_with_its_reason, PlainFeed, *boost::unit_test::label("node"))
 {
-    asio::io_context context;
-    standin::KvModel model;
-    test::FakeStore store(context, model);
     store.setFault(test::StoreFault::Refusing);
-    auto translation = test::plainTranslation();
     auto& failures = metrics::registry().counter("agatevane_desired_state_failures_total",
         "Calls for the desired state that ended without an answer", { { "source", "read" }, { "reason", "refused" } });
     auto before = failures.value();
-    node::DesiredStateFeed feed(
-        context, store, translation, [] {}, [] { return false; }, test::noPeers());
     feed.start();
     BOOST_CHECK(test::runUntil(context, Millis(1000), [&] { return failures.value() > before; }));
 }
