--- a/src/node/desired_state_feed.cpp
+++ b/src/node/desired_state_feed.cpp
@@ -20,8 +20,8 @@
     constexpr Millis longWatchWait { 5000 };
     //! Time beyond the wait in which the store has to begin to answer a watch.
     constexpr Millis watchMargin { 600 };
-    //! A watch brings each value that was written. If its answer has room for this and one value of the present size,
-    //! the newest value alone is read instead.
+    //! A watch brings each value that was written. Beyond one value of the present size and this, the newest value is
+    //! read alone instead.
     constexpr std::size_t maxWatchedExtraBytes = 524288;
     //! An answer to a watch with more bytes has a change.
     constexpr std::size_t maxEmptyAnswerBytes = 1024;
