Don't count a process that was stopped before its first line as an exit of its own

Traced: all nodes were killed at 680 and 1347 ms and restarted at 3611 ms; the plan stopped node 2 at 3620 ms, 9 ms after its start, before it handled SIGTERM. It had written no line and listened on no port, so it had nothing to finish. The check stays for every process that has written its first line.

--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -145,6 +145,9 @@
             continue;
         if (process.isRunning() || (isStopping_[node] && process.exitCode() == 0))
             continue;
+        // A process that was stopped before its first line does not handle signals yet, and has served nobody.
+        if (isStopping_[node] && process.output().empty())
+            continue;
         unexpectedExits_.push_back("node " + std::to_string(node) + " ended with code "
             + std::to_string(process.exitCode()) + "; the end of its output:\n"
             + process.output().substr(process.output().size() - std::min<std::size_t>(process.output().size(), 2000)));
