--- a/tests/node/feed_fixture.h
+++ b/tests/node/feed_fixture.h
@@ -53,7 +53,7 @@
     node::Translation translation = plainTranslation();
     bool hasPromptWatch = true;
     node::DesiredStateFeed feed { context, store, translation, [] {}, [this] { return hasPromptWatch; },
-        { [this] { return std::vector<net::PeerAddress>(2, other); },
+        { [this] { return std::vector<net::PeerAddress>(2, other_); },
             [this](const net::PeerAddress&, const node::StatePartRequest& request, Instant deadline, auto done) {
                 answerPart(request, deadline, std::move(done));
             } } };
@@ -69,7 +69,7 @@
         auto revision = otherItem().revision;
         link.carry(replyBytes, { now() + pullTimeout, {} }, [this, revision](std::error_code error) {
             if (!error)
-                feed.noteRevision(revision, other);
+                feed.noteRevision(revision, other_);
         });
     }
 
@@ -86,7 +86,7 @@
             [part, done](std::error_code error) { done(error, part, part.bytes.size()); });
     }
 
-    const net::PeerAddress other { "127.0.0.1", 1 };
+    const net::PeerAddress other_ { "127.0.0.1", 1 };
     node::StateParts otherParts_;
     node::Timer pullTimer_;
 };
