Look only at the workers that are due in a round of decisions

Cause: each round walked all workers and all runs for expiries, polls, orders and paces, and looked each run's job up by its name.

Change: workers stand in a queue by the time at which they next need anything; a change makes them due at once (fleet/due_workers). The phases of a round go over the due workers only. Starts that were not confirmed in time are given up before placement, so that the stops of a gang's other members leave in the same round whatever their workers' names are; before, those of earlier names waited for the next one.

Ruled out: marking by comparing states (costs the walk again). What callers saw: nothing new is decided; orders are the same.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/preemption.h"
@@ -365,6 +366,7 @@
                 auto& worker = *headrooms_[placement[n]].worker;
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
+                markDue(fleet_, worker);
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
                     .with("job", id.job)
@@ -412,15 +414,20 @@
 Orders advance(Fleet& fleet, std::int64_t unixMs, Instant at)
 {
     Orders orders;
-    expireRuns(fleet, at);
-    evacuate(fleet, at);
+    auto due = takeDueWorkers(fleet, at);
+    expireRuns(fleet, due, at);
+    abandonUnconfirmedStarts(fleet, due, at);
+    evacuate(fleet, due, at);
     if (fleet.isPlacementDue)
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.dueAdviceRequests, {});
+    addDueWorkers(fleet, due, at);
     // Starts are held back while a poll acknowledges ends.
-    emitPolls(fleet, at, orders);
-    emitRunOrders(fleet, at, orders);
-    emitPaceOrders(fleet, at, orders);
+    emitPolls(fleet, due, at, orders);
+    emitRunOrders(fleet, due, at, orders);
+    emitPaceOrders(fleet, due, at, orders);
+    for (auto* worker : due)
+        scheduleWorker(fleet, *worker);
     return orders;
 }
 
--- a/src/agatevane/fleet/evacuation.cpp
+++ b/src/agatevane/fleet/evacuation.cpp
@@ -39,21 +39,32 @@
         return left && at + *left > leavesAt;
     }
 
+    //! True if it is known when the worker leaves.
+    bool isLeaving(const Worker& worker)
+    {
+        return worker.isDraining && worker.leavesAt != Instant {};
+    }
+
 } // namespace
 
-void evacuate(Fleet& fleet, Instant at)
+void evacuate(Fleet& fleet, const std::vector<Worker*>& workers, Instant at)
 {
-    for (auto& [id, worker] : fleet.workers) {
-        if (!worker.isDraining || worker.leavesAt == Instant {})
+    for (auto* worker : workers) {
+        if (!isLeaving(*worker))
             continue;
-        for (auto& [key, run] : worker.runs) {
+        for (auto& [key, run] : worker->runs) {
             auto* job = findJob(fleet, key.first.job);
             if (run.state != RunState::Running || !run.isWanted || !job || job->phase != JobPhase::Open)
                 continue;
-            if (isDueToStop(fleet, stepOf(*job, key.first), run, at, worker.leavesAt))
+            if (isDueToStop(fleet, stepOf(*job, key.first), run, at, worker->leavesAt))
                 stopTaskRuns(fleet, *job, key.first, at, "worker_leaves");
         }
     }
 }
 
+Instant nextEvacuationOf(const Worker& worker)
+{
+    return isLeaving(worker) && !worker.runs.empty() ? Instant::min() : Instant::max();
+}
+
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/invariants.cpp
+++ b/src/agatevane/fleet/invariants.cpp
@@ -11,20 +11,6 @@
     //! Violations that were found between two checks beyond this number are not kept.
     constexpr std::size_t maxHeldViolations = 100;
 
-    const Job* lookUpJob(const Fleet& fleet, const JobId& id)
-    {
-        auto found = fleet.jobs.find(id);
-        return found == fleet.jobs.end() ? nullptr : &found->second;
-    }
-
-    const Task* lookUpTask(const Job* job, const TaskId& id)
-    {
-        if (!job || id.occurrence >= job->occurrences.size() || id.step >= job->occurrences[id.occurrence].steps.size())
-            return nullptr;
-        const auto& tasks = job->occurrences[id.occurrence].steps[id.step].tasks;
-        return id.index < tasks.size() ? &tasks[id.index] : nullptr;
-    }
-
     bool hasEnded(const Job& job)
     {
         return job.endedAt != Instant {};
@@ -51,8 +37,8 @@
         auto add = [&](Breach breach, std::string text) {
             found.push_back({ breach, key.first, worker.id, key.second, std::move(text) });
         };
-        const auto* job = lookUpJob(fleet, key.first.job);
-        const auto* task = lookUpTask(job, key.first);
+        const auto* job = findJob(fleet, key.first.job);
+        const auto* task = findTask(fleet, key.first);
         if (run.isWanted) {
             if (!task || task->run != TaskRun { worker.id, key.second })
                 add(Breach::RunWithoutTask, describe(task));
@@ -149,8 +135,8 @@
 void checkEndWasTaken(Fleet& fleet, const Worker& worker, const EndReport& end)
 {
     const auto& id = end.key.first;
-    const auto* job = lookUpJob(fleet, id.job);
-    const auto* task = lookUpTask(job, id);
+    const auto* job = findJob(std::as_const(fleet), id.job);
+    const auto* task = findTask(std::as_const(fleet), id);
     if (end.kind != EndKind::Done || !task || task->isDone || hasEnded(*job) || stepOf(*job, id).isContinuous)
         return;
     addViolation(fleet, { Breach::DoneEndNotTaken, id, worker.id, end.key.second, describe(task) });
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -7,6 +7,7 @@
 #include "agatevane/fleet/record.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
+#include <utility>
 
 namespace agatevane::fleet {
 
@@ -142,27 +143,42 @@
 
 } // namespace
 
-Task* findTask(Fleet& fleet, const TaskId& id)
+const Task* findTask(const Fleet& fleet, const TaskId& id)
 {
-    auto* job = findJob(fleet, id.job);
+    const auto* job = findJob(fleet, id.job);
     if (!job || id.occurrence >= job->occurrences.size() || id.step >= job->spec.steps.size())
         return nullptr;
-    auto& tasks = job->occurrences[id.occurrence].steps[id.step].tasks;
+    const auto& tasks = job->occurrences[id.occurrence].steps[id.step].tasks;
     return id.index < tasks.size() ? &tasks[id.index] : nullptr;
 }
 
-Job* findJob(Fleet& fleet, const JobId& id)
+Task* findTask(Fleet& fleet, const TaskId& id)
+{
+    return const_cast<Task*>(findTask(std::as_const(fleet), id));
+}
+
+const Job* findJob(const Fleet& fleet, const JobId& id)
 {
     auto found = fleet.jobs.find(id);
     return found == fleet.jobs.end() ? nullptr : &found->second;
 }
 
-Worker* findWorker(Fleet& fleet, const WorkerId& id)
+Job* findJob(Fleet& fleet, const JobId& id)
+{
+    return const_cast<Job*>(findJob(std::as_const(fleet), id));
+}
+
+const Worker* findWorker(const Fleet& fleet, const WorkerId& id)
 {
     auto found = fleet.workers.find(id);
     return found == fleet.workers.end() ? nullptr : &found->second;
 }
 
+Worker* findWorker(Fleet& fleet, const WorkerId& id)
+{
+    return const_cast<Worker*>(findWorker(std::as_const(fleet), id));
+}
+
 CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation)
 {
     if (mutation == Mutation::Progress) {
--- a/src/agatevane/fleet/pacing.cpp
+++ b/src/agatevane/fleet/pacing.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/pacing.h"
 
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/due_workers.h"
 #include <algorithm>
 
 namespace agatevane::fleet {
@@ -97,6 +98,16 @@
         return colocated.worstTailRatio < speedUpRatio ? raisedPercent(pace, colocated.worstTailRatio) : pace.percent;
     }
 
+    //! True if the pace of a filler is to be ordered, now or later.
+    bool needsPaceOrder(const Fleet& fleet, const Worker& worker, const Run& run)
+    {
+        if (run.state != RunState::Running || !run.isWanted || run.isPaceInFlight
+            || run.pace == worker.fillerPace.percent)
+            return false;
+        const auto* job = findJob(fleet, run.task.job);
+        return job && stepOf(*job, run.task).isFiller;
+    }
+
 } // namespace
 
 bool needsPacing(const Fleet& fleet, const Worker& worker)
@@ -133,27 +144,33 @@
     fillerPace.decidedAt = at;
 }
 
-void emitPaceOrders(Fleet& fleet, Instant at, Orders& orders)
+void emitPaceOrders(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders)
 {
-    for (auto& [workerId, worker] : fleet.workers) {
-        for (auto& [key, run] : worker.runs) {
-            if (run.state != RunState::Running || !run.isWanted || run.isPaceInFlight || at < run.nextPaceAt
-                || run.pace == worker.fillerPace.percent)
-                continue;
-            auto* job = findJob(fleet, key.first.job);
-            if (!job || !stepOf(*job, key.first).isFiller)
+    for (auto* worker : workers) {
+        for (auto& [key, run] : worker->runs) {
+            if (!needsPaceOrder(fleet, *worker, run) || at < run.nextPaceAt)
                 continue;
             run.isPaceInFlight = true;
             orders.paces.push_back(
-                { workerId, worker.address, key.first, key.second, worker.fillerPace.percent, fleet.fencingToken });
+                { worker->id, worker->address, key.first, key.second, worker->fillerPace.percent, fleet.fencingToken });
         }
     }
 }
 
+Instant nextPaceOrderOf(const Fleet& fleet, const Worker& worker)
+{
+    auto next = Instant::max();
+    for (const auto& [key, run] : worker.runs) {
+        if (needsPaceOrder(fleet, worker, run))
+            next = std::min(next, run.nextPaceAt);
+    }
+    return next;
+}
+
 void applyPaceOutcome(
     Fleet& fleet, const WorkerId& workerId, const RunKey& key, int percent, OrderOutcome outcome, Instant at)
 {
-    auto* worker = findWorker(fleet, workerId);
+    auto* worker = changeWorker(fleet, workerId);
     if (!worker)
         return;
     auto found = worker->runs.find(key);
--- a/src/agatevane/fleet/pacing.h
+++ b/src/agatevane/fleet/pacing.h
@@ -12,8 +12,10 @@
 //! Decides the pace of the worker's fillers from the latest report.
 void decidePace(Fleet& fleet, Worker& worker, Instant at);
 
-//! Emits orders for fillers whose confirmed pace is not the decided one.
-void emitPaceOrders(Fleet& fleet, Instant at, Orders& orders);
+//! Emits orders for fillers of the workers whose confirmed pace is not the decided one.
+void emitPaceOrders(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders);
+//! When emitPaceOrders() has to look at the worker unless it changes; Instant::max(): never.
+Instant nextPaceOrderOf(const Fleet& fleet, const Worker& worker);
 void applyPaceOutcome(
     Fleet& fleet, const WorkerId& worker, const RunKey& key, int percent, OrderOutcome outcome, Instant at);
 
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/worker_record.h"
 #include "agatevane/fleet/workers.h"
@@ -30,6 +31,16 @@
             stopTaskRuns(fleet, *job, key.first, at, "member_not_started");
     }
 
+    //! The task's run on its worker, which becomes due; null if the task is idle.
+    Run* changeTaskRun(Fleet& fleet, const Task& task, const TaskId& id)
+    {
+        auto* worker = task.run ? changeWorker(fleet, task.run->worker) : nullptr;
+        if (!worker)
+            return nullptr;
+        auto found = worker->runs.find({ id, task.run->number });
+        return found == worker->runs.end() ? nullptr : &found->second;
+    }
+
     //! True if the worker has, or may have, another run of the task, which is to end first.
     bool hasOtherRun(const Worker& worker, const RunKey& key)
     {
@@ -41,6 +52,13 @@
         return false;
     }
 
+    //! True if a start or stop order is to be sent, now or later.
+    bool needsOrder(const Run& run)
+    {
+        bool isUnconfirmed = run.state == RunState::Ordered || (run.state == RunState::Stopping && !run.isConfirmed);
+        return isUnconfirmed && !run.isOrderInFlight;
+    }
+
 } // namespace
 
 Capacity reservedCapacity(const StepSpec& step)
@@ -67,10 +85,10 @@
     return job.occurrences[id.occurrence].steps[id.step].tasks[index];
 }
 
-Run* findTaskRun(Fleet& fleet, const TaskId& id)
+const Run* findTaskRun(const Fleet& fleet, const TaskId& id)
 {
-    auto* task = findTask(fleet, id);
-    auto* worker = task && task->run ? findWorker(fleet, task->run->worker) : nullptr;
+    const auto* task = findTask(fleet, id);
+    const auto* worker = task && task->run ? findWorker(fleet, task->run->worker) : nullptr;
     if (!worker)
         return nullptr;
     auto found = worker->runs.find({ id, task->run->number });
@@ -225,7 +243,7 @@
         if (!isGang && index != id.index)
             continue;
         TaskId member { id.job, id.occurrence, id.step, index };
-        auto* run = findTaskRun(fleet, member);
+        auto* run = changeTaskRun(fleet, step.tasks[index], member);
         if (!run || run->state == RunState::Stopping)
             continue;
         requestStop(*run, at);
@@ -251,7 +269,7 @@
 
 void applyStartOutcome(Fleet& fleet, const WorkerId& workerId, const RunKey& key, OrderOutcome outcome, Instant at)
 {
-    auto* worker = findWorker(fleet, workerId);
+    auto* worker = changeWorker(fleet, workerId);
     if (!worker)
         return;
     auto found = worker->runs.find(key);
@@ -317,7 +335,7 @@
 
 void applyStopOutcome(Fleet& fleet, const WorkerId& workerId, const RunKey& key, OrderOutcome outcome, Instant at)
 {
-    auto* worker = findWorker(fleet, workerId);
+    auto* worker = changeWorker(fleet, workerId);
     if (!worker)
         return;
     auto found = worker->runs.find(key);
@@ -335,38 +353,57 @@
     run.nextSendAt = at + resendDelay;
 }
 
-void emitRunOrders(Fleet& fleet, Instant at, Orders& orders)
+void abandonUnconfirmedStarts(Fleet& fleet, const std::vector<Worker*>& workers, Instant at)
 {
-    for (auto& [workerId, worker] : fleet.workers) {
-        for (auto& [key, run] : worker.runs) {
-            if (run.state == RunState::Ordered && at - run.orderedAt > startTimeout) {
-                if (auto* job = findJob(fleet, key.first.job))
-                    stopTaskRuns(fleet, *job, key.first, at, "start_not_confirmed");
-                requestStop(run, at);
-            }
-            if (run.isOrderInFlight || run.state == RunState::Running || at < run.nextSendAt)
+    for (auto* worker : workers) {
+        for (auto& [key, run] : worker->runs) {
+            if (run.state != RunState::Ordered || at - run.orderedAt <= startTimeout)
+                continue;
+            if (auto* job = findJob(fleet, key.first.job))
+                stopTaskRuns(fleet, *job, key.first, at, "start_not_confirmed");
+            requestStop(run, at);
+        }
+    }
+}
+
+void emitRunOrders(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders)
+{
+    for (auto* worker : workers) {
+        for (auto& [key, run] : worker->runs) {
+            if (!needsOrder(run) || at < run.nextSendAt)
                 continue;
             if (run.state == RunState::Stopping) {
-                if (run.isConfirmed)
-                    continue;
                 run.isOrderInFlight = true;
                 ++run.ordersSent;
-                orders.stops.push_back({ workerId, worker.address, key.first, key.second, fleet.fencingToken });
+                orders.stops.push_back({ worker->id, worker->address, key.first, key.second, fleet.fencingToken });
                 continue;
             }
             auto* job = findJob(fleet, key.first.job);
             // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker.hasAnsweredPoll || hasOtherRun(worker, key) || mayEndUnseen(worker, at))
+            if (!job || !worker->hasAnsweredPoll || hasOtherRun(*worker, key) || mayEndUnseen(*worker, at))
                 continue;
-            checkStartIsNamed(fleet, worker, key);
+            checkStartIsNamed(fleet, *worker, key);
             run.isOrderInFlight = true;
             ++run.ordersSent;
-            auto until = extendLease(fleet, worker, at);
+            auto until = extendLease(fleet, *worker, at);
             StepId step { key.first.job, key.first.occurrence, key.first.step };
-            orders.starts.push_back({ workerId, worker.address, key.first, key.second, job->spec.payload,
-                sharedTask(*job, key.first).checkpoint, ticketOf(fleet, step, worker, at), until, fleet.fencingToken });
+            orders.starts.push_back({ worker->id, worker->address, key.first, key.second, job->spec.payload,
+                sharedTask(*job, key.first).checkpoint, ticketOf(fleet, step, *worker, at), until,
+                fleet.fencingToken });
         }
     }
 }
 
+Instant nextRunOrderOf(const Worker& worker)
+{
+    auto next = Instant::max();
+    for (const auto& [key, run] : worker.runs) {
+        if (run.state == RunState::Ordered)
+            next = std::min(next, run.orderedAt + startTimeout);
+        if (needsOrder(run))
+            next = std::min(next, run.nextSendAt);
+    }
+    return next;
+}
+
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -51,7 +51,7 @@
 Task& sharedTask(Job& job, const TaskId& id);
 
 //! The task's run on its worker; null if the task is idle.
-Run* findTaskRun(Fleet& fleet, const TaskId& id);
+const Run* findTaskRun(const Fleet& fleet, const TaskId& id);
 
 //! The next run number of a task, or of all tasks of its gang; higher than the numbers of all earlier owners.
 RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id);
@@ -83,7 +83,11 @@
 void applyStartOutcome(Fleet& fleet, const WorkerId& worker, const RunKey& key, OrderOutcome outcome, Instant at);
 void applyStopOutcome(Fleet& fleet, const WorkerId& worker, const RunKey& key, OrderOutcome outcome, Instant at);
 
-//! Emits the start and stop orders that are due.
-void emitRunOrders(Fleet& fleet, Instant at, Orders& orders);
+//! Stops runs of the workers whose starts have waited too long for their confirmation.
+void abandonUnconfirmedStarts(Fleet& fleet, const std::vector<Worker*>& workers, Instant at);
+//! Emits the start and stop orders that are due for runs of the workers.
+void emitRunOrders(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders);
+//! When one of the two has to look at the worker unless it changes; Instant::max(): never.
+Instant nextRunOrderOf(const Worker& worker);
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -197,6 +197,8 @@
     std::map<RunKey, Instant> unansweredStarts; //!< until its instant, also a later incarnation may carry out the start
     bool isEvacuating = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
+
+    Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
 };
 
 //! Limits and durations, set by the platform's settings.
@@ -276,6 +278,7 @@
     desired_state::DesiredState desired;
     std::map<JobId, Job> jobs;
     std::map<WorkerId, Worker> workers;
+    std::set<std::pair<Instant, WorkerId>> dueWorkers; //!< workers by `Worker::dueAt`; see due_workers.h
     std::set<JobId> openJobs; //!< jobs in phase Open
     std::map<std::string, desired_state::Queue> storedQueues; //!< as earlier owners stored them, by name
     //! Jobs that were accepted and whose records can't be read. What became of them is unknown: they are neither run
@@ -296,6 +299,7 @@
     std::uint64_t startsOrdered = 0;
     std::uint64_t preemptedRuns = 0;
     std::uint64_t fillerSlowdowns = 0; //!< how often the pace of a worker's fillers was lowered
+    std::uint64_t workerVisits = 0; //!< workers that rounds of decisions have looked at
     std::uint64_t placementSearches = 0; //!< searches over all workers; they dominate the CPU time of a round
     std::uint64_t preemptionPlans = 0;
     EarlierWorkers earlierWorkers = EarlierWorkers::AnyListed;
@@ -355,8 +359,11 @@
 };
 
 Task* findTask(Fleet& fleet, const TaskId& id);
+const Task* findTask(const Fleet& fleet, const TaskId& id);
 Job* findJob(Fleet& fleet, const JobId& id);
+const Job* findJob(const Fleet& fleet, const JobId& id);
 Worker* findWorker(Fleet& fleet, const WorkerId& id);
+const Worker* findWorker(const Fleet& fleet, const WorkerId& id);
 
 //! Queues a write and returns its position. Returns the position of a progress write of the job that is still queued.
 CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation);
--- a/src/agatevane/fleet/worker_list.cpp
+++ b/src/agatevane/fleet/worker_list.cpp
@@ -1,5 +1,6 @@
 //! The part of workers.h that applies the platform's list of workers.
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/incarnations.h"
 #include "agatevane/fleet/workers.h"
 
@@ -14,10 +15,11 @@
     {
         auto [found, isNew] = fleet.workers.try_emplace(listing.id);
         auto& worker = found->second;
+        worker.id = listing.id;
+        markDue(fleet, worker);
         // The entry of an earlier incarnation may be read late.
         if (!isNew && listing.incarnation < worker.incarnation)
             return false;
-        worker.id = listing.id;
         worker.awaitsNaming = isNew ? fleet.doStartsNeedNaming : worker.awaitsNaming;
         if (isNew || listing.incarnation != worker.incarnation)
             beginIncarnation(fleet, worker, listing.incarnation, at);
@@ -54,7 +56,7 @@
 
 void applyUnlisted(Fleet& fleet, const WorkerId& id)
 {
-    auto* worker = findWorker(fleet, id);
+    auto* worker = changeWorker(fleet, id);
     if (!worker || !std::exchange(worker->isListed, false))
         return;
     Line("worker_unlisted").with("worker", id).with("runs", worker->runs.size());
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/decision_log.h"
+#include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/incarnations.h"
 #include "agatevane/fleet/invariants.h"
 #include "agatevane/fleet/leases.h"
@@ -256,19 +257,81 @@
         return !worker.unansweredStarts.empty() || (!worker.isListed && at < lastEarlierStart);
     }
 
+    //! True if the worker is polled all the time.
+    bool needsSteadyPolls(const Fleet& fleet, const Worker& worker)
+    {
+        return !worker.hasAnsweredPoll || !worker.runs.empty() || worker.hasUnnamedRun
+            || isAcknowledgementDue(fleet, worker);
+    }
+
     bool needsPoll(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        if (!worker.hasAnsweredPoll || !worker.runs.empty() || worker.hasUnnamedRun
-            || isAcknowledgementDue(fleet, worker))
-            return true;
-        return mayTakeLateStart(fleet, worker, at) && at - worker.lastAnswerAt >= idlePollInterval;
+        return needsSteadyPolls(fleet, worker)
+            || (mayTakeLateStart(fleet, worker, at) && at - worker.lastAnswerAt >= idlePollInterval);
+    }
+
+    //! A run without progress is stopped once it has made none for this long; nothing: it is never stopped for that.
+    std::optional<Millis> stallTimeoutOf(const Fleet& fleet, const Worker& worker, const Run& run)
+    {
+        constexpr int allDone = 100;
+        if (run.state != RunState::Running || !run.isWanted || worker.missedPolls > 0 || run.percent >= allDone)
+            return std::nullopt;
+        const auto* job = findJob(fleet, run.task.job);
+        if (!job || stepOf(*job, run.task).isContinuous)
+            return std::nullopt;
+        return stepOf(*job, run.task).isFiller ? fillerStallTimeout : stallTimeout;
+    }
+
+    void stopStalledRuns(Fleet& fleet, Worker& worker, Instant at)
+    {
+        for (auto& [key, run] : worker.runs) {
+            auto timeout = stallTimeoutOf(fleet, worker, run);
+            if (!timeout)
+                continue;
+            auto& job = *findJob(fleet, key.first.job);
+            if (stepOf(job, key.first).isFiller && worker.fillerPace.percent < fullPace)
+                run.progressAt = at;
+            if (at - run.progressAt < *timeout)
+                continue;
+            worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStall);
+            stopTaskRuns(fleet, job, key.first, at, "no_progress");
+        }
+    }
+
+    bool isRemovable(const Fleet& fleet, const Worker& worker, Instant at)
+    {
+        return !worker.isListed && worker.runs.empty() && !hasEndToAcknowledge(worker)
+            && !(worker.hasUnnamedRun && at < worker.leaseExpiryBound) && worker.unansweredAcknowledgements.empty()
+            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
+    }
+
+    void emitPoll(const Fleet& fleet, Worker& worker, Instant at, Orders& orders)
+    {
+        acknowledgeCommitted(fleet, worker);
+        bool isIncarnationCertain = worker.missedPolls == 0;
+        worker.pollAcknowledges = endToAcknowledge(worker);
+        PollOrder poll { worker.id, worker.address, worker.pollAcknowledges, std::nullopt, Millis(0),
+            fleet.fencingToken };
+        // A poll that may stay unanswered must not postpone the time when the runs of an unreachable worker are
+        // removed.
+        if (worker.clockMs > 0 && isIncarnationCertain && !worker.hasForeignRun)
+            poll.leaseUntilMs = extendLease(fleet, worker, at);
+        // An acknowledgement would apply to the ends of runs that a new incarnation begins while the poll waits there.
+        bool mayWait = worker.unacknowledgedEnds.empty() && !isAcknowledgementDue(fleet, worker);
+        if (worker.hasAnsweredPoll && isIncarnationCertain && mayWait && (!worker.runs.empty() || worker.hasUnnamedRun))
+            poll.wait = pollWaitOf(fleet, worker, at);
+        worker.isPollInFlight = true;
+        worker.pollIncarnation = worker.incarnation;
+        worker.doesPollRenewLease = poll.leaseUntilMs.has_value();
+        worker.pollSentAt = at;
+        orders.polls.push_back(std::move(poll));
     }
 
 } // namespace
 
 void applyPollAnswer(Fleet& fleet, const WorkerId& id, const PollAnswer& answer, std::int64_t unixMs, Instant at)
 {
-    auto* worker = findWorker(fleet, id);
+    auto* worker = changeWorker(fleet, id);
     if (!worker)
         return;
     worker->isPollInFlight = false;
@@ -312,7 +375,7 @@
 
 void applyPollFailure(Fleet& fleet, const WorkerId& id, Instant at, FailedPoll effect)
 {
-    auto* worker = findWorker(fleet, id);
+    auto* worker = changeWorker(fleet, id);
     if (!worker)
         return;
     worker->isPollInFlight = false;
@@ -362,70 +425,73 @@
     });
 }
 
-void expireRuns(Fleet& fleet, Instant at)
+void expireRuns(Fleet& fleet, std::vector<Worker*>& workers, Instant at)
 {
-    for (auto each = fleet.workers.begin(); each != fleet.workers.end();) {
-        auto& worker = each->second;
-        removeExpiredStarts(worker, at);
-        std::erase_if(worker.unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
-        if (!worker.runs.empty() && worker.missedPolls > 0 && at >= worker.leaseExpiryBound) {
-            loseRuns(fleet, worker, at, "lease_passed");
-            worker.hasAnsweredPoll = false;
+    for (auto* worker : workers) {
+        removeExpiredStarts(*worker, at);
+        std::erase_if(worker->unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
+        if (!worker->runs.empty() && worker->missedPolls > 0 && at >= worker->leaseExpiryBound) {
+            loseRuns(fleet, *worker, at, "lease_passed");
+            worker->hasAnsweredPoll = false;
         }
-        for (auto& [key, run] : worker.runs) {
-            if (run.state != RunState::Running || !run.isWanted || worker.missedPolls > 0)
-                continue;
-            auto* job = findJob(fleet, key.first.job);
-            if (!job || stepOf(*job, key.first).isContinuous || run.percent >= 100)
-                continue;
-            bool isFiller = stepOf(*job, key.first).isFiller;
-            if (isFiller && worker.fillerPace.percent < fullPace)
-                run.progressAt = at;
-            if (at - run.progressAt < (isFiller ? fillerStallTimeout : stallTimeout))
-                continue;
-            worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStall);
-            stopTaskRuns(fleet, *job, key.first, at, "no_progress");
-        }
-        bool isRemovable = !worker.isListed && worker.runs.empty() && !hasEndToAcknowledge(worker)
-            && !(worker.hasUnnamedRun && at < worker.leaseExpiryBound) && worker.unansweredAcknowledgements.empty()
-            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
-        fleet.haveWorkersChanged = fleet.haveWorkersChanged || isRemovable;
-        if (isRemovable)
-            logRemoved(worker, at);
-        each = isRemovable ? fleet.workers.erase(each) : std::next(each);
+        stopStalledRuns(fleet, *worker, at);
     }
+    std::erase_if(workers, [&fleet, at](const Worker* worker) {
+        if (!isRemovable(fleet, *worker, at))
+            return false;
+        fleet.haveWorkersChanged = true;
+        logRemoved(*worker, at);
+        removeWorker(fleet, *worker);
+        return true;
+    });
 }
 
-void emitPolls(Fleet& fleet, Instant at, Orders& orders)
+Instant nextExpiryOf(const Fleet& fleet, const Worker& worker)
 {
-    for (auto& [id, worker] : fleet.workers) {
-        if (worker.isPollInFlight || at < worker.nextPollAt || !needsPoll(fleet, worker, at))
-            continue;
-        acknowledgeCommitted(fleet, worker);
-        bool isIncarnationCertain = worker.missedPolls == 0;
-        worker.pollAcknowledges = endToAcknowledge(worker);
-        PollOrder poll { id, worker.address, worker.pollAcknowledges, std::nullopt, Millis(0), fleet.fencingToken };
-        // A poll that may stay unanswered must not postpone the time when the runs of an unreachable worker are
-        // removed.
-        if (worker.clockMs > 0 && isIncarnationCertain && !worker.hasForeignRun)
-            poll.leaseUntilMs = extendLease(fleet, worker, at);
-        // An acknowledgement would apply to the ends of runs that a new incarnation begins while the poll waits there.
-        bool mayWait = worker.unacknowledgedEnds.empty() && !isAcknowledgementDue(fleet, worker);
-        if (worker.hasAnsweredPoll && isIncarnationCertain && mayWait && (!worker.runs.empty() || worker.hasUnnamedRun))
-            poll.wait = pollWaitOf(fleet, worker, at);
-        worker.isPollInFlight = true;
-        worker.pollIncarnation = worker.incarnation;
-        worker.doesPollRenewLease = poll.leaseUntilMs.has_value();
-        worker.pollSentAt = at;
-        orders.polls.push_back(std::move(poll));
+    // Whether an unlisted worker can be removed also depends on the time since the takeover. The time for which
+    // fillers are slowed down does not count as a stall.
+    if (!worker.isListed || worker.fillerPace.percent < fullPace)
+        return Instant::min();
+    auto next = Instant::max();
+    for (const auto& [key, until] : worker.unansweredStarts)
+        next = std::min(next, until);
+    for (const auto& [incarnation, until] : worker.unansweredAcknowledgements)
+        next = std::min(next, until);
+    if (!worker.runs.empty() && worker.missedPolls > 0)
+        next = std::min(next, worker.leaseExpiryBound);
+    for (const auto& [key, run] : worker.runs) {
+        if (auto timeout = stallTimeoutOf(fleet, worker, run))
+            next = std::min(next, run.progressAt + *timeout);
+    }
+    return next;
+}
+
+void emitPolls(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders)
+{
+    for (auto* worker : workers) {
+        if (!worker->isPollInFlight && at >= worker->nextPollAt && needsPoll(fleet, *worker, at))
+            emitPoll(fleet, *worker, at, orders);
     }
 }
 
+Instant nextPollOf(const Fleet& fleet, const Worker& worker)
+{
+    if (worker.isPollInFlight)
+        return Instant::max();
+    if (needsSteadyPolls(fleet, worker))
+        return worker.nextPollAt;
+    // Unlisted workers are looked at in each round, see nextExpiryOf().
+    bool mayTakeLateStart = !worker.unansweredStarts.empty();
+    return mayTakeLateStart ? std::max(worker.nextPollAt, worker.lastAnswerAt + idlePollInterval) : Instant::max();
+}
+
 void scheduleAcknowledgements(Fleet& fleet, Instant at)
 {
     for (auto& [id, worker] : fleet.workers) {
-        if (hasDurableEnd(fleet, worker) && worker.nextPollAt > at)
-            worker.nextPollAt = at;
+        if (!hasDurableEnd(fleet, worker))
+            continue;
+        worker.nextPollAt = std::min(worker.nextPollAt, at);
+        markDue(fleet, worker);
     }
 }
 
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -87,10 +87,15 @@
 //! True while a task that an earlier owner has started may run on a worker that has not answered this owner.
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at);
 
-//! Removes the runs of workers whose lease has expired without an answer, and stops runs that make no progress.
-void expireRuns(Fleet& fleet, Instant at);
-//! Emits the polls that are due.
-void emitPolls(Fleet& fleet, Instant at, Orders& orders);
+//! Removes the runs of those workers whose lease has expired without an answer, and stops runs that make no progress.
+//! Forgets unlisted workers that have nothing left, also in `workers`.
+void expireRuns(Fleet& fleet, std::vector<Worker*>& workers, Instant at);
+//! When expireRuns() has to look at the worker unless it changes; Instant::max(): never.
+Instant nextExpiryOf(const Fleet& fleet, const Worker& worker);
+//! Emits the polls of the workers that are due.
+void emitPolls(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders);
+//! When emitPolls() has to look at the worker unless it changes; Instant::max(): never.
+Instant nextPollOf(const Fleet& fleet, const Worker& worker);
 //! Makes polls due at once for workers with a durable end that is not acknowledged.
 void scheduleAcknowledgements(Fleet& fleet, Instant at);
 
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -42,6 +42,8 @@
     std::int64_t longestCancelDelayMs = 3000; //!< from the submission to the cancellation
     std::int64_t longestTaskMs = 4000; //!< duration of the longest random task
     std::int64_t maxLeaseMs = 6000; //!< workers shorten a longer lease to this
+    //! Each round is compared with one on a copy of the state that looks at every worker.
+    bool comparesWithFullRounds = false;
 };
 
 class FleetSimulation {
@@ -141,6 +143,7 @@
     void inheritJobs();
     void step();
     void stepOwner(const OwnerPointer& owner);
+    fleet::Orders advance(Owner& owner);
     void sendStart(const OwnerPointer& owner, const fleet::StartOrder& order);
     //! The worker carries out a start that was sent at `sentMs`.
     standin::StartOutcome carryOutStart(const Owner& owner, const fleet::StartOrder& order, std::int64_t sentMs);
--- a/tests/fleet/simulation_owners.cpp
+++ b/tests/fleet/simulation_owners.cpp
@@ -1,6 +1,7 @@
 //! The part of FleetSimulation that runs the simulated owners and carries their orders and commits.
 #include "simulation.h"
 
+#include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/record.h"
 #include "agatevane/fleet/worker_record.h"
@@ -22,6 +23,28 @@
         return ids;
     }
 
+    template <typename Order> std::string describeRunOrder(const char* kind, const Order& order)
+    {
+        return std::string(kind) + " " + toString(order.task) + " run " + std::to_string(order.run) + " on "
+            + order.worker + "\n";
+    }
+
+    //! All orders in the order in which they are sent, with what depends on the state of the worker.
+    std::string describeOrders(const fleet::Orders& orders)
+    {
+        std::string text;
+        for (const auto& order : orders.starts)
+            text += describeRunOrder("start", order) + std::to_string(order.leaseUntilMs) + order.checkpoint + "\n";
+        for (const auto& order : orders.stops)
+            text += describeRunOrder("stop", order);
+        for (const auto& order : orders.paces)
+            text += describeRunOrder("pace", order) + std::to_string(order.percent) + "\n";
+        for (const auto& order : orders.polls)
+            text += "poll " + order.worker + " " + std::to_string(order.lastAcknowledgedEnd) + " "
+                + std::to_string(order.leaseUntilMs.value_or(0)) + " " + std::to_string(order.wait.count()) + "\n";
+        return text;
+    }
+
 } // namespace
 
 void FleetSimulation::replaceOwner()
@@ -115,7 +138,7 @@
         owner->confirmedMs = nowMs_;
     if (options_.overlapMs > 0)
         owner->fleet.leasesEndBy = at(owner->confirmedMs + maxUnconfirmedMs);
-    auto orders = fleet::advance(owner->fleet, nowMs_, at(nowMs_));
+    auto orders = advance(*owner);
     for (const auto& order : orders.starts)
         sendStart(owner, order);
     for (const auto& order : orders.stops)
@@ -129,6 +152,21 @@
         reportViolation(toString(violation));
 }
 
+fleet::Orders FleetSimulation::advance(Owner& owner)
+{
+    if (!options_.comparesWithFullRounds)
+        return fleet::advance(owner.fleet, nowMs_, at(nowMs_));
+    auto copy = owner.fleet;
+    fleet::markAllDue(copy);
+    auto expected = describeOrders(fleet::advance(copy, nowMs_, at(nowMs_)));
+    auto orders = fleet::advance(owner.fleet, nowMs_, at(nowMs_));
+    if (auto actual = describeOrders(orders); actual != expected)
+        reportViolation("a full round gives " + expected + "instead of " + actual);
+    if (copy.workers.size() != owner.fleet.workers.size())
+        reportViolation("a full round knows other workers");
+    return orders;
+}
+
 void FleetSimulation::applyFence(Owner& owner, bool isFenced)
 {
     owner.isStopped = owner.isStopped || (owner.isReplaced && isFenced);
--- a/tests/fleet/worker_tests.cpp
+++ b/tests/fleet/worker_tests.cpp
@@ -1,3 +1,5 @@
+#include "agatevane/fleet/due_workers.h"
+
 #include "simulation.h"
 
 #include <boost/test/unit_test.hpp>
@@ -5,6 +7,17 @@
 using namespace agatevane;
 using test::FleetSimulation;
 
+namespace {
+
+void expireRunsOfAll(fleet::Fleet& fleet, Instant at)
+{
+    fleet::markAllDue(fleet);
+    auto workers = fleet::takeDueWorkers(fleet, at);
+    fleet::expireRuns(fleet, workers, at);
+}
+
+} // namespace
+
 // Guards against runs that are never removed: each unanswered poll postponed the time when the unreachable worker's
 // lease expires, so that its tasks waited for ever. Found in scenario trouble-1 with seed 29075683995.
 BOOST_AUTO_TEST_CASE(A_task_of_a_crashed_worker_runs_elsewhere_after_the_lease, *boost::unit_test::label("workers"))
@@ -91,11 +104,11 @@
         fleet::applyUnlisted(fleet, worker.id);
         for (int miss = 0; miss < 3; ++miss)
             fleet::applyPollFailure(fleet, worker.id, at);
-        fleet::expireRuns(fleet, worker.leaseExpiryBound - Millis(1));
+        expireRunsOfAll(fleet, worker.leaseExpiryBound - Millis(1));
         BOOST_CHECK_EQUAL(worker.runs.size(), 1U);
     }
     auto id = worker.id;
-    fleet::expireRuns(fleet, worker.leaseExpiryBound);
+    expireRunsOfAll(fleet, worker.leaseExpiryBound);
     const auto* left = fleet::findWorker(fleet, id);
     BOOST_CHECK(!left || left->runs.empty());
 }
@@ -222,7 +235,7 @@
     BOOST_REQUIRE_EQUAL(fleet.workers.at("w100").lastAcknowledgedEnd, 1);
     fleet::applyPollFailure(fleet, "w100", at);
     fleet::Orders orders;
-    fleet::emitPolls(fleet, at + Millis(1000), orders);
+    fleet::emitPolls(fleet, fleet::takeDueWorkers(fleet, at + Millis(1000)), at + Millis(1000), orders);
     BOOST_REQUIRE_EQUAL(orders.polls.size(), 1U);
     BOOST_CHECK_EQUAL(orders.polls.front().lastAcknowledgedEnd, 0);
     BOOST_CHECK(orders.polls.front().wait == Millis(0));
