Keep what placement needs to know of a worker until the worker changes

Change: a worker keeps this as its load, reckoned when a round needs it and dropped when the worker becomes due (fleet/runs, loadOf). The search for tasks with an unwanted run passes workers whose load has none.

Ruled out: counting up and down at each transition of a run, which stands in eleven places. Callers see no difference.

Test: the comparison of rounds with full rounds (they reckon each load anew) covers it.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -87,13 +87,11 @@
                     continue;
                 WorkerHeadroom headroom { &worker, worker.capacity, {} };
                 headroom.free -= worker.used;
+                const auto& load = loadOf(fleet_, worker);
                 headroom.afterStops = headroom.free;
-                for (const auto& [key, run] : worker.runs) {
-                    if (run.state == RunState::Stopping)
-                        headroom.afterStops += run.need;
-                    if (const auto* job = findJob(fleet_, key.first.job); job && findTask(fleet_, key.first))
-                        addColocatedTask(headroom, stepOf(*job, key.first));
-                }
+                headroom.afterStops += load.stopping;
+                headroom.servingTasks = load.servingTasks;
+                headroom.fillerMilliCores = load.fillerMilliCores;
                 total += worker.capacity;
                 used += worker.used;
                 headrooms_.push_back(headroom);
--- a/src/agatevane/fleet/due_workers.cpp
+++ b/src/agatevane/fleet/due_workers.cpp
@@ -29,6 +29,7 @@
 
 void markDue(Fleet& fleet, Worker& worker)
 {
+    worker.load.reset();
     reschedule(fleet, worker, Instant::min());
 }
 
@@ -53,6 +54,7 @@
         auto& worker = fleet.workers.at(fleet.dueWorkers.begin()->second);
         fleet.dueWorkers.erase(fleet.dueWorkers.begin());
         worker.dueAt = Instant::max();
+        worker.load.reset();
         due.push_back(&worker);
     }
     sortById(due);
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -59,6 +59,30 @@
         return isUnconfirmed && !run.isOrderInFlight;
     }
 
+    void addUnwantedTasks(const Worker& worker, std::set<TaskId>& tasks)
+    {
+        for (const auto& [key, run] : worker.runs) {
+            if (!run.isWanted)
+                tasks.insert(key.first);
+        }
+    }
+
+    WorkerLoad reckonLoad(const Fleet& fleet, const Worker& worker)
+    {
+        WorkerLoad load;
+        for (const auto& [key, run] : worker.runs) {
+            load.hasUnwantedRun = load.hasUnwantedRun || !run.isWanted;
+            if (run.state == RunState::Stopping)
+                load.stopping += run.need;
+            if (!findTask(fleet, key.first))
+                continue;
+            const auto& step = stepOf(*findJob(fleet, key.first.job), key.first);
+            load.servingTasks += isServing(step) ? 1 : 0;
+            load.fillerMilliCores += step.isFiller ? step.need.milliCores : 0;
+        }
+        return load;
+    }
+
 } // namespace
 
 Capacity reservedCapacity(const StepSpec& step)
@@ -118,10 +142,8 @@
     };
     std::set<TaskId> tasks;
     for (const auto& [id, worker] : fleet.workers) {
-        for (const auto& [key, run] : worker.runs) {
-            if (!run.isWanted)
-                tasks.insert(key.first);
-        }
+        if (!worker.load || worker.load->hasUnwantedRun)
+            addUnwantedTasks(worker, tasks);
         bool isAnswering = worker.missedPolls == 0 && worker.hasAnsweredPoll;
         for (const auto& [key, until] : worker.unansweredStarts) {
             if (!isAnswering && at < until && mayWait(key.first))
@@ -131,6 +153,13 @@
     return tasks;
 }
 
+const WorkerLoad& loadOf(const Fleet& fleet, Worker& worker)
+{
+    if (!worker.load)
+        worker.load = reckonLoad(fleet, worker);
+    return *worker.load;
+}
+
 void orderRun(Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at)
 {
     auto& step = job.occurrences[id.occurrence].steps[id.step];
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -61,6 +61,9 @@
 //! last, or of which copies may run.
 std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at);
 
+//! The load of a worker's runs, which is kept until the worker changes.
+const WorkerLoad& loadOf(const Fleet& fleet, Worker& worker);
+
 //! Starts a run of an idle task on `worker`; its start order is emitted later.
 void orderRun(Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at);
 //! Notes that a worker has started a task of the job, which no longer counts as waiting.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -145,6 +145,14 @@
     Instant decidedAt;
 };
 
+//! What placement needs to know of a worker's runs.
+struct WorkerLoad {
+    Capacity stopping; //!< capacity of the runs that are being stopped
+    int servingTasks = 0; //!< tasks that serve users
+    std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers could use
+    bool hasUnwantedRun = false;
+};
+
 struct Worker {
     WorkerId id;
     net::PeerAddress address;
@@ -198,6 +206,7 @@
     bool isEvacuating = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
 
+    std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last reckoned
     Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
 };
 
