Place the tasks of a wide job by one search

Change: one search places as many tasks as fit, in the order in which single searches chose: the fullest worker stays the fullest until it is full. Steps that interfere with others (fillers, tasks with a latency target) are still placed one by one, since each placement changes the order.

Ruled out: a standing index of workers by free capacity (more state to keep right; the search is no longer what costs).

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -261,32 +261,56 @@
                 }
                 return freeUpCapacity(pending, constraint);
             }
-            std::vector<std::uint32_t> left;
-            for (auto index : pending.taskIndexes) {
-                if (auto placement = findPlacement(pending, 1, HeadroomKind::Free, constraint))
-                    start(pending, { index }, *placement);
-                else
-                    left.push_back(index);
-            }
-            pending.taskIndexes = std::move(left);
+            while (startSomeTasks(pending, constraint)) { }
             return pending.taskIndexes.empty() || freeUpCapacity(pending, constraint);
         }
 
+        //! Starts waiting tasks that need not start together. True if another search may find room for more.
+        bool startSomeTasks(PendingStep& pending, const RackConstraint& constraint)
+        {
+            auto demand = demandOf(pending, 1, constraint);
+            if (pending.taskIndexes.empty() || unplaceableNow_.contains(demand))
+                return false;
+            ++fleet_.placementSearches;
+            // A task that interferes with others changes which worker is the best one for the next.
+            bool interferes = pending.spec().isFiller || isServing(pending.spec());
+            auto wanted = interferes ? 1 : pending.taskIndexes.size();
+            auto placement = findWorkersForSome(pending, headrooms_, wanted, constraint.rack);
+            if (placement.size() < wanted)
+                noteUnplaceable(pending, std::move(demand), unplaceableNow_);
+            for (std::size_t n = 0; n < placement.size(); ++n)
+                start(pending, { pending.taskIndexes[n] }, { placement[n] });
+            pending.taskIndexes.erase(pending.taskIndexes.begin(),
+                pending.taskIndexes.begin() + static_cast<std::ptrdiff_t>(placement.size()));
+            return interferes && !placement.empty();
+        }
+
+        static Demand demandOf(const PendingStep& pending, std::size_t count, const RackConstraint& constraint)
+        {
+            const auto& spec = pending.spec();
+            return { pending.job->policy.service, spec.requiredLabel, constraint.rack, constraint.needsOneRack,
+                reservedCapacity(spec), count };
+        }
+
+        //! With a limit per worker, or tickets, a search without a result is only valid for its step.
+        static void noteUnplaceable(const PendingStep& pending, Demand demand, std::set<Demand>& unplaceable)
+        {
+            if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers)
+                unplaceable.insert(std::move(demand));
+        }
+
         //! As findWorkersFor, but skips demands that could not be placed earlier in this round.
         std::optional<Placement> findPlacement(
             const PendingStep& pending, std::size_t count, HeadroomKind kind, const RackConstraint& constraint)
         {
-            const auto& spec = pending.spec();
-            Demand demand { pending.job->policy.service, spec.requiredLabel, constraint.rack, constraint.needsOneRack,
-                reservedCapacity(spec), count };
-            auto& failed = kind == HeadroomKind::Free ? unplaceableNow_ : unplaceableAfterStops_;
-            if (failed.contains(demand))
+            auto demand = demandOf(pending, count, constraint);
+            auto& unplaceable = kind == HeadroomKind::Free ? unplaceableNow_ : unplaceableAfterStops_;
+            if (unplaceable.contains(demand))
                 return std::nullopt;
             ++fleet_.placementSearches;
             auto placement = findWorkersFor(pending, headrooms_, count, kind, constraint.needsOneRack, constraint.rack);
-            // With a limit per worker, or tickets, the result is only valid for this step.
-            if (!placement && spec.maxPerWorker == 0 && !pending.allowedWorkers)
-                failed.insert(demand);
+            if (!placement)
+                noteUnplaceable(pending, std::move(demand), unplaceable);
             return placement;
         }
 
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -70,13 +70,20 @@
         return candidates;
     }
 
-    std::optional<Placement> assignInOrder(const std::vector<Candidate>& candidates, std::size_t count)
+    //! As many of `count` tasks as fit.
+    Placement assignSomeInOrder(const std::vector<Candidate>& candidates, std::size_t count)
     {
         Placement placement;
         for (const auto& candidate : candidates) {
             for (std::size_t n = 0; n < candidate.fits && placement.size() < count; ++n)
                 placement.push_back(candidate.index);
         }
+        return placement;
+    }
+
+    std::optional<Placement> assignInOrder(const std::vector<Candidate>& candidates, std::size_t count)
+    {
+        auto placement = assignSomeInOrder(candidates, count);
         if (placement.size() < count)
             return std::nullopt;
         return placement;
@@ -163,4 +170,10 @@
     return assignInOrder(candidates, count);
 }
 
+Placement findWorkersForSome(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
+    std::size_t count, const std::string& rack)
+{
+    return assignSomeInOrder(candidatesOf(pending, headrooms, count, HeadroomKind::Free, rack), count);
+}
+
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -59,4 +59,8 @@
 std::optional<Placement> findWorkersFor(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
     std::size_t count, HeadroomKind kind, bool needsOneRack, const std::string& rack);
 
+//! Workers for as many of `count` tasks as there is free capacity for, for a step whose tasks need not start together.
+Placement findWorkersForSome(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
+    std::size_t count, const std::string& rack);
+
 } // namespace agatevane::fleet
--- a/tests/fleet/preemption_tests.cpp
+++ b/tests/fleet/preemption_tests.cpp
@@ -1,85 +1,19 @@
+#include "agatevane/base/random.h"
 #include "agatevane/fleet/preemption.h"
+#include "agatevane/fleet/runs.h"
 
-#include "agatevane/fleet/due_workers.h"
-#include "simulation.h"
+#include "busy_fleet.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace agatevane;
+using test::BusyFleet;
 
 namespace {
 
-constexpr std::int64_t unixMs = 1000;
-constexpr std::int64_t acceleratorsPerWorker = 8;
-const Instant startedAt = Instant(std::chrono::hours(1));
-const Instant at = startedAt + Millis(3000);
-
-//! A fleet whose workers are full of work of lower priority, some of it in gangs.
-class BusyFleet {
-public:
-    explicit BusyFleet(int workers)
-    {
-        fleet_.tenure = 1;
-        for (int number = 0; number < workers; ++number)
-            addWorker("w" + std::to_string(number), "r" + std::to_string(number / 4));
-    }
-
-    fleet::Fleet& fleet() { return fleet_; }
-
-    fleet::Job& submit(const fleet::JobId& id, std::uint32_t count, std::int64_t accelerators, int priority,
-        bool isGang = false, bool savesCheckpoints = false)
-    {
-        auto spec = test::sampleJob(id, count, accelerators, 8000);
-        spec.steps.front().need = { accelerators * 1000, accelerators * 1000, accelerators };
-        spec.steps.front().isGang = isGang;
-        spec.steps.front().savesCheckpoints = savesCheckpoints;
-        auto queue = test::sampleQueue(priority);
-        fleet::applyCommitted(fleet_, fleet::submit(fleet_, spec, queue, unixMs, startedAt));
-        return fleet_.jobs.at(id);
-    }
-
-    void run(fleet::Job& job, std::uint32_t index, const fleet::WorkerId& worker, Millis age = Millis(1000))
-    {
-        fleet::orderRun(job, { job.spec.id, 0, 0, index }, 1, fleet_.workers.at(worker), at - age);
-    }
-
-    std::vector<fleet::WorkerHeadroom> headrooms()
-    {
-        std::vector<fleet::WorkerHeadroom> all;
-        for (auto& [id, worker] : fleet_.workers) {
-            fleet::WorkerHeadroom headroom { &worker, worker.capacity, {} };
-            headroom.free -= worker.used;
-            headroom.afterStops = headroom.free;
-            all.push_back(headroom);
-        }
-        return all;
-    }
-
-    static fleet::PendingStep waiting(fleet::Job& job)
-    {
-        fleet::PendingStep pending;
-        pending.job = &job;
-        for (std::uint32_t index = 0; index < job.spec.steps.front().count; ++index)
-            pending.taskIndexes.push_back(index);
-        return pending;
-    }
-
-private:
-    void addWorker(const fleet::WorkerId& id, const std::string& rack)
-    {
-        fleet::WorkerListing listing;
-        listing.id = id;
-        listing.service = test::sampleQueue().service;
-        listing.rack = rack;
-        listing.capacity = { 8000, 8000, acceleratorsPerWorker };
-        listing.incarnation = 1;
-        fleet::applyListing(fleet_, listing, startedAt);
-        fleet::applyPollAnswer(fleet_, id, { 1, 1000, {}, {}, 0 }, unixMs, startedAt);
-    }
-
-    fleet::Fleet fleet_;
-};
+constexpr std::int64_t acceleratorsPerWorker = BusyFleet::acceleratorsPerWorker;
+const Instant at = BusyFleet::now();
 
 //! Fills each worker with tasks of random sizes and ages; a third of the jobs are gangs.
 void fillAtRandom(BusyFleet& busy, Random& random)
