Begin the read buffers of connections small

Cause: each connection held a buffer of 16 KB (8 KB where the node is the server).

Change: a buffer begins with 2 KB and grows to 16 KB on a connection that fills it (event_http/read_buffer). Ruled out: one buffer for all connections, read after waiting for readiness: one more system call for each message.

What callers saw: nothing.

--- a/src/agatevane/event_http/client.cpp
+++ b/src/agatevane/event_http/client.cpp
@@ -2,7 +2,7 @@
 
 #include "agatevane/base/error.h"
 #include "agatevane/event_http/parser.h"
-#include <array>
+#include "agatevane/event_http/read_buffer.h"
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -18,7 +18,6 @@
 
     using asio::ip::tcp;
 
-    constexpr std::size_t readChunkBytes = 16384;
     //! Header bytes and body bytes.
     constexpr MessageLimits responseLimits { 65536, 67108864 };
     //! A connection that was idle for longer is not reused, because servers close idle connections after 15 s.
@@ -156,24 +155,23 @@
 
     void read()
     {
-        socket_.async_read_some(
-            asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, std::size_t size) {
-                if (error) {
-                    if (self->done_ && self->parser_.finish() && self->response_)
-                        return self->complete();
-                    return self->done_ ? self->fail(Errc::Disconnected) : self->close();
-                }
-                if (!self->done_)
-                    return self->close();
-                bool isValid = self->parser_.feed({ self->chunk_.data(), size });
-                self->noteProgress(size);
-                if (!isValid)
-                    return self->rejectResponse();
-                if (self->response_)
-                    self->complete();
-                if (self->socket_.is_open())
-                    self->read();
-            });
+        socket_.async_read_some(buffer_.space(), [self = shared_from_this()](std::error_code error, std::size_t size) {
+            if (error) {
+                if (self->done_ && self->parser_.finish() && self->response_)
+                    return self->complete();
+                return self->done_ ? self->fail(Errc::Disconnected) : self->close();
+            }
+            if (!self->done_)
+                return self->close();
+            bool isValid = self->parser_.feed(self->buffer_.take(size));
+            self->noteProgress(size);
+            if (!isValid)
+                return self->rejectResponse();
+            if (self->response_)
+                self->complete();
+            if (self->socket_.is_open())
+                self->read();
+        });
     }
 
     void noteProgress(std::size_t size)
@@ -240,7 +238,7 @@
     tcp::socket socket_;
     asio::steady_timer timer_;
     Parser parser_;
-    std::array<char, readChunkBytes> chunk_ {};
+    ReadBuffer buffer_;
     std::string out_;
     std::optional<Response> response_;
     ResponseLimits limits_;
--- a/src/agatevane/event_http/server.cpp
+++ b/src/agatevane/event_http/server.cpp
@@ -1,6 +1,6 @@
 #include "agatevane/event_http/server.h"
 
-#include <array>
+#include "agatevane/event_http/read_buffer.h"
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <deque>
@@ -12,7 +12,6 @@
 
     using asio::ip::tcp;
 
-    constexpr std::size_t readChunkBytes = 8192;
     //! The server stops reading from a connection while this many of its requests wait to be handled.
     constexpr std::size_t maxPipelinedRequests = 16;
 
@@ -89,19 +88,18 @@
         if (isReading_ || hasPeerFinished_ || queue_.size() >= maxPipelinedRequests || !socket_.is_open())
             return;
         isReading_ = true;
-        socket_.async_read_some(
-            asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, std::size_t size) {
-                self->isReading_ = false;
-                self->hasPeerFinished_ = error == asio::error::eof;
-                if (self->hasPeerFinished_ && self->isHandlingRequests())
-                    return;
-                if (error)
-                    return self->close();
-                if (!self->parser_.feed({ self->chunk_.data(), size }))
-                    return self->reject();
-                self->handleNext();
-                self->read();
-            });
+        socket_.async_read_some(buffer_.space(), [self = shared_from_this()](std::error_code error, std::size_t size) {
+            self->isReading_ = false;
+            self->hasPeerFinished_ = error == asio::error::eof;
+            if (self->hasPeerFinished_ && self->isHandlingRequests())
+                return;
+            if (error)
+                return self->close();
+            if (!self->parser_.feed(self->buffer_.take(size)))
+                return self->reject();
+            self->handleNext();
+            self->read();
+        });
     }
 
     void enqueue(Request request, bool isKeepAlive)
@@ -171,7 +169,7 @@
     tcp::socket socket_;
     std::shared_ptr<Server::State> server_;
     Parser parser_;
-    std::array<char, readChunkBytes> chunk_ {};
+    ReadBuffer buffer_;
     std::deque<QueuedRequest> queue_;
     std::string out_;
     bool isReading_ = false;
