Bound the connections of a node by the descriptors that its VM has

Idle connections to a peer that does not answer are closed at once; they stayed open until the peer closed them.

Ruled out: fewer idle connections for each peer (new connections are priced, and bursts go to the same workers).

--- a/src/agatevane/event_http/client.cpp
+++ b/src/agatevane/event_http/client.cpp
@@ -1,16 +1,16 @@
 #include "agatevane/event_http/client.h"
 
 #include "agatevane/base/error.h"
+#include "agatevane/event_http/connection_pool.h"
 #include "agatevane/event_http/parser.h"
 #include "agatevane/event_http/read_buffer.h"
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
-#include <map>
+#include <limits>
 #include <netinet/tcp.h>
 #include <optional>
-#include <vector>
 
 namespace agatevane::event_http {
 
@@ -46,7 +46,9 @@
 
     asio::io_context& context;
     ClientCounters counters;
-    std::map<PeerAddress, std::vector<std::shared_ptr<ClientConnection>>> idleConnections;
+    ConnectionPool<ClientConnection> idleConnections;
+    std::size_t openConnections = 0;
+    std::size_t mostConnections = std::numeric_limits<std::size_t>::max();
 };
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
@@ -83,6 +85,8 @@
 
     void close()
     {
+        if (std::exchange(isCounted_, false))
+            --state_->openConnections;
         std::error_code ignored;
         socket_.close(ignored);
     }
@@ -119,7 +123,11 @@
         auto ip = asio::ip::make_address(peer_.address, error);
         if (error)
             return fail(Errc::Unreachable);
+        if (state_->openConnections >= state_->mostConnections)
+            state_->idleConnections.closeOldest();
         ++state_->counters.connections;
+        ++state_->openConnections;
+        isCounted_ = true;
         didStartSending_ = false;
         socket_.async_connect({ ip, static_cast<unsigned short>(peer_.port) },
             [self = shared_from_this(), number = requestNumber_](std::error_code failure) {
@@ -205,9 +213,8 @@
         ++requestNumber_;
         auto done = std::exchange(done_, nullptr);
         idleSince_ = now();
-        auto& idle = state_->idleConnections[peer_];
-        if (isKeepAlive_ && idle.size() < maxIdleConnectionsPerPeer)
-            idle.push_back(shared_from_this());
+        if (isKeepAlive_ && state_->idleConnections.countTo(peer_) < maxIdleConnectionsPerPeer)
+            state_->idleConnections.add(peer_, shared_from_this());
         else
             close();
         done({}, std::move(response));
@@ -218,7 +225,7 @@
     void expireRequest()
     {
         ++state_->counters.timeouts;
-        state_->idleConnections.erase(peer_);
+        state_->idleConnections.closeAllTo(peer_);
         // Otherwise the peer may carry out the request seconds later.
         discardInTransit();
         fail(didStartSending_ ? Errc::Timeout : Errc::Unreachable);
@@ -248,6 +255,7 @@
     std::uint64_t requestNumber_ = 0; //!< number of the current request; completions of earlier ones are ignored
     bool didStartSending_ = false; //!< the peer may have received a part of the request
     bool isKeepAlive_ = false;
+    bool isCounted_ = false; //!< as one of `State::openConnections`
     Instant idleSince_;
 };
 
@@ -264,10 +272,7 @@
 std::shared_ptr<ClientConnection> Client::State::connectionTo(
     const std::shared_ptr<State>& state, const PeerAddress& peer)
 {
-    auto& idle = state->idleConnections[peer];
-    while (!idle.empty()) {
-        auto connection = idle.back();
-        idle.pop_back();
+    while (auto connection = state->idleConnections.take(peer)) {
         if (connection->isReusable(now()))
             return connection;
         connection->close();
@@ -296,12 +301,17 @@
 
 void Client::closeIdleConnections(const PeerAddress& peer)
 {
-    auto found = state_->idleConnections.find(peer);
-    if (found == state_->idleConnections.end())
-        return;
-    for (auto& connection : found->second)
-        connection->close();
-    state_->idleConnections.erase(found);
+    state_->idleConnections.closeAllTo(peer);
+}
+
+void Client::limitConnections(std::size_t most)
+{
+    state_->mostConnections = most;
+}
+
+std::size_t Client::openConnections() const
+{
+    return state_->openConnections;
 }
 
 const ClientCounters& Client::counters() const
--- a/src/agatevane/event_http/client.h
+++ b/src/agatevane/event_http/client.h
@@ -5,6 +5,7 @@
 #include "agatevane/event_http/message.h"
 #include "agatevane/net/rpc.h"
 #include <asio/io_context.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <system_error>
@@ -35,6 +36,11 @@
     void send(const PeerAddress& peer, Request request, const TransferLimits& limits, ResponseHandler done);
     //! For responses of bounded size: the response has to be complete by `deadline`.
     void send(const PeerAddress& peer, Request request, Instant deadline, ResponseHandler done);
+    //! Before a connection is opened beyond this number, the one that has been idle for the longest time is closed. If
+    //! none is idle, it is opened all the same. No limit by default.
+    void limitConnections(std::size_t most);
+    //! Connections that are open or being opened.
+    std::size_t openConnections() const;
     //! Closes the idle connections to `peer`, for example when it has left.
     void closeIdleConnections(const PeerAddress& peer);
     const ClientCounters& counters() const;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -101,10 +101,18 @@
     node::Timer timer_;
 };
 
+//! The rest of the descriptors is for callers, other nodes and files.
+std::size_t maxClientConnections(const node::Settings& settings)
+{
+    constexpr double clientShare = 0.75;
+    return static_cast<std::size_t>(clientShare * static_cast<double>(settings.maxDescriptors));
+}
+
 int run(const std::string& path, const std::string& text, const node::Settings& settings)
 {
     asio::io_context context(1);
     event_http::Client client(context);
+    client.limitConnections(maxClientConnections(settings));
     platform::StoreClient store(client, settings.storeAddress);
     platform::WorkerClient workers(client, settings.adviceAddress);
     platform::MachineClient machines(client, settings.machinesAddress, settings.name);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -4,6 +4,7 @@
 #include "agatevane/base/instant.h"
 #include "agatevane/fleet/state.h"
 #include "agatevane/net/rpc.h"
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,6 +27,7 @@
     net::PeerAddress machinesAddress; //!< service that lists machines and takes them down for upkeep; port 0: none
     net::PeerAddress adviceAddress; //!< advice service; port 0: none
     double cpuShare = 1; //!< processor time that the node may use, in cores
+    std::size_t maxDescriptors = 4096; //!< open files and sockets that the process may have
     Millis minLeaseTtl { 1000 }; //!< shortest lease that the store grants
     Millis shutdownGrace { 6000 }; //!< time from SIGTERM until the machine kills the process
     Millis stateApplyBound { 2500 }; //!< a desired state has to be in force this long after it was acknowledged
--- a/tests/event_http/event_http_tests.cpp
+++ b/tests/event_http/event_http_tests.cpp
@@ -165,6 +165,36 @@
     BOOST_CHECK_EQUAL(client.counters().connections, 1U);
 }
 
+// Guards against a client of many peers that runs out of descriptors because of the connections that it keeps.
+BOOST_AUTO_TEST_CASE(A_new_connection_beyond_the_limit_replaces_an_idle_one, *boost::unit_test::label("event_http"))
+{
+    constexpr std::size_t most = 2;
+    EventLoop loop;
+    std::vector<std::unique_ptr<Server>> servers;
+    for (int n = 0; n < 4; ++n) {
+        servers.push_back(std::make_unique<Server>(loop.context, [](const Request&, const Respond& respond) {
+            respond({ 200, {}, {} });
+        }));
+        BOOST_REQUIRE(!servers.back()->listen("127.0.0.1", 0));
+    }
+    Client client(loop.context);
+    client.limitConnections(most);
+    std::size_t answered = 0;
+    std::function<void()> sendNext = [&] {
+        net::PeerAddress peer { "127.0.0.1", servers[answered % servers.size()]->port() };
+        client.send(peer, { "GET", "/", {}, {} }, now() + Millis(2000), [&](std::error_code error, const Response&) {
+            BOOST_CHECK(!error);
+            BOOST_CHECK_LE(client.openConnections(), most);
+            if (++answered == 2 * servers.size())
+                return loop.context.stop();
+            sendNext();
+        });
+    };
+    sendNext();
+    loop.runFor(Millis(5000));
+    BOOST_CHECK_EQUAL(answered, 2 * servers.size());
+}
+
 // Guards against a request that never ends because its connection is broken without a reset.
 BOOST_AUTO_TEST_CASE(A_request_to_an_unresponsive_peer_ends_as_timeout, *boost::unit_test::label("event_http"))
 {
