Bound the starts that an owner has under way, so that overload defers work

Cause: a round ordered as many starts as there was room for.

Change: at most so many starts are unconfirmed at a time (Limits::maxUnconfirmedStarts, 1,500 for each core of the VM's share); the rest waits in the order of urgency and goes on as answers come. Nothing is preempted for work that only waits for this. A gang beyond the limit starts when no other start is under way. Counted: agatevane_rounds_deferred, agatevane_worker_visits.

Ruled out: longer time-outs (a silent worker would be noticed later); refusing jobs (they can be served, and callers' time is long).

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -73,11 +73,30 @@
                 pendingSteps_.begin(), pendingSteps_.end(), [](const PendingStep& a, const PendingStep& b) {
                     return std::pair(a.tier, a.slackMs) < std::pair(b.tier, b.slackMs);
                 });
-            for (auto& pending : pendingSteps_)
+            for (auto& pending : pendingSteps_) {
+                if (!mayStartNow(pending))
+                    return deferRest();
                 placePendingStep(pending);
+            }
         }
 
     private:
+        //! True if as many starts may be under way as the step needs at once. A gang that needs more than the limit
+        //! waits until no other start is under way.
+        bool mayStartNow(const PendingStep& pending) const
+        {
+            auto limit = fleet_.limits.maxUnconfirmedStarts;
+            auto needed = pending.isGang ? pending.taskIndexes.size() : 1;
+            return unconfirmedStarts_ + std::min(needed, limit) <= limit;
+        }
+
+        //! The more urgent work that was placed before goes first; the rest keeps its order.
+        void deferRest()
+        {
+            ++fleet_.deferredRounds;
+            fleet_.isPlacementDue = true;
+        }
+
         void collectHeadroom()
         {
             Capacity total;
@@ -88,6 +107,7 @@
                 WorkerHeadroom headroom { &worker, worker.capacity, {} };
                 headroom.free -= worker.used;
                 const auto& load = loadOf(fleet_, worker);
+                unconfirmedStarts_ += load.unconfirmedStarts;
                 headroom.afterStops = headroom.free;
                 headroom.afterStops += load.stopping;
                 headroom.servingTasks = load.servingTasks;
@@ -262,19 +282,20 @@
                 return freeUpCapacity(pending, constraint);
             }
             while (startSomeTasks(pending, constraint)) { }
-            return pending.taskIndexes.empty() || freeUpCapacity(pending, constraint);
+            // What waits only for other starts to be confirmed needs no room made for it.
+            return pending.taskIndexes.empty() || startsLeft() == 0 || freeUpCapacity(pending, constraint);
         }
 
         //! Starts waiting tasks that need not start together. True if another search may find room for more.
         bool startSomeTasks(PendingStep& pending, const RackConstraint& constraint)
         {
             auto demand = demandOf(pending, 1, constraint);
-            if (pending.taskIndexes.empty() || unplaceableNow_.contains(demand))
+            if (pending.taskIndexes.empty() || startsLeft() == 0 || unplaceableNow_.contains(demand))
                 return false;
             ++fleet_.placementSearches;
             // A task that interferes with others changes which worker is the best one for the next.
             bool interferes = pending.spec().isFiller || isServing(pending.spec());
-            auto wanted = interferes ? 1 : pending.taskIndexes.size();
+            auto wanted = interferes ? 1 : std::min(pending.taskIndexes.size(), startsLeft());
             auto placement = findWorkersForSome(pending, headrooms_, wanted, constraint.rack);
             if (placement.size() < wanted)
                 noteUnplaceable(pending, std::move(demand), unplaceableNow_);
@@ -285,6 +306,12 @@
             return interferes && !placement.empty();
         }
 
+        std::size_t startsLeft() const
+        {
+            auto limit = fleet_.limits.maxUnconfirmedStarts;
+            return limit - std::min(limit, unconfirmedStarts_);
+        }
+
         static Demand demandOf(const PendingStep& pending, std::size_t count, const RackConstraint& constraint)
         {
             const auto& spec = pending.spec();
@@ -379,6 +406,7 @@
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
                 markDue(fleet_, worker);
+                ++unconfirmedStarts_;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
                     .with("job", id.job)
@@ -398,6 +426,7 @@
         std::vector<WorkerHeadroom> headrooms_;
         std::vector<PendingStep> pendingSteps_;
         double utilization_ = 0;
+        std::size_t unconfirmedStarts_ = 0;
         std::set<Demand> unplaceableNow_;
         std::set<Demand> unplaceableAfterStops_;
         int planCount_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,6 +49,18 @@
         return Millis(static_cast<std::int64_t>(missingCores * candidacyDelayMsPerCore));
     }
 
+    //! Starts that a node may have under way for each core that it may use: it handles a start and its answer in well
+    //! under a millisecond of processor time, and takes an answer for lost after half a second.
+    constexpr double startsUnderWayPerCore = 1500;
+
+    fleet::Limits fleetLimitsOf(const Settings& settings)
+    {
+        auto limits = settings.fleetLimits;
+        limits.maxUnconfirmedStarts
+            = static_cast<std::size_t>(std::max(1.0, settings.cpuShare * startsUnderWayPerCore));
+        return limits;
+    }
+
     constexpr int statusOk = 200;
     constexpr int statusUnavailable = 503;
 
@@ -168,7 +180,7 @@
             [this](std::string_view reason) { election_.stepDown(reason); },
             [this] { return election_.isOwner() && !election_.isOwnershipUnconfirmed(); },
             [this] { return election_.ownershipEndsBy(); }, machines_ },
-        settings_.fleetLimits, tenure, commitRevision, desiredFeed_.current() ? *desiredFeed_.current() : none);
+        fleetLimitsOf(settings_), tenure, commitRevision, desiredFeed_.current() ? *desiredFeed_.current() : none);
     fleetOwner_->start();
 }
 
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -136,6 +136,12 @@
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
             .set(static_cast<double>(fleet.preemptedRuns));
+        registry
+            .gauge("agatevane_rounds_deferred",
+                "Rounds in this tenure that left work waiting because enough starts were under way")
+            .set(static_cast<double>(fleet.deferredRounds));
+        registry.gauge("agatevane_worker_visits", "Workers that rounds of decisions have looked at in this tenure")
+            .set(static_cast<double>(fleet.workerVisits));
         registry.gauge("agatevane_fillers_slowed", "Times that the fillers of a worker were slowed in this tenure")
             .set(static_cast<double>(fleet.fillerSlowdowns));
     }
