--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/preemption.h"
@@ -72,11 +73,30 @@
                 pendingSteps_.begin(), pendingSteps_.end(), [](const PendingStep& a, const PendingStep& b) {
                     return std::pair(a.tier, a.slackMs) < std::pair(b.tier, b.slackMs);
                 });
-            for (auto& pending : pendingSteps_)
+            for (auto& pending : pendingSteps_) {
+                if (!mayStartNow(pending))
+                    return deferRest();
                 placePendingStep(pending);
+            }
         }
 
     private:
+        //! True if as many starts may be under way as the step needs at once. A gang that needs more than the limit
+        //! waits until no other start is under way.
+        bool mayStartNow(const PendingStep& pending) const
+        {
+            auto limit = fleet_.limits.maxUnconfirmedStarts;
+            auto needed = pending.isGang ? pending.taskIndexes.size() : 1;
+            return unconfirmedStarts_ + std::min(needed, limit) <= limit;
+        }
+
+        //! The more urgent work that was placed before goes first; the rest keeps its order.
+        void deferRest()
+        {
+            ++fleet_.deferredRounds;
+            fleet_.isPlacementDue = true;
+        }
+
         void collectHeadroom()
         {
             Capacity total;
@@ -86,13 +106,12 @@
                     continue;
                 WorkerHeadroom headroom { &worker, worker.capacity, {} };
                 headroom.free -= worker.used;
+                const auto& load = loadOf(fleet_, worker);
+                unconfirmedStarts_ += load.unconfirmedStarts;
                 headroom.afterStops = headroom.free;
-                for (const auto& [key, run] : worker.runs) {
-                    if (run.state == RunState::Stopping)
-                        headroom.afterStops += run.need;
-                    if (const auto* job = findJob(fleet_, key.first.job); job && findTask(fleet_, key.first))
-                        addColocatedTask(headroom, stepOf(*job, key.first));
-                }
+                headroom.afterStops += load.stopping;
+                headroom.servingTasks = load.servingTasks;
+                headroom.fillerMilliCores = load.fillerMilliCores;
                 total += worker.capacity;
                 used += worker.used;
                 headrooms_.push_back(headroom);
@@ -262,32 +281,63 @@
                 }
                 return freeUpCapacity(pending, constraint);
             }
-            std::vector<std::uint32_t> left;
-            for (auto index : pending.taskIndexes) {
-                if (auto placement = findPlacement(pending, 1, HeadroomKind::Free, constraint))
-                    start(pending, { index }, *placement);
-                else
-                    left.push_back(index);
-            }
-            pending.taskIndexes = std::move(left);
-            return pending.taskIndexes.empty() || freeUpCapacity(pending, constraint);
+            while (startSomeTasks(pending, constraint)) { }
+            // What waits only for other starts to be confirmed needs no room made for it.
+            return pending.taskIndexes.empty() || startsLeft() == 0 || freeUpCapacity(pending, constraint);
+        }
+
+        //! Starts waiting tasks that need not start together. True if another search may find room for more.
+        bool startSomeTasks(PendingStep& pending, const RackConstraint& constraint)
+        {
+            auto demand = demandOf(pending, 1, constraint);
+            if (pending.taskIndexes.empty() || startsLeft() == 0 || unplaceableNow_.contains(demand))
+                return false;
+            ++fleet_.placementSearches;
+            // A task that interferes with others changes which worker is the best one for the next.
+            bool interferes = pending.spec().isFiller || isServing(pending.spec());
+            auto wanted = interferes ? 1 : std::min(pending.taskIndexes.size(), startsLeft());
+            auto placement = findWorkersForSome(pending, headrooms_, wanted, constraint.rack);
+            if (placement.size() < wanted)
+                noteUnplaceable(pending, std::move(demand), unplaceableNow_);
+            for (std::size_t n = 0; n < placement.size(); ++n)
+                start(pending, { pending.taskIndexes[n] }, { placement[n] });
+            pending.taskIndexes.erase(pending.taskIndexes.begin(),
+                pending.taskIndexes.begin() + static_cast<std::ptrdiff_t>(placement.size()));
+            return interferes && !placement.empty();
+        }
+
+        std::size_t startsLeft() const
+        {
+            auto limit = fleet_.limits.maxUnconfirmedStarts;
+            return limit - std::min(limit, unconfirmedStarts_);
+        }
+
+        static Demand demandOf(const PendingStep& pending, std::size_t count, const RackConstraint& constraint)
+        {
+            const auto& spec = pending.spec();
+            return { pending.job->policy.service, spec.requiredLabel, constraint.rack, constraint.needsOneRack,
+                reservedCapacity(spec), count };
+        }
+
+        //! With a limit per worker, or tickets, a search without a result is only valid for its step.
+        static void noteUnplaceable(const PendingStep& pending, Demand demand, std::set<Demand>& unplaceable)
+        {
+            if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers)
+                unplaceable.insert(std::move(demand));
         }
 
         //! As findWorkersFor, but skips demands that could not be placed earlier in this round.
         std::optional<Placement> findPlacement(
             const PendingStep& pending, std::size_t count, HeadroomKind kind, const RackConstraint& constraint)
         {
-            const auto& spec = pending.spec();
-            Demand demand { pending.job->policy.service, spec.requiredLabel, constraint.rack, constraint.needsOneRack,
-                reservedCapacity(spec), count };
-            auto& failed = kind == HeadroomKind::Free ? unplaceableNow_ : unplaceableAfterStops_;
-            if (failed.contains(demand))
+            auto demand = demandOf(pending, count, constraint);
+            auto& unplaceable = kind == HeadroomKind::Free ? unplaceableNow_ : unplaceableAfterStops_;
+            if (unplaceable.contains(demand))
                 return std::nullopt;
             ++fleet_.placementSearches;
             auto placement = findWorkersFor(pending, headrooms_, count, kind, constraint.needsOneRack, constraint.rack);
-            // With a limit per worker, or tickets, the result is only valid for this step.
-            if (!placement && spec.maxPerWorker == 0 && !pending.allowedWorkers)
-                failed.insert(demand);
+            if (!placement)
+                noteUnplaceable(pending, std::move(demand), unplaceable);
             return placement;
         }
 
@@ -305,45 +355,35 @@
             if (++planCount_ > maxPlansPerRound)
                 return false;
             ++fleet_.preemptionPlans;
-            auto plan = planPreemption(fleet_, pending, headrooms_, constraint.needsOneRack, constraint.rack, at_);
+            if (!victimTable_)
+                victimTable_ = findVictims(fleet_, headrooms_, at_);
+            auto plan
+                = planPreemption(*victimTable_, pending, headrooms_, constraint.needsOneRack, constraint.rack, at_);
             if (!plan)
                 return false;
-            for (const auto& victim : plan->victims)
-                stopVictim(victim, pending);
+            for (auto number : plan->victims)
+                stopVictim(victimTable_->victims[number], pending);
             unplaceableAfterStops_.clear();
             reserve(pending, plan->placement);
             return true;
         }
 
-        void stopVictim(const TaskId& victim, const PendingStep& pending)
+        void stopVictim(Victim& victim, const PendingStep& pending)
         {
-            auto* job = findJob(fleet_, victim.job);
+            auto* job = findJob(fleet_, victim.task.job);
             ++fleet_.preemptedRuns;
-            addExpectedCapacity(*job, victim);
+            victim.isStopped = true;
+            for (const auto& [index, capacity] : victim.freed)
+                headrooms_[index].afterStops += capacity;
             Line("preempted")
-                .with("job", victim.job)
-                .with("task", toString(victim))
+                .with("job", victim.task.job)
+                .with("task", toString(victim.task))
                 .with("priority", job->policy.priority)
-                .with("saves", stepOf(*job, victim).savesCheckpoints)
-                .with("gang", stepOf(*job, victim).isGang)
+                .with("saves", victim.savesCheckpoints)
+                .with("gang", stepOf(*job, victim.task).isGang)
                 .with("for", pending.job->spec.id)
                 .with("for_tier", pending.tier);
-            stopTaskRuns(fleet_, *job, victim, at_, "preempted");
-        }
-
-        //! Adds the capacity of a run, or of a whole gang, that is about to be stopped to what is free after stops.
-        void addExpectedCapacity(const Job& job, const TaskId& victim)
-        {
-            const auto& step = job.occurrences[victim.occurrence].steps[victim.step];
-            bool isGang = stepOf(job, victim).isGang;
-            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-                if ((!isGang && index != victim.index) || !step.tasks[index].run)
-                    continue;
-                auto headroom = std::find_if(headrooms_.begin(), headrooms_.end(),
-                    [&](const WorkerHeadroom& each) { return each.worker->id == step.tasks[index].run->worker; });
-                if (headroom != headrooms_.end())
-                    headroom->afterStops += reservedCapacity(stepOf(job, victim));
-            }
+            stopTaskRuns(fleet_, *job, victim.task, at_, "preempted");
         }
 
         void reserve(const PendingStep& pending, const Placement& placement)
@@ -365,6 +405,8 @@
                 auto& worker = *headrooms_[placement[n]].worker;
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
+                markDue(fleet_, worker);
+                ++unconfirmedStarts_;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
                     .with("job", id.job)
@@ -384,9 +426,11 @@
         std::vector<WorkerHeadroom> headrooms_;
         std::vector<PendingStep> pendingSteps_;
         double utilization_ = 0;
+        std::size_t unconfirmedStarts_ = 0;
         std::set<Demand> unplaceableNow_;
         std::set<Demand> unplaceableAfterStops_;
         int planCount_ = 0;
+        std::optional<VictimTable> victimTable_; //!< made for the round's first plan
     };
 
 } // namespace
@@ -412,15 +456,20 @@
 Orders advance(Fleet& fleet, std::int64_t unixMs, Instant at)
 {
     Orders orders;
-    expireRuns(fleet, at);
-    evacuate(fleet, at);
+    auto due = takeDueWorkers(fleet, at);
+    expireRuns(fleet, due, at);
+    abandonUnconfirmedStarts(fleet, due, at);
+    evacuate(fleet, due, at);
     if (fleet.isPlacementDue)
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.dueAdviceRequests, {});
+    addDueWorkers(fleet, due, at);
     // Starts are held back while a poll acknowledges ends.
-    emitPolls(fleet, at, orders);
-    emitRunOrders(fleet, at, orders);
-    emitPaceOrders(fleet, at, orders);
+    emitPolls(fleet, due, at, orders);
+    emitRunOrders(fleet, due, at, orders);
+    emitPaceOrders(fleet, due, at, orders);
+    for (auto* worker : due)
+        scheduleWorker(fleet, *worker);
     return orders;
 }
 
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -51,7 +51,7 @@
 Task& sharedTask(Job& job, const TaskId& id);
 
 //! The task's run on its worker; null if the task is idle.
-Run* findTaskRun(Fleet& fleet, const TaskId& id);
+const Run* findTaskRun(const Fleet& fleet, const TaskId& id);
 
 //! The next run number of a task, or of all tasks of its gang; higher than the numbers of all earlier owners.
 RunNumber nextRunNumber(const Fleet& fleet, const Job& job, const TaskId& id);
@@ -61,6 +61,9 @@
 //! last, or of which copies may run.
 std::set<TaskId> tasksWithOpenRun(const Fleet& fleet, Instant at);
 
+//! The load of a worker's runs, which is kept until the worker changes.
+const WorkerLoad& loadOf(const Fleet& fleet, Worker& worker);
+
 //! Starts a run of an idle task on `worker`; its start order is emitted later.
 void orderRun(Job& job, const TaskId& id, RunNumber number, Worker& worker, Instant at);
 //! Notes that a worker has started a task of the job, which no longer counts as waiting.
@@ -83,7 +86,11 @@
 void applyStartOutcome(Fleet& fleet, const WorkerId& worker, const RunKey& key, OrderOutcome outcome, Instant at);
 void applyStopOutcome(Fleet& fleet, const WorkerId& worker, const RunKey& key, OrderOutcome outcome, Instant at);
 
-//! Emits the start and stop orders that are due.
-void emitRunOrders(Fleet& fleet, Instant at, Orders& orders);
+//! Stops runs of the workers whose starts have waited too long for their confirmation.
+void abandonUnconfirmedStarts(Fleet& fleet, const std::vector<Worker*>& workers, Instant at);
+//! Emits the start and stop orders that are due for runs of the workers.
+void emitRunOrders(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders);
+//! When one of the two has to look at the worker unless it changes; Instant::max(): never.
+Instant nextRunOrderOf(const Worker& worker);
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -145,6 +145,15 @@
     Instant decidedAt;
 };
 
+//! What placement needs to know of a worker's runs.
+struct WorkerLoad {
+    Capacity stopping; //!< capacity of the runs that are being stopped
+    int servingTasks = 0; //!< tasks that serve users
+    std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers could use
+    bool hasUnwantedRun = false;
+    std::size_t unconfirmedStarts = 0; //!< runs that are ordered and not confirmed
+};
+
 struct Worker {
     WorkerId id;
     net::PeerAddress address;
@@ -197,6 +206,9 @@
     std::map<RunKey, Instant> unansweredStarts; //!< until its instant, also a later incarnation may carry out the start
     bool isEvacuating = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
+
+    std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last reckoned
+    Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
 };
 
 //! Limits and durations, set by the platform's settings.
@@ -209,6 +221,9 @@
     Millis reclaimDeadline { 2700 }; //!< guaranteed work must begin within this time
     Millis statusRetention { 120000 }; //!< callers can query the state of an ended job for this long
     double remoteRackSlowdown = 3; //!< factor by which work takes longer on another rack than its own
+    //! Starts that may be unconfirmed at a time. An owner that has more of them under way than it can handle in time
+    //! would take their answers for lost, and order them again.
+    std::size_t maxUnconfirmedStarts = 2000;
     Millis earlierLeaseTimeout { 7000 }; //!< this long after a takeover, all leases that earlier owners gave have ended
 };
 
@@ -276,6 +291,7 @@
     desired_state::DesiredState desired;
     std::map<JobId, Job> jobs;
     std::map<WorkerId, Worker> workers;
+    std::set<std::pair<Instant, WorkerId>> dueWorkers; //!< workers by `Worker::dueAt`; see due_workers.h
     std::set<JobId> openJobs; //!< jobs in phase Open
     std::map<std::string, desired_state::Queue> storedQueues; //!< as earlier owners stored them, by name
     //! Jobs that were accepted and whose records can't be read. What became of them is unknown: they are neither run
@@ -296,8 +312,10 @@
     std::uint64_t startsOrdered = 0;
     std::uint64_t preemptedRuns = 0;
     std::uint64_t fillerSlowdowns = 0; //!< how often the pace of a worker's fillers was lowered
+    std::uint64_t workerVisits = 0; //!< workers that rounds of decisions have looked at
     std::uint64_t placementSearches = 0; //!< searches over all workers; they dominate the CPU time of a round
     std::uint64_t preemptionPlans = 0;
+    std::uint64_t deferredRounds = 0; //!< rounds that left work waiting because of `Limits::maxUnconfirmedStarts`
     EarlierWorkers earlierWorkers = EarlierWorkers::AnyListed;
     bool doStartsNeedNaming = false; //!< a worker gets no start before a durable record names it
     bool haveWorkersChanged = false; //!< the stored record of workers may be out of date
@@ -355,8 +373,11 @@
 };
 
 Task* findTask(Fleet& fleet, const TaskId& id);
+const Task* findTask(const Fleet& fleet, const TaskId& id);
 Job* findJob(Fleet& fleet, const JobId& id);
+const Job* findJob(const Fleet& fleet, const JobId& id);
 Worker* findWorker(Fleet& fleet, const WorkerId& id);
+const Worker* findWorker(const Fleet& fleet, const WorkerId& id);
 
 //! Queues a write and returns its position. Returns the position of a progress write of the job that is still queued.
 CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation);
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -28,6 +28,10 @@
     int workers = 12;
     double lostOrderShare = 0; //!< share of orders that never arrive
     double lateOrderShare = 0; //!< share of start orders that are carried out up to `maxLateMs` later, not answered
+    //! Shares of the orders of a kind that are carried out in time and whose answers are lost.
+    double lostStartAnswerShare = 0;
+    double lostStopAnswerShare = 0;
+    double lostPollAnswerShare = 0;
     double latePollShare = 0; //!< as `lateOrderShare`, for polls
     std::int64_t maxLateMs = 8000;
     std::int64_t takeoverEveryMs = 0; //!< 0: one owner throughout
@@ -42,6 +46,8 @@
     std::int64_t longestCancelDelayMs = 3000; //!< from the submission to the cancellation
     std::int64_t longestTaskMs = 4000; //!< duration of the longest random task
     std::int64_t maxLeaseMs = 6000; //!< workers shorten a longer lease to this
+    //! Each round is compared with one on a copy of the state that looks at every worker.
+    bool comparesWithFullRounds = false;
 };
 
 class FleetSimulation {
@@ -136,11 +142,14 @@
     bool occurs(double share);
     //! True if an order to the worker is lost.
     bool isLost(const fleet::WorkerId& worker);
+    //! True if the answer of an order is lost that the worker has carried out.
+    bool isAnswerLost(double share, const fleet::WorkerId& worker);
 
     void replaceOwner();
     void inheritJobs();
     void step();
     void stepOwner(const OwnerPointer& owner);
+    fleet::Orders advance(Owner& owner);
     void sendStart(const OwnerPointer& owner, const fleet::StartOrder& order);
     //! The worker carries out a start that was sent at `sentMs`.
     standin::StartOutcome carryOutStart(const Owner& owner, const fleet::StartOrder& order, std::int64_t sentMs);
