Count a start as under way only until its answer is overdue

Change: a start counts for 500 ms, the time after which the owner takes its answer for lost (now Limits::startAnswerTimeout, used for the order's deadline too).

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -85,9 +85,16 @@
         //! waits until no other start is under way.
         bool mayStartNow(const PendingStep& pending) const
         {
-            auto limit = fleet_.limits.maxUnconfirmedStarts;
+            auto limit = fleet_.limits.maxStartsUnderWay;
             auto needed = pending.isGang ? pending.taskIndexes.size() : 1;
-            return unconfirmedStarts_ + std::min(needed, limit) <= limit;
+            return startsUnderWay_ + std::min(needed, limit) <= limit;
+        }
+
+        //! Workers that don't answer hold back no others: what has no answer in time is not counted.
+        std::size_t countUnderWay(const WorkerLoad& load) const
+        {
+            return static_cast<std::size_t>(std::count_if(load.unconfirmedSince.begin(), load.unconfirmedSince.end(),
+                [this](Instant since) { return at_ - since < fleet_.limits.startAnswerTimeout; }));
         }
 
         //! The more urgent work that was placed before goes first; the rest keeps its order.
@@ -107,7 +114,7 @@
                 WorkerHeadroom headroom { &worker, worker.capacity, {} };
                 headroom.free -= worker.used;
                 const auto& load = loadOf(fleet_, worker);
-                unconfirmedStarts_ += load.unconfirmedStarts;
+                startsUnderWay_ += countUnderWay(load);
                 headroom.afterStops = headroom.free;
                 headroom.afterStops += load.stopping;
                 headroom.servingTasks = load.servingTasks;
@@ -308,8 +315,8 @@
 
         std::size_t startsLeft() const
         {
-            auto limit = fleet_.limits.maxUnconfirmedStarts;
-            return limit - std::min(limit, unconfirmedStarts_);
+            auto limit = fleet_.limits.maxStartsUnderWay;
+            return limit - std::min(limit, startsUnderWay_);
         }
 
         static Demand demandOf(const PendingStep& pending, std::size_t count, const RackConstraint& constraint)
@@ -406,7 +413,7 @@
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
                 markDue(fleet_, worker);
-                ++unconfirmedStarts_;
+                ++startsUnderWay_;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
                     .with("job", id.job)
@@ -426,7 +433,7 @@
         std::vector<WorkerHeadroom> headrooms_;
         std::vector<PendingStep> pendingSteps_;
         double utilization_ = 0;
-        std::size_t unconfirmedStarts_ = 0;
+        std::size_t startsUnderWay_ = 0;
         std::set<Demand> unplaceableNow_;
         std::set<Demand> unplaceableAfterStops_;
         int planCount_ = 0;
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -72,7 +72,8 @@
         WorkerLoad load;
         for (const auto& [key, run] : worker.runs) {
             load.hasUnwantedRun = load.hasUnwantedRun || !run.isWanted;
-            load.unconfirmedStarts += run.state == RunState::Ordered ? 1 : 0;
+            if (run.state == RunState::Ordered)
+                load.unconfirmedSince.push_back(run.orderedAt);
             if (run.state == RunState::Stopping)
                 load.stopping += run.need;
             if (!findTask(fleet, key.first))
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -151,7 +151,7 @@
     int servingTasks = 0; //!< tasks that serve users
     std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers could use
     bool hasUnwantedRun = false;
-    std::size_t unconfirmedStarts = 0; //!< runs that are ordered and not confirmed
+    std::vector<Instant> unconfirmedSince; //!< when the runs were ordered whose starts are not confirmed
 };
 
 struct Worker {
@@ -221,9 +221,10 @@
     Millis reclaimDeadline { 2700 }; //!< guaranteed work must begin within this time
     Millis statusRetention { 120000 }; //!< callers can query the state of an ended job for this long
     double remoteRackSlowdown = 3; //!< factor by which work takes longer on another rack than its own
-    //! Starts that may be unconfirmed at a time. An owner that has more of them under way than it can handle in time
-    //! would take their answers for lost, and order them again.
-    std::size_t maxUnconfirmedStarts = 2000;
+    //! Starts whose answers may be awaited at a time. An owner that has more of them under way than it can handle in
+    //! time would take their answers for lost, and order them again.
+    std::size_t maxStartsUnderWay = 2000;
+    Millis startAnswerTimeout { 500 }; //!< a start that has no answer by then is no longer under way
     Millis earlierLeaseTimeout { 7000 }; //!< this long after a takeover, all leases that earlier owners gave have ended
 };
 
@@ -315,7 +316,7 @@
     std::uint64_t workerVisits = 0; //!< workers that rounds of decisions have looked at
     std::uint64_t placementSearches = 0; //!< searches over all workers; they dominate the CPU time of a round
     std::uint64_t preemptionPlans = 0;
-    std::uint64_t deferredRounds = 0; //!< rounds that left work waiting because of `Limits::maxUnconfirmedStarts`
+    std::uint64_t deferredRounds = 0; //!< rounds that left work waiting because of `Limits::maxStartsUnderWay`
     EarlierWorkers earlierWorkers = EarlierWorkers::AnyListed;
     bool doStartsNeedNaming = false; //!< a worker gets no start before a durable record names it
     bool haveWorkersChanged = false; //!< the stored record of workers may be out of date
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -150,8 +150,8 @@
 void FleetOwner::sendStart(const fleet::StartOrder& order)
 {
     fleet::RunKey key { order.task, order.run };
-    environment_.workers.start(
-        order, now() + orderTimeout, liveness_.guard([this, worker = order.worker, key](const OrderAnswer& answer) {
+    environment_.workers.start(order, now() + fleet_.limits.startAnswerTimeout,
+        liveness_.guard([this, worker = order.worker, key](const OrderAnswer& answer) {
             if (isStopped_)
                 return;
             if (answer.isFenced)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -56,8 +56,7 @@
     fleet::Limits fleetLimitsOf(const Settings& settings)
     {
         auto limits = settings.fleetLimits;
-        limits.maxUnconfirmedStarts
-            = static_cast<std::size_t>(std::max(1.0, settings.cpuShare * startsUnderWayPerCore));
+        limits.maxStartsUnderWay = static_cast<std::size_t>(std::max(1.0, settings.cpuShare * startsUnderWayPerCore));
         return limits;
     }
 
