--- a/src/agatevane/fleet/due_workers.cpp
+++ b/src/agatevane/fleet/due_workers.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/due_workers.h"
 
 #include "agatevane/fleet/evacuation.h"
+#include "agatevane/fleet/expiry.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
--- /dev/null
+++ b/src/agatevane/fleet/expiry.cpp
@@ -0,0 +1,115 @@
+#include "agatevane/fleet/expiry.h"
+
+#include "agatevane/fleet/decision_log.h"
+#include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/incarnations.h"
+#include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/workers.h"
+#include <algorithm>
+#include <optional>
+
+namespace agatevane::fleet {
+
+namespace {
+
+    //! A run without progress for this long is stuck: work of minutes advances by a percent in less time.
+    constexpr Millis stallTimeout { 3500 };
+    //! As `stallTimeout`, for fillers, which only have the cores that other tasks leave idle.
+    constexpr Millis fillerStallTimeout { 12000 };
+    constexpr Millis avoidAfterStall { 8000 };
+
+    void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
+    {
+        std::vector<RunKey> keys;
+        for (const auto& [key, run] : worker.runs)
+            keys.push_back(key);
+        for (const auto& key : keys)
+            loseRun(fleet, worker, key, at, reason);
+    }
+
+    //! True if the first end waits for its commit or its acknowledgement. An unreadable one, and those behind it, wait
+    //! for nothing that this owner could do soon.
+    bool hasEndToAcknowledge(const Worker& worker)
+    {
+        return !worker.unacknowledgedEnds.empty() && worker.unacknowledgedEnds.front().isReadable;
+    }
+
+    //! A run without progress is stopped once it has made none for this long; nothing: it is never stopped for that.
+    std::optional<Millis> stallTimeoutOf(const Fleet& fleet, const Worker& worker, const Run& run)
+    {
+        constexpr int allDone = 100;
+        if (run.state != RunState::Running || !run.isWanted || worker.missedPolls > 0 || run.percent >= allDone)
+            return std::nullopt;
+        const auto* job = findJob(fleet, run.task.job);
+        if (!job || stepOf(*job, run.task).isContinuous)
+            return std::nullopt;
+        return stepOf(*job, run.task).isFiller ? fillerStallTimeout : stallTimeout;
+    }
+
+    void stopStalledRuns(Fleet& fleet, Worker& worker, Instant at)
+    {
+        for (auto& [key, run] : worker.runs) {
+            auto timeout = stallTimeoutOf(fleet, worker, run);
+            if (!timeout)
+                continue;
+            auto& job = *findJob(fleet, key.first.job);
+            if (stepOf(job, key.first).isFiller && worker.fillerPace.percent < fullPace)
+                run.progressAt = at;
+            if (at - run.progressAt < *timeout)
+                continue;
+            worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStall);
+            stopTaskRuns(fleet, job, key.first, at, "no_progress");
+        }
+    }
+
+    bool isRemovable(const Fleet& fleet, const Worker& worker, Instant at)
+    {
+        return !worker.isListed && worker.runs.empty() && !hasEndToAcknowledge(worker)
+            && !(worker.hasUnnamedRun && at < worker.leaseExpiryBound) && worker.unansweredAcknowledgements.empty()
+            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
+    }
+
+} // namespace
+
+void expireRuns(Fleet& fleet, std::vector<Worker*>& workers, Instant at)
+{
+    for (auto* worker : workers) {
+        removeExpiredStarts(*worker, at);
+        std::erase_if(worker->unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
+        if (!worker->runs.empty() && worker->missedPolls > 0 && at >= worker->leaseExpiryBound) {
+            loseRuns(fleet, *worker, at, "lease_passed");
+            worker->hasAnsweredPoll = false;
+        }
+        stopStalledRuns(fleet, *worker, at);
+    }
+    std::erase_if(workers, [&fleet, at](const Worker* worker) {
+        if (!isRemovable(fleet, *worker, at))
+            return false;
+        fleet.haveWorkersChanged = true;
+        logRemoved(*worker, at);
+        removeWorker(fleet, *worker);
+        return true;
+    });
+}
+
+Instant nextExpiryOf(const Fleet& fleet, const Worker& worker)
+{
+    // Whether an unlisted worker can be removed also depends on the time since the takeover. The time for which
+    // fillers are slowed down does not count as a stall.
+    if (!worker.isListed || worker.fillerPace.percent < fullPace)
+        return Instant::min();
+    auto next = Instant::max();
+    for (const auto& [key, until] : worker.unansweredStarts)
+        next = std::min(next, until);
+    for (const auto& [incarnation, until] : worker.unansweredAcknowledgements)
+        next = std::min(next, until);
+    if (!worker.runs.empty() && worker.missedPolls > 0)
+        next = std::min(next, worker.leaseExpiryBound);
+    for (const auto& [key, run] : worker.runs) {
+        if (auto timeout = stallTimeoutOf(fleet, worker, run))
+            next = std::min(next, run.progressAt + *timeout);
+    }
+    return next;
+}
+
+} // namespace agatevane::fleet
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -28,25 +28,11 @@
     constexpr Millis idlePollInterval { 250 };
     //! A worker that misses this many polls in a row gets no new work.
     constexpr int missedPollLimit = 2;
-    //! A run without progress for this long is stuck: work of minutes advances by a percent in less time.
-    constexpr Millis stallTimeout { 3500 };
-    //! As `stallTimeout`, for fillers, which only have the cores that other tasks leave idle.
-    constexpr Millis fillerStallTimeout { 12000 };
-    constexpr Millis avoidAfterStall { 8000 };
     //! A run that may be the one in a row that can't be read is stopped after this long.
     constexpr Millis hiddenRunPatience { 3500 };
     //! Once this many ends wait, the first unreadable one is given up: workers return at most 500 at a time.
     constexpr std::size_t maxWaitingEnds = 250;
 
-    void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
-    {
-        std::vector<RunKey> keys;
-        for (const auto& [key, run] : worker.runs)
-            keys.push_back(key);
-        for (const auto& key : keys)
-            loseRun(fleet, worker, key, at, reason);
-    }
-
     void applyEnds(Fleet& fleet, Worker& worker, const std::vector<EndReport>& ends, std::int64_t unixMs, Instant at)
     {
         for (const auto& end : ends) {
@@ -194,13 +180,6 @@
                                        : ends.size() >= maxWaitingEnds;
     }
 
-    //! True if the first end waits for its commit or its acknowledgement. An unreadable one, and those behind it, wait
-    //! for nothing that this owner could do soon.
-    bool hasEndToAcknowledge(const Worker& worker)
-    {
-        return !worker.unacknowledgedEnds.empty() && worker.unacknowledgedEnds.front().isReadable;
-    }
-
     void acknowledgeCommitted(const Fleet& fleet, Worker& worker)
     {
         while (hasDurableEnd(fleet, worker)) {
@@ -248,15 +227,6 @@
         return worker.unacknowledgedEnds.empty() ? at : at + pollDelayForCommit;
     }
 
-    //! True if a later incarnation of the worker may carry out a start unnoticed: one that this owner has sent, or one
-    //! of an earlier owner if the worker's restart would not be listed.
-    bool mayTakeLateStart(const Fleet& fleet, const Worker& worker, Instant at)
-    {
-        // An earlier owner sends starts beside its successor until it steps down.
-        auto lastEarlierStart = fleet.tookOverAt + maxUnconfirmedOwnership(fleet.limits) + lateOrderBound;
-        return !worker.unansweredStarts.empty() || (!worker.isListed && at < lastEarlierStart);
-    }
-
     //! True if the worker is polled all the time.
     bool needsSteadyPolls(const Fleet& fleet, const Worker& worker)
     {
@@ -270,41 +240,6 @@
             || (mayTakeLateStart(fleet, worker, at) && at - worker.lastAnswerAt >= idlePollInterval);
     }
 
-    //! A run without progress is stopped once it has made none for this long; nothing: it is never stopped for that.
-    std::optional<Millis> stallTimeoutOf(const Fleet& fleet, const Worker& worker, const Run& run)
-    {
-        constexpr int allDone = 100;
-        if (run.state != RunState::Running || !run.isWanted || worker.missedPolls > 0 || run.percent >= allDone)
-            return std::nullopt;
-        const auto* job = findJob(fleet, run.task.job);
-        if (!job || stepOf(*job, run.task).isContinuous)
-            return std::nullopt;
-        return stepOf(*job, run.task).isFiller ? fillerStallTimeout : stallTimeout;
-    }
-
-    void stopStalledRuns(Fleet& fleet, Worker& worker, Instant at)
-    {
-        for (auto& [key, run] : worker.runs) {
-            auto timeout = stallTimeoutOf(fleet, worker, run);
-            if (!timeout)
-                continue;
-            auto& job = *findJob(fleet, key.first.job);
-            if (stepOf(job, key.first).isFiller && worker.fillerPace.percent < fullPace)
-                run.progressAt = at;
-            if (at - run.progressAt < *timeout)
-                continue;
-            worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStall);
-            stopTaskRuns(fleet, job, key.first, at, "no_progress");
-        }
-    }
-
-    bool isRemovable(const Fleet& fleet, const Worker& worker, Instant at)
-    {
-        return !worker.isListed && worker.runs.empty() && !hasEndToAcknowledge(worker)
-            && !(worker.hasUnnamedRun && at < worker.leaseExpiryBound) && worker.unansweredAcknowledgements.empty()
-            && !mayTakeLateStart(fleet, worker, at) && (worker.hasAnsweredPoll || haveInheritedRunsEnded(fleet, at));
-    }
-
     void emitPoll(const Fleet& fleet, Worker& worker, Instant at, Orders& orders)
     {
         acknowledgeCommitted(fleet, worker);
@@ -411,6 +346,13 @@
     return worker.pollAcknowledges > 0 || mayReceiveLateAcknowledgement(worker, at);
 }
 
+bool mayTakeLateStart(const Fleet& fleet, const Worker& worker, Instant at)
+{
+    // An earlier owner sends starts beside its successor until it steps down.
+    auto lastEarlierStart = fleet.tookOverAt + maxUnconfirmedOwnership(fleet.limits) + lateOrderBound;
+    return !worker.unansweredStarts.empty() || (!worker.isListed && at < lastEarlierStart);
+}
+
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at)
 {
     if (haveInheritedRunsEnded(fleet, at))
@@ -425,47 +367,6 @@
     });
 }
 
-void expireRuns(Fleet& fleet, std::vector<Worker*>& workers, Instant at)
-{
-    for (auto* worker : workers) {
-        removeExpiredStarts(*worker, at);
-        std::erase_if(worker->unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
-        if (!worker->runs.empty() && worker->missedPolls > 0 && at >= worker->leaseExpiryBound) {
-            loseRuns(fleet, *worker, at, "lease_passed");
-            worker->hasAnsweredPoll = false;
-        }
-        stopStalledRuns(fleet, *worker, at);
-    }
-    std::erase_if(workers, [&fleet, at](const Worker* worker) {
-        if (!isRemovable(fleet, *worker, at))
-            return false;
-        fleet.haveWorkersChanged = true;
-        logRemoved(*worker, at);
-        removeWorker(fleet, *worker);
-        return true;
-    });
-}
-
-Instant nextExpiryOf(const Fleet& fleet, const Worker& worker)
-{
-    // Whether an unlisted worker can be removed also depends on the time since the takeover. The time for which
-    // fillers are slowed down does not count as a stall.
-    if (!worker.isListed || worker.fillerPace.percent < fullPace)
-        return Instant::min();
-    auto next = Instant::max();
-    for (const auto& [key, until] : worker.unansweredStarts)
-        next = std::min(next, until);
-    for (const auto& [incarnation, until] : worker.unansweredAcknowledgements)
-        next = std::min(next, until);
-    if (!worker.runs.empty() && worker.missedPolls > 0)
-        next = std::min(next, worker.leaseExpiryBound);
-    for (const auto& [key, run] : worker.runs) {
-        if (auto timeout = stallTimeoutOf(fleet, worker, run))
-            next = std::min(next, run.progressAt + *timeout);
-    }
-    return next;
-}
-
 void emitPolls(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders)
 {
     for (auto* worker : workers) {
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -84,14 +84,12 @@
 //! True if a run that starts now may end unseen: an acknowledgement is on the way to the worker, and a new incarnation
 //! would apply it to the run's end.
 bool mayEndUnseen(const Worker& worker, Instant at);
+//! True if a later incarnation of the worker may carry out a start unnoticed: one that this owner has sent, or one
+//! of an earlier owner if the worker's restart would not be listed.
+bool mayTakeLateStart(const Fleet& fleet, const Worker& worker, Instant at);
 //! True while a task that an earlier owner has started may run on a worker that has not answered this owner.
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at);
 
-//! Removes the runs of those workers whose lease has expired without an answer, and stops runs that make no progress.
-//! Forgets unlisted workers that have nothing left, also in `workers`.
-void expireRuns(Fleet& fleet, std::vector<Worker*>& workers, Instant at);
-//! When expireRuns() has to look at the worker unless it changes; Instant::max(): never.
-Instant nextExpiryOf(const Fleet& fleet, const Worker& worker);
 //! Emits the polls of the workers that are due.
 void emitPolls(Fleet& fleet, const std::vector<Worker*>& workers, Instant at, Orders& orders);
 //! When emitPolls() has to look at the worker unless it changes; Instant::max(): never.
--- a/tests/fleet/worker_tests.cpp
+++ b/tests/fleet/worker_tests.cpp
@@ -1,4 +1,5 @@
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/expiry.h"
 
 #include "simulation.h"
 
