--- a/src/capacity/fleet_measure.cpp
+++ b/src/capacity/fleet_measure.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/fleet/jobs.h"
 #include "agatevane/fleet/workers.h"
 #include "capacity/measure.h"
+#include <limits>
 
 //! Measures the decisions of the owner of the fleet in agatevane-node.
 namespace agatevane::capacity {
@@ -56,6 +57,7 @@
         auto fleet = std::make_unique<fleet::Fleet>();
         fleet->tenure = 1;
         fleet->tookOverAt = at;
+        fleet->limits.maxStartsUnderWay = std::numeric_limits<std::size_t>::max();
         for (int i = 0; i < workers; ++i) {
             fleet::WorkerListing listing;
             listing.id = "worker-" + std::to_string(i);
