--- a/src/agatevane/fleet/preemption.cpp
+++ b/src/agatevane/fleet/preemption.cpp
@@ -136,7 +136,7 @@
         std::map<TaskId, std::size_t> gangs_;
     };
 
-    //! Places the tasks one after the other where the least work is lost. The loss on each worker is kept, and reckoned
+    //! Places the tasks one after the other where the least work is lost. The loss on each worker is kept, and computed
     //! again only where a choice has changed it.
     class Planner {
     public:
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -67,7 +67,7 @@
         }
     }
 
-    WorkerLoad reckonLoad(const Fleet& fleet, const Worker& worker)
+    WorkerLoad computeLoad(const Fleet& fleet, const Worker& worker)
     {
         WorkerLoad load;
         for (const auto& [key, run] : worker.runs) {
@@ -158,7 +158,7 @@
 const WorkerLoad& loadOf(const Fleet& fleet, Worker& worker)
 {
     if (!worker.load)
-        worker.load = reckonLoad(fleet, worker);
+        worker.load = computeLoad(fleet, worker);
     return *worker.load;
 }
 
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -207,7 +207,7 @@
     bool isEvacuating = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
 
-    std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last reckoned
+    std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last computed
     Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
 };
 
