Review case 2: two owners start a subtask after a worker's restart

The owner is cut off from the store and the other node, another is elected, one worker restarts and so forgets the later fencing token. The earlier owner starts a due job on it beside the present one (TWICE).

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-//! A submission is held up on the link between two nodes. Its client gets no answer, cancels the job and is told that
-//! there is none. Then the link heals.
+//! The owner is cut off from the store and the other nodes, and another node is elected. A worker that has forgotten
+//! the new owner's fencing token in a restart carries out an order of the earlier owner.
 #include "rig/deployment.h"
 
 #include <iostream>
@@ -10,60 +10,102 @@
 namespace {
 
 constexpr std::int64_t cutMs = 5500;
-constexpr std::int64_t dueAfterMs = 14000;
-constexpr std::int64_t cancelBoundMs = 3000;
-constexpr std::int64_t watchAfterDueMs = 6000;
-constexpr const char* job = "000000000000c001";
+constexpr std::int64_t submitAfterMs = 1800;
+constexpr std::int64_t crashAfterMs = 2600;
+constexpr std::int64_t downMs = 300;
+constexpr std::int64_t dueAfterMs = 3400;
+constexpr std::int64_t beforeCutMs = 1000;
+constexpr const char* timedJob = "000000000000f001";
+constexpr const char* otherJob = "000000000000f002";
+
+json jobOf(const char* specification, const json& step)
+{
+    return { { "specification", specification }, { "steps", json::array({ step }) } };
+}
+
+//! Pairs of runs of one subtask that were present at the same time.
+int countOverlaps(Deployment& deployment)
+{
+    int overlaps = 0;
+    const auto& runs = deployment.workers().history();
+    for (std::size_t first = 0; first < runs.size(); ++first) {
+        for (std::size_t second = first + 1; second < runs.size(); ++second) {
+            const auto& one = runs[first];
+            const auto& other = runs[second];
+            if (one.task != other.task || (one.endedMs >= 0 && one.endedMs <= other.beganMs))
+                continue;
+            ++overlaps;
+            deployment.record().line("TWICE: " + one.task + " runs as run " + std::to_string(one.run) + " on "
+                + one.worker + " from " + std::to_string(one.beganMs) + " to " + std::to_string(one.endedMs)
+                + " ms and as run " + std::to_string(other.run) + " on " + other.worker + " from "
+                + std::to_string(other.beganMs) + " to " + std::to_string(other.endedMs) + " ms");
+        }
+    }
+    return overlaps;
+}
 
 int play(const Options& options)
 {
-    Deployment deployment(options);
+    WorkerTimes times;
+    // A worker writes its entry about every 1,500 ms.
+    times.firstReportMs = 1000;
+    Deployment deployment(options, times);
     deployment.putDesiredState();
-    for (int number = 0; number < 4; ++number)
-        deployment.workers().add("i-10" + std::to_string(number), "a", "r1");
-    Relay linkToOwner(deployment.context(), deployment.record());
-    auto owner = deployment.startNode(&linkToOwner);
+    deployment.workers().add("i-101", "a", "r1");
+    deployment.workers().add("i-102", "a", "r2");
+    deployment.workers().add("i-103", "a", "r1");
+    Relay toOwner(deployment.context(), deployment.record(), "the link from node 1 to node 0");
+    Relay fromOwner(deployment.context(), deployment.record(), "the link from node 0 to node 1");
+    Relay ownerToStore(deployment.context(), deployment.record(), "the link from node 0 to the store");
+    auto owner = deployment.startNode(&toOwner, &ownerToStore);
     if (!deployment.awaitService(owner))
         return exitCouldNotRun;
-    auto other = deployment.startNode();
+    auto other = deployment.startNode(&fromOwner);
     if (!deployment.awaitService(other))
         return exitCouldNotRun;
-    deployment.sleep(2000);
-    if (options.hasTrouble)
-        linkToOwner.setCut(true);
-    auto cutAt = rigMillis();
+    deployment.sleep(3000);
+
     json step { { "count", 1 }, { "cpu", 15000 }, { "taskMemoryMb", 22000 }, { "gpu", 1 }, { "estimatedMs", 2500 } };
-    auto dueMs = agatevane::node::unixMillis() + dueAfterMs;
-    // The job is due long after the link is whole again, so that its start is not near the disruption.
-    auto submitted = deployment.call(other, "POST", job,
-        { { "specification", "ms=2500" }, { "steps", json::array({ step }) }, { "repetitions", 1 },
-            { "firstRunMs", dueMs }, { "intervalMs", 1000 } });
-    // The client gives the job up. Its call reaches the owner at once.
-    auto cancelled = deployment.call(owner, "DELETE", job);
-    auto cancelledAt = rigMillis();
-    if (cancelled != 200 && cancelled != 410)
+    auto cutAt = rigMillis() + beforeCutMs;
+    auto sleepUntil = [&](std::int64_t ms) { deployment.sleep(std::max<std::int64_t>(0, ms - rigMillis())); };
+    auto timed = jobOf("ms=2500", step);
+    timed["repetitions"] = 1;
+    timed["firstRunMs"] = agatevane::node::unixMillis() + beforeCutMs + dueAfterMs;
+    timed["intervalMs"] = 1000;
+    if (deployment.call(owner, "POST", timedJob, timed) != 200)
         return exitCouldNotRun;
-    deployment.sleep(std::max<std::int64_t>(0, cutAt + cutMs - rigMillis()));
-    if (options.hasTrouble)
-        linkToOwner.setCut(false);
-    deployment.sleep(2000);
-    deployment.stateOf(owner, job);
-    deployment.sleep(std::max<std::int64_t>(0, cutAt + dueAfterMs + watchAfterDueMs - rigMillis()));
-    int late = 0;
-    for (const auto& run : deployment.workers().history()) {
-        if (run.beganMs > cancelledAt + cancelBoundMs) {
-            ++late;
-            deployment.record().line("UNASKED: " + run.task + " run " + std::to_string(run.run) + " began on "
-                + run.worker + " at " + std::to_string(run.beganMs) + " ms; the cancelling was acknowledged with "
-                + std::to_string(cancelled) + " at " + std::to_string(cancelledAt) + " ms");
-        }
+    sleepUntil(cutAt);
+    if (options.hasTrouble) {
+        for (auto* link : { &toOwner, &fromOwner, &ownerToStore })
+            link->setCut(true);
     }
-    deployment.stateOf(owner, job);
-    auto summary = "submission answered " + std::to_string(submitted) + ", cancelling " + std::to_string(cancelled)
-        + ", " + std::to_string(late) + " starts more than 3 s later";
+    // A second job, at the node that is not cut off, on the one worker in rack r2. The present owner prefers that
+    // worker for the timed job, since it is the fullest one.
+    sleepUntil(cutAt + submitAfterMs);
+    step["requirements"] = "r2";
+    bool isAccepted = deployment.await(
+        700, [&] { return deployment.call(other, "POST", otherJob, jobOf("ms=9000", step)) == 200; });
+    sleepUntil(cutAt + crashAfterMs);
+    if (options.hasTrouble) {
+        deployment.workers().crash("i-101");
+        deployment.sleep(downMs);
+        deployment.workers().start("i-101", "a");
+    }
+    sleepUntil(cutAt + cutMs);
+    if (options.hasTrouble) {
+        for (auto* link : { &toOwner, &fromOwner, &ownerToStore })
+            link->setCut(false);
+    }
+    deployment.sleep(8000);
+    auto state = deployment.stateOf(other, timedJob);
+    auto overlaps = countOverlaps(deployment);
+    auto summary = std::string("second job ") + (isAccepted ? "accepted" : "not accepted") + ", timed job is shown as "
+        + state + ", " + std::to_string(overlaps) + " pairs of runs at the same time";
     deployment.record().line(summary);
     std::cout << summary << std::endl;
-    return late > 0 ? exitBroken : exitHeld;
+    if (!isAccepted)
+        return exitCouldNotRun;
+    return overlaps > 0 ? exitBroken : exitHeld;
 }
 
 } // namespace
--- a/review/rig/deployment.h
+++ b/review/rig/deployment.h
@@ -42,8 +42,9 @@
     Workers& workers() { return workers_; }
 
     void putDesiredState();
-    //! Starts a node. With `relay`, other nodes reach it through the relay only. Returns its number.
-    int startNode(Relay* relay = nullptr);
+    //! Starts a node and returns its number. With `control`, other nodes reach it through that relay only; with
+    //! `storeLink`, it reaches the store through that relay only.
+    int startNode(Relay* control = nullptr, Relay* storeLink = nullptr);
     //! Lets time pass until `condition` holds. False after `limitMs`.
     bool await(std::int64_t limitMs, const std::function<bool()>& condition);
     void sleep(std::int64_t ms);
@@ -66,6 +67,7 @@
         int clients = 0;
         int ready = 0;
         int control = 0;
+        std::string advertised; //!< address at which other nodes reach it
         std::string folder;
     };
 
--- a/review/rig/relay.cpp
+++ b/review/rig/relay.cpp
@@ -43,9 +43,10 @@
     Pump target;
 };
 
-Relay::Relay(asio::io_context& context, Record& record)
+Relay::Relay(asio::io_context& context, Record& record, std::string name)
     : context_(context)
     , record_(record)
+    , name_(std::move(name))
     , acceptor_(context, { asio::ip::make_address("127.0.0.1"), 0 })
 {
     accept();
@@ -58,7 +59,7 @@
 
 void Relay::setCut(bool isCut)
 {
-    record_.line(isCut ? "link between the nodes is cut" : "link between the nodes is whole again");
+    record_.line(name_ + (isCut ? " is cut" : " is whole again"));
     isCut_ = isCut;
     auto sessions = std::exchange(sessions_, {});
     for (const auto& each : sessions) {
--- a/review/rig/relay.h
+++ b/review/rig/relay.h
@@ -4,6 +4,8 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace review {
 
@@ -12,7 +14,8 @@
 //! opened during a cut carry nothing.
 class Relay {
 public:
-    Relay(asio::io_context& context, Record& record);
+    //! `name` is for the record.
+    Relay(asio::io_context& context, Record& record, std::string name);
 
     int port() const;
     void setTarget(int port) { targetPort_ = port; }
@@ -28,6 +31,7 @@
 
     asio::io_context& context_;
     Record& record_;
+    std::string name_;
     asio::ip::tcp::acceptor acceptor_;
     int targetPort_ = 0;
     bool isCut_ = false;
