--- a/review/rig/deployment.cpp
+++ b/review/rig/deployment.cpp
@@ -93,11 +93,9 @@
 
 void Deployment::putDesiredState()
 {
-    auto queue = [](const char* name, const char* prefix, int priority) {
-        return json { { "name", name }, { "host", "127.0.0.1" }, { "prefix", prefix }, { "service", "training" },
-            { "priority", priority }, { "maxAttempts", 3 }, { "stretch", 3.0 }, { "targetLatencyMs", 1200 } };
-    };
-    json state { { "version", 1 }, { "routes", { queue("queue-1", "/jobs/", 1) } },
+    json queue { { "name", "queue-1" }, { "host", "127.0.0.1" }, { "prefix", "/jobs/" }, { "service", "training" },
+        { "priority", 1 }, { "maxAttempts", 3 }, { "stretch", 3.0 }, { "targetLatencyMs", 1200 } };
+    json state { { "version", 1 }, { "routes", json::array({ queue }) },
         { "services", { { { "name", "training" }, { "rejectsOverload", false } } } },
         { "tenants", { { { "name", "tenant-1" }, { "apiKeys", { "key-1" } }, { "guaranteed", { { "gpu", 8 } } } } } },
         { "limits", { { "maxBodyBytes", 262144 } } } };
--- a/review/rig/store.cpp
+++ b/review/rig/store.cpp
@@ -103,11 +103,6 @@
     kv_.commit({ {}, { { key, value, 0 } }, {} }, millis());
 }
 
-void Store::remove(const std::string& key)
-{
-    kv_.commit({ {}, {}, { key } }, millis());
-}
-
 void Store::handle(const Request& request, const Respond& respond)
 {
     auto path = request.target.substr(0, request.target.find('?'));
--- a/review/rig/store.h
+++ b/review/rig/store.h
@@ -21,7 +21,6 @@
     void setDown(bool isDown);
     bool isDown() const { return isDown_; }
     void put(const std::string& key, const std::string& value);
-    void remove(const std::string& key);
 
 private:
     using Request = agatevane::event_http::Request;
--- a/review/rig/workers.cpp
+++ b/review/rig/workers.cpp
@@ -51,7 +51,7 @@
     auto& worker = workers_.at(id);
     worker.kind = kind;
     worker.isUp = true;
-    worker.bornUnixMs = node::unixMillis() + worker.clockOffsetMs;
+    worker.bornUnixMs = node::unixMillis();
     worker.startedMs = rigMillis();
     worker.nextReportMs = worker.startedMs + times_.firstReportMs;
     worker.sequence = worker.fencingToken = worker.leaseUntilMs = worker.lastEnd = 0;
@@ -78,12 +78,6 @@
     worker.server.reset();
 }
 
-void Workers::setClockOffset(const std::string& id, std::int64_t offsetMs)
-{
-    workers_.at(id).clockOffsetMs = offsetMs;
-    record_.line("time of day on the machine of " + id + " is off by " + std::to_string(offsetMs) + " ms");
-}
-
 std::size_t Workers::runsOf(const std::string& job) const
 {
     std::size_t count = 0;
@@ -94,14 +88,6 @@
     return count;
 }
 
-std::size_t Workers::presentRuns() const
-{
-    std::size_t count = 0;
-    for (const auto& [id, worker] : workers_)
-        count += worker.runs.size();
-    return count;
-}
-
 std::int64_t Workers::clockOf(const Worker& worker)
 {
     return rigMillis() - worker.startedMs + 1;
--- a/review/rig/workers.h
+++ b/review/rig/workers.h
@@ -45,14 +45,10 @@
     void crash(const std::string& id);
     //! Starts a new lifetime under the same id, at the same address.
     void start(const std::string& id, const std::string& kind);
-    //! Moves the time of day of the worker's machine; the worker's steady clock is not affected.
-    void setClockOffset(const std::string& id, std::int64_t offsetMs);
 
     const std::deque<RunRecord>& history() const { return history_; }
     //! Number of runs of the job that are present now, on any worker.
     std::size_t runsOf(const std::string& job) const;
-    //! Accelerators in use on all workers, by the job's need for each run.
-    std::size_t presentRuns() const;
 
 private:
     using Json = nlohmann::json;
@@ -82,7 +78,6 @@
         std::string rack;
         int port = 0;
         bool isUp = false;
-        std::int64_t clockOffsetMs = 0;
         std::int64_t bornUnixMs = 0;
         std::int64_t startedMs = 0;
         std::int64_t nextReportMs = 0;
