Start nothing while another node may be the owner

Cause: an owner that was cut off from the store went on placing work until 4.8 s after the store's last confirmation (6 s where workers grant 10 s), although the store's lease of 1.5 s had ended and another node owned the fleet. Only the fencing tokens at the workers kept the two apart, and a worker that restarts forgets its token.

Change: fleet::isOwnershipConfirmed() tells whether another node may be the owner, from the time for which the store's lease certainly lasts (OwnerElection::confirmedUntil(), which denials and upkeep ask already). Without it, nothing is placed and no start is sent or sent again. Leases are renewed and ends taken in as before. Log lines starts_held and starts_resumed.

Why it works: a successor is elected after that time at the earliest. What an owner started before is known to workers whose answers the successor awaits, or for whose leases it waits, and such a start is not repeated on an incarnation that began later.

Ruled out: a late order (the worker's record shows that the earlier owner polled the new incarnation and then ordered the start); a successor that didn't wait (all workers had answered it). Weighed: starts on incarnations that have answered while the ownership was confirmed only, which leaves the users' own case open; a successor that waits for 3 s more.

--- a/src/agatevane/fleet/leases.cpp
+++ b/src/agatevane/fleet/leases.cpp
@@ -34,6 +34,11 @@
     return std::min(preferredUnconfirmedOwnership, earlierLeaseWait(limits) - overrun);
 }
 
+bool isOwnershipConfirmed(const Fleet& fleet, Instant at)
+{
+    return at < fleet.confirmedUntil;
+}
+
 void assumeLongestLease(const Fleet& fleet, Worker& worker, Instant latest)
 {
     worker.leaseExpiryBound = std::max(worker.leaseExpiryBound, latest + maxLeaseDuration(fleet.limits.maxLease));
--- a/src/agatevane/fleet/leases.h
+++ b/src/agatevane/fleet/leases.h
@@ -24,6 +24,11 @@
 //! elect a later owner right after that confirmation, which then waits until the leases of earlier owners have ended.
 Millis maxUnconfirmedOwnership(const Limits& limits);
 
+//! True if no other node can be the owner at `at`. Once there may be one, only the fencing tokens that workers know
+//! keep two owners apart, and a worker that has restarted knows none. So without a confirmed ownership, nothing is
+//! started.
+bool isOwnershipConfirmed(const Fleet& fleet, Instant at);
+
 //! Postpones `leaseExpiryBound` because of orders that may have reached the worker by `latest` and that may have given
 //! it the longest lease: they were made out for the clock of another incarnation, or by an earlier owner.
 void assumeLongestLease(const Fleet& fleet, Worker& worker, Instant latest);
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -4,6 +4,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
@@ -28,7 +29,7 @@
     //! No work waits longer for its preferred rack while other racks have free capacity.
     constexpr Millis longestRackWait { 12000 };
 
-    //! Nothing is started with a shorter lease: the owner may have been replaced, and the runs would soon lapse.
+    //! Nothing is started with a shorter lease, because the runs would soon lapse.
     constexpr Millis minLeaseForStart { 2000 };
     //! Preemption plans take most of a round's time, so their number is limited. The most urgent pending steps come
     //! first.
@@ -433,7 +434,7 @@
 
 void place(Fleet& fleet, std::int64_t unixMs, Instant at)
 {
-    if (elapsed(at, fleet.leasesEndBy) < minLeaseForStart)
+    if (!isOwnershipConfirmed(fleet, at) || elapsed(at, fleet.leasesEndBy) < minLeaseForStart)
         return;
     fleet.isPlacementDue = false;
     PlacementRound(fleet, unixMs, at).run();
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -52,6 +52,14 @@
         return false;
     }
 
+    //! True if a start order for the run may be sent now. The lease is given on the worker's clock, which is only known
+    //! after the first poll of the incarnation.
+    bool mayStartOn(const Fleet& fleet, const Worker& worker, const RunKey& key, Instant at)
+    {
+        return isOwnershipConfirmed(fleet, at) && worker.hasAnsweredPoll && !hasOtherRun(worker, key)
+            && !mayEndUnseen(worker, at);
+    }
+
     //! True if a start or stop order is to be sent, now or later.
     bool needsOrder(const Run& run)
     {
@@ -410,8 +418,7 @@
                 continue;
             }
             auto* job = findJob(fleet, key.first.job);
-            // The lease is given on the worker's clock, which is only known after the first poll of the incarnation.
-            if (!job || !worker->hasAnsweredPoll || hasOtherRun(*worker, key) || mayEndUnseen(*worker, at))
+            if (!job || !mayStartOn(fleet, *worker, key, at))
                 continue;
             checkStartIsNamed(fleet, *worker, key);
             run.isOrderInFlight = true;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -289,6 +289,8 @@
     //! No lease is given beyond this time, at which the owner steps down unless the store confirms it again. So a later
     //! owner knows when the leases of earlier ones have ended.
     Instant leasesEndBy = Instant::max();
+    //! No other node can have become the owner before this time, as far as the store has confirmed.
+    Instant confirmedUntil = Instant::max();
     desired_state::DesiredState desired;
     std::map<JobId, Job> jobs;
     std::map<WorkerId, Worker> workers;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/dispatch.h"
+#include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/pacing.h"
 #include <algorithm>
 
@@ -10,6 +11,8 @@
 
 namespace {
 
+    using event_log::Line;
+
     constexpr Millis tickInterval { 50 };
     //! Placement also runs without an event, because it depends on time: waiting periods end and jobs become due.
     constexpr Millis maxPlacementInterval { 200 };
@@ -51,9 +54,9 @@
     fleet_.desired = desired;
     fleet_.tookOverAt = bootNow();
     if (environment.machines)
-        upkeepController_
-            = std::make_unique<UpkeepController>(UpkeepController::Environment { environment.context, environment.store,
-                *environment.machines, environment.translation, fleet_, committer_, environment.isOwnershipConfirmed });
+        upkeepController_ = std::make_unique<UpkeepController>(
+            UpkeepController::Environment { environment.context, environment.store, *environment.machines,
+                environment.translation, fleet_, committer_, [this] { return isOwnershipConfirmed(); } });
 }
 
 void FleetOwner::start()
@@ -108,12 +111,25 @@
     });
 }
 
+void FleetOwner::updateOwnership(Instant at)
+{
+    bool wasConfirmed = isStartingRuns_;
+    fleet_.leasesEndBy = environment_.ownershipEndsBy();
+    fleet_.confirmedUntil = environment_.ownershipConfirmedUntil();
+    isStartingRuns_ = fleet::isOwnershipConfirmed(fleet_, at);
+    if (isStartingRuns_ != wasConfirmed)
+        Line(isStartingRuns_ ? "starts_resumed" : "starts_held")
+            .with("tenure", fleet_.tenure)
+            .with("reason", isStartingRuns_ ? "ownership_confirmed" : "ownership_not_confirmed")
+            .with("leases_end_in_ms", elapsed(at, fleet_.leasesEndBy).count());
+}
+
 void FleetOwner::advance()
 {
     if (isStopped_ || !isReady_)
         return;
     auto at = bootNow();
-    fleet_.leasesEndBy = environment_.ownershipEndsBy();
+    updateOwnership(at);
     bool mayPlace = at - lastPlacementAt_ >= placementInterval_;
     if (at - lastPlacementAt_ >= maxPlacementInterval)
         fleet_.isPlacementDue = true;
@@ -335,7 +351,7 @@
 void FleetOwner::denyIfProven(const CallerRequest& request, Instant deadline, Answer answer)
 {
     const auto& job = request.job;
-    if (!environment_.isOwnershipConfirmed())
+    if (!isOwnershipConfirmed())
         return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
     bool wasKnown = fleet_.jobs.contains(job);
     tenureCheck_.ask(deadline,
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -30,8 +30,7 @@
         const Translation& translation;
         //! Called when the store or a worker reports a later owner.
         std::function<void(std::string_view reason)> ownershipLost;
-        //! True if the store has confirmed the ownership so recently that no other node can have become the owner.
-        std::function<bool()> isOwnershipConfirmed;
+        std::function<Instant()> ownershipConfirmedUntil; //!< see OwnerElection
         std::function<Instant()> ownershipEndsBy; //!< see OwnerElection
         MachinePort* machines = nullptr; //!< null: machines take no orders
     };
@@ -75,6 +74,10 @@
     void watchWorkers();
     void applyWorkerChange(const kv::Change& change);
 
+    //! True if no other node can have become the owner.
+    bool isOwnershipConfirmed() const { return bootNow() < environment_.ownershipConfirmedUntil(); }
+    void updateOwnership(Instant at);
+
     void tick();
     void scheduleAdvance();
     void advance();
@@ -113,6 +116,7 @@
     bool isReady_ = false;
     bool isStopped_ = false;
     bool isAdvanceScheduled_ = false;
+    bool isStartingRuns_ = true; //!< false: starts are held back, since another node may be the owner
     Instant lastPlacementAt_;
     Millis placementInterval_ { 0 };
     std::int64_t nextPruneUnixMs_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -177,7 +177,7 @@
     fleetOwner_ = std::make_unique<FleetOwner>(
         FleetOwner::Environment { context_, store_, workers_, translation_,
             [this](std::string_view reason) { election_.stepDown(reason); },
-            [this] { return election_.isOwner() && !election_.isOwnershipUnconfirmed(); },
+            [this] { return election_.isOwner() ? election_.confirmedUntil() : Instant {}; },
             [this] { return election_.ownershipEndsBy(); }, machines_ },
         fleetLimitsOf(settings_), tenure, commitRevision, desiredFeed_.current() ? *desiredFeed_.current() : none);
     fleetOwner_->start();
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -274,9 +274,16 @@
     store_.endLease(item.lease, now() + callTimeout, [](const kv::LeaseResult&) {});
 }
 
+Instant OwnerElection::confirmedUntil() const
+{
+    if (isOwnerKeyAbsent_ || ownerKeyLease_ == 0)
+        return Instant {};
+    return confirmedAt_ + minLeaseDuration(leaseTtl_);
+}
+
 bool OwnerElection::isOwnershipUnconfirmed() const
 {
-    return isOwnerKeyAbsent_ || ownerKeyLease_ == 0 || bootNow() >= confirmedAt_ + minLeaseDuration(leaseTtl_);
+    return bootNow() >= confirmedUntil();
 }
 
 Instant OwnerElection::ownershipEndsBy() const
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -45,8 +45,10 @@
     Instant confirmedAt() const { return confirmedAt_; }
     //! Time at which this node steps down unless the store confirms the ownership again.
     Instant ownershipEndsBy() const;
-    //! True if the owner key is known to be gone, or the store has not confirmed the ownership within one lease:
-    //! another node may be the owner without this one knowing it.
+    //! Until then no other node can have become the owner: the store has confirmed the lease that holds the owner key.
+    //! Instant {}: the owner key is known to be gone, or its lease is not known.
+    Instant confirmedUntil() const;
+    //! True if another node may be the owner without this one knowing it.
     bool isOwnershipUnconfirmed() const;
     //! True if the store has answered nothing for longer than a watch takes.
     bool isStoreUnresponsive() const;
--- a/tests/fleet/simulation_owners.cpp
+++ b/tests/fleet/simulation_owners.cpp
@@ -14,6 +14,8 @@
     constexpr std::int64_t answerTimeoutMs = 500;
     //! An owner that the store has not confirmed for this long steps down, and gives no lease beyond that.
     constexpr std::int64_t maxUnconfirmedMs = 8000;
+    //! The store may elect another owner this long after it has last confirmed the ownership.
+    constexpr std::int64_t storeLeaseMs = 1500;
 
     std::set<fleet::WorkerId> idsOf(const std::vector<fleet::WorkerListing>& listings)
     {
@@ -136,8 +138,10 @@
 {
     if (!owner->isReplaced && nowMs_ < nextTakeoverMs_ - options_.storeUnavailableMs)
         owner->confirmedMs = nowMs_;
-    if (options_.overlapMs > 0)
+    if (options_.overlapMs > 0) {
         owner->fleet.leasesEndBy = at(owner->confirmedMs + maxUnconfirmedMs);
+        owner->fleet.confirmedUntil = at(owner->confirmedMs + storeLeaseMs);
+    }
     auto orders = advance(*owner);
     for (const auto& order : orders.starts)
         sendStart(owner, order);
--- a/tests/node/owner_fixture.h
+++ b/tests/node/owner_fixture.h
@@ -34,7 +34,8 @@
         owner = std::make_unique<node::FleetOwner>(
             node::FleetOwner::Environment { context, store, workers, translation,
                 [this](std::string_view reason) { ownershipLostReason = reason; },
-                [this] { return isOwnershipConfirmed; }, [this] { return ownershipEndsBy; } },
+                [this] { return isOwnershipConfirmed ? Instant::max() : Instant {}; },
+                [this] { return ownershipEndsBy; } },
             fleet::Limits {}, tenure, result.revision, desired);
         owner->start();
         BOOST_REQUIRE(runUntil(context, Millis(2000), [this] { return owner->isReady(); }));
