Refuse a submission that was held up on its way when its cancellation was denied

Cause: the owner took the age of a forwarded submission from its arrival, less the time for which the sender said that it had held it. The time on the way was missing: the sender closed its connection in order, and what it had sent was delivered when the link healed. So was the time for which the request had waited in the kernel of a paused node.

Change, at each of the three places where a submission may wait: - An owner that has denied the job answers the message with a time on its own clock. A sender that still holds the submission sends it again with that time and with how long it has held it; the age counts from there. A submission of unknown age, of an earlier build or held up, is refused or asked about, never accepted after a denial. - RpcClient resets a connection that it gives up. - A node counts from the last moment at which its event loop was known to keep up (LoopWatch), also for calls that it handles as the owner.

Why it works: the owner's time is older than any message that carries it, so that a delay on the way makes a submission look older, never younger. A sender that has given a call up doesn't answer the question. The message differs only after a denial.

Ruled out: an owner that forgets the denial (60 s; the submission came 2.6 s later); a node that sends the call again (it had answered its caller). Weighed: the owner's time in each answer to a pull (changes the most frequent message for a rare case); refusing the ID for a while (refuses sound submissions). A caller that submits the same ID within half a second of the 410 may be refused once.

--- a/src/agatevane/net/rpc.h
+++ b/src/agatevane/net/rpc.h
@@ -43,7 +43,8 @@
 //! `error` is `Unreachable` if nothing was sent. After `Timeout` or `Disconnected` the effect of the call is unknown.
 using CallResult = std::function<void(std::error_code error, std::string payload)>;
 
-//! One connection to one peer, opened at the first call and again at the first call after a failure. Thread-safe.
+//! One connection to one peer, opened at the first call and again at the first call after a failure, which resets it.
+//! Thread-safe.
 class RpcClient {
 public:
     RpcClient(asio::io_context& context, const PeerAddress& peer);
--- a/src/agatevane/net/rpc_client.cpp
+++ b/src/agatevane/net/rpc_client.cpp
@@ -192,14 +192,22 @@
             });
     }
 
-    //! Closes the connection and ends every call in progress; the next call connects again.
+    //! Closes the socket so that the kernel discards what the peer has not received: a call that was given up is not
+    //! delivered once the network recovers.
+    static void reset(tcp::socket& socket)
+    {
+        std::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    //! Ends the connection and every call in progress; the next call connects again.
     void fail()
     {
         linkState = LinkState::Closed;
         isWriting = false;
-        std::error_code ignored;
         if (auto ended = std::exchange(connection, nullptr))
-            ended->socket.close(ignored);
+            reset(ended->socket);
         outgoing.clear();
         auto calls = std::exchange(pendingCalls, {});
         for (auto& [id, call] : calls) {
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -302,7 +302,7 @@
 void FleetOwner::submit(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
     Instant deadline, Answer answer)
 {
-    if (!fleet_.jobs.contains(request.job) && wasCancellationDeniedSince(request))
+    if (mayPrecedeDenial(request))
         return answer({ CallStatus::NotAccepted, std::nullopt, std::nullopt, "a later cancellation was answered" });
     auto spec = request.spec;
     spec.queue = queue.name;
@@ -311,13 +311,19 @@
     awaitCommit(sequence, request, deadline, std::move(answer));
 }
 
-//! True if the submission had reached a node before a cancellation of the job was answered with "no such job". The
+bool FleetOwner::hasDenied(const fleet::JobId& job) const
+{
+    return !fleet_.jobs.contains(job) && deniedCancellations_.contains(job);
+}
+
+//! True if the submission may have reached a node before a cancellation of the job was answered with "no such job". The
 //! caller of that cancellation may count on the job not to run. A caller that submits the job anew after that answer
 //! is not meant.
-bool FleetOwner::wasCancellationDeniedSince(const CallerRequest& submission) const
+bool FleetOwner::mayPrecedeDenial(const CallerRequest& submission) const
 {
-    auto denied = deniedCancellations_.find(submission.job);
-    return denied != deniedCancellations_.end() && submission.receivedBy && *submission.receivedBy < denied->second;
+    if (!hasDenied(submission.job))
+        return false;
+    return !submission.receivedAfter || *submission.receivedAfter < deniedCancellations_.at(submission.job);
 }
 
 void FleetOwner::noteDeniedCancellation(const fleet::JobId& job)
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -48,6 +48,11 @@
     void call(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
         Instant deadline, Answer answer);
 
+    //! True if this owner has answered a cancellation of the job with "no such job", and has not accepted it since. A
+    //! submission is then refused unless it is known to be younger than that answer.
+    bool hasDenied(const fleet::JobId& job) const;
+
+    std::uint32_t tenure() const { return fleet_.tenure; }
     bool isReady() const { return isReady_; }
     kv::Revision commitRevision() const { return committer_.revision(); }
     const fleet::Fleet& fleet() const { return fleet_; }
@@ -92,7 +97,7 @@
     bool mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant);
     void denyIfProven(const CallerRequest& request, Instant deadline, Answer answer);
     void noteDeniedCancellation(const fleet::JobId& job);
-    bool wasCancellationDeniedSince(const CallerRequest& submission) const;
+    bool mayPrecedeDenial(const CallerRequest& submission) const;
     void submit(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
         Instant deadline, Answer answer);
     static CallerAnswer jobOfOtherTenant();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -96,7 +96,8 @@
     Instant noOwnerDeadline; //!< the request is refused if no owner can be reached by then
     bool mayHaveEffect = false; //!< the request reached a node that has not answered, or an owner that was replaced
     bool isForwardInFlight = false;
-    bool isTimeHeldUnknown = false; //!< the owner can't read for how long the submission was held
+    bool isOwnerOfEarlierBuild = false; //!< the owner does not know the message that bounds a submission's age
+    OwnerTime ownerAskedAt; //!< see SubmissionAnswer
     bool isAnswered = false;
     int attempts = 0;
     std::optional<OwnershipConfirmation> confirmation; //!< when this node's owner answered; nothing: another node did
@@ -127,6 +128,7 @@
           { [this](std::uint32_t tenure, kv::Revision revision) { beginOwnership(tenure, revision); },
               [this](std::string_view reason) { endOwnership(reason); }, [this] { ownerAnsweredAt_ = bootNow(); },
               [this] { return fleetOwner_ ? fleetOwner_->commitRevision() : kv::Revision(0); } })
+    , loopWatch_(context)
     , pullTimer_(context)
     , stopTimer_(context)
 {
@@ -165,6 +167,7 @@
     if (!findings.empty())
         return false;
     metrics::addProcessMetrics(metrics::registry());
+    loopWatch_.start();
     desiredFeed_.start();
     election_.start();
     pullFromPeers();
@@ -226,7 +229,7 @@
     auto call = std::make_shared<CallState>();
     call->number = nextRequestNumber_++;
     call->receivedAt = now();
-    auto receivedBy = bootNow();
+    auto receivedAfter = loopWatch_.arrivedAfter();
     call->respond = std::move(respond);
     call->translation = &translation_;
     auto timeout = translation_.timeoutOf(request).value_or(defaultCallTimeout);
@@ -256,7 +259,7 @@
     if (!decoded)
         return finish(call, { CallStatus::Malformed, std::nullopt, std::nullopt, format(findings) });
     call->request = std::move(*decoded);
-    call->request.receivedBy = receivedBy;
+    call->request.receivedAfter = receivedAfter;
     call->tenant = tenant ? tenant->name : std::string();
     route(call);
 }
@@ -339,31 +342,50 @@
     message.tenant = call->tenant;
     message.timeoutMs = elapsed(at, call->deadline - forwardMargin).count();
     call->isForwardInFlight = true;
-    bool tellsTimeHeld = call->request.kind == CallKind::Submit && !call->isTimeHeldUnknown;
-    auto kind = tellsTimeHeld ? PeerMessage::Submission : PeerMessage::Call;
-    auto heldMs = elapsed(*call->request.receivedBy, bootNow()).count();
-    auto bytes = tellsTimeHeld ? net::encode(ForwardedSubmission { message, heldMs }) : net::encode(message);
-    clientOf(address).call(static_cast<std::uint16_t>(kind), bytes, call->deadline,
-        liveness_.guard([this, call, tellsTimeHeld](std::error_code error, const std::string& payload) {
-            call->isForwardInFlight = false;
-            if (!error && payload.empty() && tellsTimeHeld) {
-                call->isTimeHeldUnknown = true;
-                return retryRoute(call);
-            }
+    if (call->request.kind == CallKind::Submit && !call->isOwnerOfEarlierBuild)
+        return forwardSubmission(call, address, message);
+    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Call), net::encode(message), call->deadline,
+        liveness_.guard([this, call](std::error_code error, const std::string& payload) {
             ForwardedAnswer answer;
             if (!error && !net::decode(payload, answer))
                 error = Errc::Malformed;
-            if (error) {
-                call->mayHaveEffect = call->mayHaveEffect || error != Errc::Unreachable;
-                return retryRoute(call);
-            }
-            ownerAnsweredAt_ = bootNow();
-            if (isForAnotherOwner(*call, answer.status))
-                return retryRoute(call);
-            finish(call, toCallerAnswer(answer));
+            handleForwardResult(call, error, answer);
         }));
 }
 
+void Node::forwardSubmission(
+    const std::shared_ptr<CallState>& call, const net::PeerAddress& address, const ForwardedCall& message)
+{
+    auto held = std::chrono::ceil<Millis>(bootNow() - *call->request.receivedAfter);
+    auto bytes = net::encode(ForwardedSubmission { message, held.count(), call->ownerAskedAt });
+    clientOf(address).call(static_cast<std::uint16_t>(PeerMessage::Submission), bytes, call->deadline,
+        liveness_.guard([this, call](std::error_code error, const std::string& payload) {
+            SubmissionAnswer decided;
+            call->isOwnerOfEarlierBuild = !error && payload.empty();
+            if (call->isOwnerOfEarlierBuild)
+                decided.answer.status = CallStatus::WrongNode;
+            else if (!error && !net::decode(payload, decided))
+                error = Errc::Malformed;
+            if (!error)
+                call->ownerAskedAt = decided.askedAt;
+            handleForwardResult(call, error, decided.answer);
+        }));
+}
+
+void Node::handleForwardResult(
+    const std::shared_ptr<CallState>& call, std::error_code error, const ForwardedAnswer& answer)
+{
+    call->isForwardInFlight = false;
+    if (error) {
+        call->mayHaveEffect = call->mayHaveEffect || error != Errc::Unreachable;
+        return retryRoute(call);
+    }
+    ownerAnsweredAt_ = bootNow();
+    if (isForAnotherOwner(*call, answer.status))
+        return retryRoute(call);
+    finish(call, toCallerAnswer(answer));
+}
+
 void Node::finish(const std::shared_ptr<CallState>& call, CallerAnswer answer)
 {
     if (std::exchange(call->isAnswered, true))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #include "agatevane/net/rpc.h"
 #include "node/desired_state_feed.h"
 #include "node/fleet_owner.h"
+#include "node/loop_watch.h"
 #include "node/owner_election.h"
 #include "node/peer_messages.h"
 #include "node/settings.h"
@@ -62,7 +63,10 @@
     void handleOperator(const event_http::Request& request, const event_http::Respond& respond);
     void handlePeer(std::uint16_t kind, std::string_view payload, const net::Reply& reply);
     void handlePullRequest(const PullRequest& request, const net::Reply& reply);
-    void handleForwardedCall(const ForwardedCall& call, std::optional<Instant> receivedBy, const net::Reply& reply);
+    using ForwardedCallDone = std::function<void(const ForwardedAnswer& answer)>;
+    void handleForwardedCall(
+        const ForwardedCall& call, std::optional<Instant> receivedAfter, const ForwardedCallDone& done);
+    void handleSubmission(const ForwardedSubmission& submission, const net::Reply& reply);
     void handlePageRequest(const PageRequest& request, const net::Reply& reply);
 
     event_http::Response metricsPage() const;
@@ -76,6 +80,10 @@
     bool isDesiredStateKnownOutdated() const;
     void route(const std::shared_ptr<CallState>& call);
     void forward(const std::shared_ptr<CallState>& call, const net::PeerAddress& address);
+    void forwardSubmission(
+        const std::shared_ptr<CallState>& call, const net::PeerAddress& address, const ForwardedCall& message);
+    void handleForwardResult(
+        const std::shared_ptr<CallState>& call, std::error_code error, const ForwardedAnswer& answer);
     static bool isForAnotherOwner(CallState& call, CallStatus status);
     void retryRoute(const std::shared_ptr<CallState>& call);
     void finish(const std::shared_ptr<CallState>& call, CallerAnswer answer);
@@ -136,6 +144,7 @@
     bool lastLoggedReadiness_ = false; //!< false before the first line
     std::uint64_t nextRequestNumber_ = 1;
 
+    LoopWatch loopWatch_;
     Timer pullTimer_;
     Timer stopTimer_;
     Random random_ = makeRandom();
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -30,13 +30,12 @@
     } else if (kind == static_cast<std::uint16_t>(PeerMessage::Call)) {
         ForwardedCall call;
         if (net::decode(payload, call))
-            return handleForwardedCall(call, std::nullopt, reply);
+            return handleForwardedCall(
+                call, std::nullopt, [reply](const ForwardedAnswer& answer) { reply(net::encode(answer)); });
     } else if (kind == static_cast<std::uint16_t>(PeerMessage::Submission)) {
         ForwardedSubmission submission;
-        if (net::decode(payload, submission)) {
-            auto held = Millis(std::clamp<std::int64_t>(submission.heldMs, 0, maxHeldTime.count()));
-            return handleForwardedCall(submission.call, bootNow() - held, reply);
-        }
+        if (net::decode(payload, submission))
+            return handleSubmission(submission, reply);
     } else if (kind == static_cast<std::uint16_t>(PeerMessage::StatePart)) {
         StatePartRequest request;
         if (net::decode(payload, request))
@@ -68,22 +67,46 @@
     reply(net::encode(answer));
 }
 
-void Node::handleForwardedCall(const ForwardedCall& call, std::optional<Instant> receivedBy, const net::Reply& reply)
+void Node::handleForwardedCall(
+    const ForwardedCall& call, std::optional<Instant> receivedAfter, const ForwardedCallDone& done)
 {
     if (!mayHandle(call.kind)) {
         ForwardedAnswer answer;
         answer.status = CallStatus::WrongNode;
-        return reply(net::encode(answer));
+        return done(answer);
     }
-    CallerRequest request { call.kind, call.job, call.spec, receivedBy };
+    CallerRequest request { call.kind, call.job, call.spec, receivedAfter };
     auto deadline = now() + Millis(std::max<std::int64_t>(0, call.timeoutMs));
     fleetOwner_->call(
-        request, call.queue, call.tenant, deadline, liveness_.guard([this, request, reply](const CallerAnswer& answer) {
+        request, call.queue, call.tenant, deadline, liveness_.guard([this, request, done](const CallerAnswer& answer) {
             logUnconfirmedAnswer(request, answer);
-            reply(net::encode(toForwardedAnswer(answer)));
+            done(toForwardedAnswer(answer));
         }));
 }
 
+//! A message may be on its way for as long as a link is cut or its sender paused. So the age of a submission counts
+//! from a time that this owner has given to the sender, and a sender that has given the submission up does not send it
+//! again.
+void Node::handleSubmission(const ForwardedSubmission& submission, const net::Reply& reply)
+{
+    auto decide = [reply](const ForwardedAnswer& answer) { reply(net::encode(SubmissionAnswer { answer, {} })); };
+    const auto& askedAt = submission.askedAt;
+    bool isAgeKnown = fleetOwner_ && askedAt.tenure == fleetOwner_->tenure();
+    if (!isAgeKnown && fleetOwner_ && fleetOwner_->hasDenied(submission.call.job)) {
+        SubmissionAnswer ask;
+        ask.answer.status = CallStatus::WrongNode;
+        ask.askedAt = { fleetOwner_->tenure(), elapsed(Instant {}, bootNow()).count() };
+        Line("submission_age_asked").with("job", submission.call.job).with("held_ms", submission.heldMs);
+        return reply(net::encode(ask));
+    }
+    std::optional<Instant> receivedAfter;
+    if (isAgeKnown) {
+        auto held = Millis(std::clamp<std::int64_t>(submission.heldMs, 0, maxHeldTime.count()));
+        receivedAfter = Instant(Millis(askedAt.bootMs)) - held;
+    }
+    handleForwardedCall(submission.call, receivedAfter, decide);
+}
+
 OwnershipConfirmation Node::ownershipConfirmation() const
 {
     return { election_.isOwner() && !election_.isOwnershipUnconfirmed(), elapsed(election_.confirmedAt(), bootNow()) };
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -10,7 +10,8 @@
 //! Messages between nodes.
 namespace agatevane::node {
 
-enum class PeerMessage : std::uint16_t { Pull = 1, Call = 2, Page = 3, Submission = 4, StatePart = 5 };
+//! Number 4 was a message of earlier builds. A node that doesn't know a message answers with nothing.
+enum class PeerMessage : std::uint16_t { Pull = 1, Call = 2, Page = 3, StatePart = 5, Submission = 6 };
 
 //! Asks another node for a newer owner, the revision of its desired state and its peers, and carries the sender's own
 //! knowledge. A larger desired state is asked for in parts, see StatePartRequest.
@@ -81,13 +82,22 @@
     }
 };
 
-//! A submission with the time for which the sender has held it. Answered with nothing by a node that doesn't know this
-//! message; it is then sent as a ForwardedCall.
+//! A time on the clock of an owner. Other nodes only hand it back to that owner.
+struct OwnerTime {
+    std::uint32_t tenure = 0; //!< 0: none
+    std::int64_t bootMs = 0; //!< on the owner's clock of bootNow()
+
+    template <typename Archive> void serialize(Archive& archive) { archive(tenure, bootMs); }
+};
+
+//! A submission with what bounds its age from above, however long the message is on its way. An owner of an earlier
+//! build does not know this message; the submission is then sent as a ForwardedCall.
 struct ForwardedSubmission {
     ForwardedCall call;
-    std::int64_t heldMs = 0;
+    std::int64_t heldMs = 0; //!< the sender has held the submission for at most this long
+    OwnerTime askedAt; //!< from the SubmissionAnswer that has made the sender send the submission again
 
-    template <typename Archive> void serialize(Archive& archive) { archive(call, heldMs); }
+    template <typename Archive> void serialize(Archive& archive) { archive(call, heldMs, askedAt); }
 };
 
 struct ForwardedAnswer {
@@ -99,6 +109,15 @@
     template <typename Archive> void serialize(Archive& archive) { archive(status, state, waitingJobs, reason); }
 };
 
+//! Answers a ForwardedSubmission. With `askedAt`, the owner has not decided, because the submission may be older than
+//! an answer that it has given about the job. A sender that still holds the submission sends it again with that time.
+struct SubmissionAnswer {
+    ForwardedAnswer answer;
+    OwnerTime askedAt;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(answer, askedAt); }
+};
+
 ForwardedAnswer toForwardedAnswer(const CallerAnswer& answer);
 CallerAnswer toCallerAnswer(const ForwardedAnswer& answer);
 
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -78,8 +78,8 @@
     CallKind kind = CallKind::QueryState;
     fleet::JobId job; //!< empty for CountWaiting
     fleet::JobSpec spec; //!< set for Submit; the node fills in queue and tenant
-    //! Set for Submit: the request had reached a node by then, on the clock of bootNow(). Nothing: it has just done so.
-    std::optional<Instant> receivedBy;
+    //! For Submit: the request reached its first node after this time, on the clock of bootNow(). Nothing: not known.
+    std::optional<Instant> receivedAfter;
 };
 
 enum class CallStatus {
--- a/tests/net/rpc_tests.cpp
+++ b/tests/net/rpc_tests.cpp
@@ -130,6 +130,24 @@
     BOOST_TEST((clientOfClosedPort.callAndWait(1, "x", now() + shortTimeout, reply) == Errc::Unreachable));
 }
 
+// Guards against a call that is delivered after it was given up: a connection that is closed in order goes on to
+// deliver what it has accepted.
+BOOST_AUTO_TEST_CASE(A_connection_with_a_call_that_was_given_up_is_reset, *boost::unit_test::label("rpc"))
+{
+    IoThread ioThread;
+    asio::io_context peerContext;
+    asio::ip::tcp::acceptor acceptor(peerContext, { asio::ip::make_address("127.0.0.1"), 0 });
+    net::RpcClient client(ioThread.context, { "127.0.0.1", acceptor.local_endpoint().port() });
+    std::string reply;
+    BOOST_TEST((client.callAndWait(1, "x", now() + Millis(100), reply) == Errc::Timeout));
+    auto socket = acceptor.accept();
+    std::array<char, 64> bytes {};
+    std::error_code error;
+    while (!error)
+        socket.read_some(asio::buffer(bytes), error);
+    BOOST_TEST((error == asio::error::connection_reset));
+}
+
 // Guards against a peer that makes the process allocate much memory by sending a large length.
 BOOST_AUTO_TEST_CASE(A_length_beyond_the_message_is_refused, *boost::unit_test::label("archive"))
 {
--- a/tests/node/denied_cancellation_tests.cpp
+++ b/tests/node/denied_cancellation_tests.cpp
@@ -14,30 +14,47 @@
 constexpr std::int64_t durationMs = 20000;
 
 struct DeniedFixture : test::OwnerFixture {
-    CallStatus submitReceivedBy(std::optional<Instant> receivedBy)
+    CallStatus submitReceivedAfter(std::optional<Instant> receivedAfter)
     {
         std::optional<node::CallerAnswer> answer;
-        owner->call({ CallKind::Submit, jobId, test::sampleJob(jobId, durationMs), receivedBy }, test::sampleQueue(),
+        owner->call({ CallKind::Submit, jobId, test::sampleJob(jobId, durationMs), receivedAfter }, test::sampleQueue(),
             {}, now() + Millis(1000), [&answer](node::CallerAnswer received) { answer = std::move(received); });
         BOOST_REQUIRE(waitUntil(Millis(1500), [&answer] { return answer.has_value(); }));
         return answer->status;
     }
 };
 
+//! Longer than the bound of a submission's age is off by: the event loops' ticks, and one more message between nodes.
+constexpr Millis boundSlack { 700 };
+
 //! Sends messages to the owner as another node does.
 struct ForwardingFixture : test::NodesFixture {
-    CallStatus forwardHeldFor(std::int64_t heldMs)
+    ForwardingFixture() { BOOST_REQUIRE_EQUAL(sendRequest(*owner(), "DELETE", jobId), gone); }
+
+    static node::ForwardedCall submission()
     {
-        node::ForwardedCall call { CallKind::Submit, jobId, test::sampleJob(jobId, durationMs), test::sampleQueue(), {},
-            1000 };
-        std::optional<node::ForwardedAnswer> answer;
+        return { CallKind::Submit, jobId, test::sampleJob(jobId, durationMs), test::sampleQueue(), {}, 1000 };
+    }
+
+    template <typename Answer, typename Message> Answer send(node::PeerMessage kind, const Message& message)
+    {
+        std::optional<Answer> answer;
         net::RpcClient peer(context, owner()->settings.peerAddress);
-        peer.call(static_cast<std::uint16_t>(node::PeerMessage::Submission),
-            net::encode(node::ForwardedSubmission { call, heldMs }), now() + Millis(1500),
+        peer.call(static_cast<std::uint16_t>(kind), net::encode(message), now() + Millis(1500),
             [&answer](std::error_code, const std::string& payload) { net::decode(payload, answer.emplace()); });
         BOOST_REQUIRE(waitUntil(Millis(2000), [&answer] { return answer.has_value(); }));
-        return answer->status;
+        return *answer;
+    }
+
+    node::SubmissionAnswer forward(std::int64_t heldMs, const node::OwnerTime& askedAt)
+    {
+        return send<node::SubmissionAnswer>(
+            node::PeerMessage::Submission, node::ForwardedSubmission { submission(), heldMs, askedAt });
     }
+
+    bool isKnown() { return sendRequest(*owner(), "GET", jobId) != gone; }
+
+    static constexpr int gone = 500 + static_cast<int>(CallStatus::NoSuchJob);
 };
 
 } // namespace
@@ -48,10 +65,10 @@
 // while the owner answered the cancellation with "no such job".
 BOOST_AUTO_TEST_CASE(A_submission_older_than_a_denied_cancellation_is_refused, *boost::unit_test::label("node"))
 {
-    auto receivedBy = bootNow();
+    auto receivedAfter = bootNow();
     auto denied = callThrough(test::sampleQueue(), {}, CallKind::Cancel, jobId);
     BOOST_REQUIRE(denied.status == CallStatus::NoSuchJob);
-    BOOST_CHECK(submitReceivedBy(receivedBy) == CallStatus::NotAccepted);
+    BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::NotAccepted);
     BOOST_CHECK(!stored(fleet::acceptancePrefix + std::string(jobId)));
     BOOST_CHECK(workerModel.history().empty());
 }
@@ -61,24 +78,24 @@
 {
     auto denied = callThrough(test::sampleQueue(), {}, CallKind::Cancel, jobId);
     BOOST_REQUIRE(denied.status == CallStatus::NoSuchJob);
-    BOOST_CHECK(submitReceivedBy(bootNow()) == CallStatus::Ok);
+    BOOST_CHECK(submitReceivedAfter(bootNow()) == CallStatus::Ok);
 }
 
 BOOST_AUTO_TEST_CASE(A_submission_older_than_a_denied_question_is_accepted, *boost::unit_test::label("node"))
 {
-    auto receivedBy = bootNow();
+    auto receivedAfter = bootNow();
     auto denied = callThrough(test::sampleQueue(), {}, CallKind::QueryState, jobId);
     BOOST_REQUIRE(denied.status == CallStatus::NoSuchJob);
-    BOOST_CHECK(submitReceivedBy(receivedBy) == CallStatus::Ok);
+    BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::Ok);
 }
 
 // Guards against a refusal, which says that the job never runs, of a repeat of a submission that was accepted.
 BOOST_AUTO_TEST_CASE(A_late_repeat_of_an_accepted_submission_is_accepted, *boost::unit_test::label("node"))
 {
-    auto receivedBy = bootNow();
+    auto receivedAfter = bootNow();
     BOOST_REQUIRE(callThrough(test::sampleQueue(), {}, CallKind::Cancel, jobId).status == CallStatus::NoSuchJob);
-    BOOST_REQUIRE(submitReceivedBy(bootNow()) == CallStatus::Ok);
-    BOOST_CHECK(submitReceivedBy(receivedBy) == CallStatus::Ok);
+    BOOST_REQUIRE(submitReceivedAfter(bootNow()) == CallStatus::Ok);
+    BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::Ok);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -89,10 +106,52 @@
 BOOST_AUTO_TEST_CASE(
     A_submission_held_by_another_node_during_a_denied_cancellation_is_refused, *boost::unit_test::label("node"))
 {
-    auto gone = 500 + static_cast<int>(CallStatus::NoSuchJob);
-    BOOST_REQUIRE_EQUAL(sendRequest(*owner(), "DELETE", jobId), gone);
-    BOOST_CHECK(forwardHeldFor(2000) == CallStatus::NotAccepted);
-    BOOST_CHECK(forwardHeldFor(0) == CallStatus::Ok);
+    auto asked = forward(0, {});
+    BOOST_REQUIRE(asked.answer.status == CallStatus::WrongNode);
+    BOOST_CHECK(forward(2000, asked.askedAt).answer.status == CallStatus::NotAccepted);
+    BOOST_CHECK(!isKnown());
+    BOOST_CHECK(forward(0, asked.askedAt).answer.status == CallStatus::Ok);
+}
+
+// Guards against a submission that looks young because it was held up on its way: its sender had given it up when the
+// owner received it.
+BOOST_AUTO_TEST_CASE(A_submission_that_its_sender_does_not_repeat_is_not_accepted, *boost::unit_test::label("node"))
+{
+    auto asked = forward(0, {});
+    BOOST_CHECK(asked.answer.status == CallStatus::WrongNode);
+    BOOST_CHECK(!isKnown());
+}
+
+// Guards against a time that another owner has given: the clocks of two machines can't be compared.
+BOOST_AUTO_TEST_CASE(A_time_of_another_owner_does_not_bound_the_age, *boost::unit_test::label("node"))
+{
+    auto asked = forward(0, {}).askedAt;
+    auto answer = forward(0, { asked.tenure + 1, asked.bootMs });
+    BOOST_CHECK(answer.answer.status == CallStatus::WrongNode);
+    BOOST_CHECK_EQUAL(answer.askedAt.tenure, asked.tenure);
+    BOOST_CHECK(!isKnown());
+}
+
+BOOST_AUTO_TEST_CASE(
+    A_submission_of_unknown_age_from_an_earlier_build_is_refused_after_a_denial, *boost::unit_test::label("node"))
+{
+    auto answer = send<node::ForwardedAnswer>(node::PeerMessage::Call, submission());
+    BOOST_CHECK(answer.status == CallStatus::NotAccepted);
+    BOOST_CHECK(!isKnown());
+}
+
+// Guards against the refusal of a job that its caller submits anew, at the owner or at another node.
+BOOST_AUTO_TEST_CASE(A_job_that_is_submitted_anew_after_a_denial_is_accepted, *boost::unit_test::label("node"))
+{
+    waitUntil(boundSlack, [] { return false; });
+    BOOST_CHECK_EQUAL(sendRequest(*follower(), "POST", jobId), 200);
+}
+
+BOOST_AUTO_TEST_CASE(
+    A_job_that_is_submitted_anew_at_the_owner_after_a_denial_is_accepted, *boost::unit_test::label("node"))
+{
+    waitUntil(boundSlack, [] { return false; });
+    BOOST_CHECK_EQUAL(sendRequest(*owner(), "POST", jobId), 200);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
