Take no run for ended by its lease while another node may be the owner

The record lacks the first owner's log, so that it can't be shown that the users saw this.

Cause: an owner takes the runs of a silent worker for ended once the leases that it has given have passed. A next owner may have renewed them. The first owner, cut off from the store and from that worker, then started the task again on a worker that the next one had not reached.

Why it works: once the store confirms the owner again, no other node has been the owner in between (the lease held, or the commit key has not changed), so that nobody else has given a lease. Else the owner steps down.

--- a/src/agatevane/fleet/expiry.cpp
+++ b/src/agatevane/fleet/expiry.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/fleet/decision_log.h"
 #include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/incarnations.h"
+#include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
@@ -27,6 +28,13 @@
             loseRun(fleet, worker, key, at, reason);
     }
 
+    //! True if the leases of the worker's runs have ended without an answer.
+    bool hasLapsedUnseen(const Fleet& fleet, const Worker& worker, Instant at)
+    {
+        return !worker.runs.empty() && worker.missedPolls > 0 && at >= worker.leaseExpiryBound
+            && isOwnershipConfirmed(fleet, at);
+    }
+
     //! True if the first end waits for its commit or its acknowledgement. An unreadable one, and those behind it, wait
     //! for nothing that this owner could do soon.
     bool hasEndToAcknowledge(const Worker& worker)
@@ -76,7 +84,7 @@
     for (auto* worker : workers) {
         removeExpiredStarts(*worker, at);
         std::erase_if(worker->unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
-        if (!worker->runs.empty() && worker->missedPolls > 0 && at >= worker->leaseExpiryBound) {
+        if (hasLapsedUnseen(fleet, *worker, at)) {
             loseRuns(fleet, *worker, at, "lease_passed");
             worker->hasAnsweredPoll = false;
         }
--- a/src/agatevane/fleet/leases.h
+++ b/src/agatevane/fleet/leases.h
@@ -25,8 +25,9 @@
 Millis maxUnconfirmedOwnership(const Limits& limits);
 
 //! True if no other node can be the owner at `at`. Once there may be one, only the fencing tokens that workers know
-//! keep two owners apart, and a worker that has restarted knows none. So without a confirmed ownership, nothing is
-//! started.
+//! keep two owners apart. A worker that has restarted knows none, and the later owner may have renewed the lease of a
+//! run that this one can't see. So without a confirmed ownership, nothing is started and no run is taken for ended
+//! because its worker is silent.
 bool isOwnershipConfirmed(const Fleet& fleet, Instant at);
 
 //! Postpones `leaseExpiryBound` because of orders that may have reached the worker by `latest` and that may have given
--- a/tests/fleet/succession_tests.cpp
+++ b/tests/fleet/succession_tests.cpp
@@ -100,6 +100,13 @@
         runSeeds(Mix::Cuts, seed, seed);
 }
 
+// Guards against a task that runs twice: an earlier owner took the lease of a run for lapsed that its successor
+// renewed, and started the task again on a worker that the successor had not reached.
+BOOST_AUTO_TEST_CASE(A_run_that_only_the_next_owner_renews_is_not_repeated, *boost::unit_test::label("randomised"))
+{
+    runSeeds(Mix::Cuts, 34, 34);
+}
+
 // Guards against a task that runs twice: a worker that restarted, and so forgot the later owner, carried out a start of
 // the earlier owner late.
 BOOST_AUTO_TEST_CASE(A_late_start_of_an_earlier_owner_on_a_restarted_worker_runs_no_task_twice,
--- a/tests/fleet/unconfirmed_owner_tests.cpp
+++ b/tests/fleet/unconfirmed_owner_tests.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t maxEntries = 30;
 //! The store confirms the ownership until then.
 constexpr std::int64_t confirmedUntilMs = 2000;
+//! No lease of a start that was sent by `confirmedUntilMs` lasts until then.
+constexpr std::int64_t leasesEndedMs = confirmedUntilMs + 7000;
 
 Instant instantAt(std::int64_t ms)
 {
@@ -69,6 +71,25 @@
         fleet::applyPollAnswer(fleet, worker, answer, ms, instantAt(ms));
     }
 
+    //! The worker answers no poll any more.
+    void silence(const fleet::WorkerId& worker, std::int64_t ms)
+    {
+        for (int miss = 0; miss < 3; ++miss)
+            fleet::applyPollFailure(fleet, worker, instantAt(ms));
+    }
+
+    //! Starts the task while the ownership is confirmed, and confirms the start.
+    fleet::StartOrder startTask()
+    {
+        submit(200);
+        auto starts = advance(210).starts;
+        BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+        auto start = starts.front();
+        fleet::applyStartOutcome(
+            fleet, start.worker, { start.task, start.run }, fleet::OrderOutcome::Done, instantAt(230));
+        return start;
+    }
+
     void confirmAgain() { fleet.confirmedUntil = Instant::max(); }
 
     desired_state::Queue queue = test::sampleQueue();
@@ -103,4 +124,19 @@
     BOOST_CHECK_EQUAL(advance(confirmedUntilMs + 200).starts.size(), 1U);
 }
 
+// Guards against members of a gang that are stopped, and against a task that is started again, because the owner takes
+// a run for lapsed whose lease the next owner has renewed.
+BOOST_AUTO_TEST_CASE(
+    No_run_is_taken_for_lapsed_while_another_node_may_be_the_owner, *boost::unit_test::label("ownership"))
+{
+    auto start = startTask();
+    silence(start.worker, confirmedUntilMs);
+    BOOST_CHECK(advance(leasesEndedMs).starts.empty());
+    BOOST_CHECK_EQUAL(fleet.workers.at(start.worker).runs.size(), 1U);
+    confirmAgain();
+    auto starts = advance(leasesEndedMs + 100).starts;
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    BOOST_CHECK_NE(starts.front().worker, start.worker);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
