Take no run for missing while its end may wait at the worker

Cause: a worker returns 500 ends at a time. A run that had ended beyond these was in neither list of the answer, counted as missing and was started again; after a takeover its task counted as idle.

Change: an answer with as many ends as a worker returns may lack some. Until an answer has fewer, runs that it doesn't report are neither missing nor stalled, and inherited tasks wait, also beyond the time of earlier leases.

Why it works: an answer that isn't cut off lists every end that was not acknowledged, so that a run in neither list has vanished.

Ruled out: lost acknowledgements and restarts (none; the log has run_missing for each repeated task).

--- a/src/agatevane/fleet/expiry.cpp
+++ b/src/agatevane/fleet/expiry.cpp
@@ -46,7 +46,9 @@
     std::optional<Millis> stallTimeoutOf(const Fleet& fleet, const Worker& worker, const Run& run)
     {
         constexpr int allDone = 100;
-        if (run.state != RunState::Running || !run.isWanted || worker.missedPolls > 0 || run.percent >= allDone)
+        if (run.state != RunState::Running || !run.isWanted || run.percent >= allDone)
+            return std::nullopt;
+        if (worker.missedPolls > 0 || worker.mayLackEnds)
             return std::nullopt;
         const auto* job = findJob(fleet, run.task.job);
         if (!job || stepOf(*job, run.task).isContinuous)
--- a/src/agatevane/fleet/incarnations.cpp
+++ b/src/agatevane/fleet/incarnations.cpp
@@ -73,6 +73,7 @@
     worker.unacknowledgedEnds.clear();
     worker.lastAcknowledgedEnd = 0;
     worker.isAcknowledgementReceived = false;
+    worker.mayLackEnds = false;
     worker.clockMs = 0;
     worker.leaseExpiryBound = {};
     worker.failuresInRow = 0;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -197,6 +197,7 @@
 
     std::map<RunKey, Run> runs;
     Capacity used; //!< sum over `runs`
+    bool mayLackEnds = false; //!< the last answer may lack ends, so that a run that it does not report may have ended
     bool hasUnnamedRun = false; //!< the last answer contains a run that can't be named
     //! As `hasUnnamedRun`, and it is none of `runs`. Its lease is not renewed, so that it ends.
     bool hasForeignRun = false;
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -128,9 +128,12 @@
     }
 
     //! Removes runs that were confirmed before the poll was sent and that its answer does not report. While the answer
-    //! contains a run that can't be named, each of them may be it, except those that were stopped.
+    //! contains a run that can't be named, each of them may be it, except those that were stopped. An answer that may
+    //! lack ends says nothing of the runs that it doesn't report.
     void removeMissingRuns(Fleet& fleet, Worker& worker, const std::set<RunKey>& seen, bool hasUnnamedRun, Instant at)
     {
+        if (worker.mayLackEnds)
+            return;
         std::vector<RunKey> missing;
         std::vector<RunKey> hidden;
         for (const auto& [key, run] : worker.runs) {
@@ -170,6 +173,17 @@
         worker.hasForeignRun = isForeign;
     }
 
+    void noteLackOfEnds(Fleet& fleet, Worker& worker, const PollAnswer& answer)
+    {
+        if (std::exchange(worker.mayLackEnds, answer.mayLackEnds) == answer.mayLackEnds)
+            return;
+        Line("ends_cut_off")
+            .with("worker", worker.id)
+            .with("ends", answer.ended.size())
+            .with("more", answer.mayLackEnds);
+        fleet.isPlacementDue = true;
+    }
+
     //! True if the first end may be acknowledged.
     bool hasDurableEnd(const Fleet& fleet, const Worker& worker)
     {
@@ -290,6 +304,7 @@
         worker->isAcknowledgementReceived = true;
     worker->lastAnswerAt = worker->clockAt = at;
     worker->clockMs = answer.clockMs;
+    noteLackOfEnds(fleet, *worker, answer);
     applyEnds(fleet, *worker, answer.ended, unixMs, at);
     std::set<RunKey> seen;
     for (const auto& report : answer.running) {
@@ -355,15 +370,16 @@
 
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at)
 {
-    if (haveInheritedRunsEnded(fleet, at))
-        return false;
-    if (fleet.earlierWorkers == EarlierWorkers::Unreadable)
+    bool haveEnded = haveInheritedRunsEnded(fleet, at);
+    if (fleet.earlierWorkers == EarlierWorkers::Unreadable && !haveEnded)
         return true;
-    bool isAnyMeant = fleet.earlierWorkers == EarlierWorkers::AnyListed;
-    return std::any_of(fleet.workers.begin(), fleet.workers.end(), [isAnyMeant](const auto& each) {
+    bool isAnyMeant = fleet.earlierWorkers != EarlierWorkers::Recorded;
+    return std::any_of(fleet.workers.begin(), fleet.workers.end(), [isAnyMeant, haveEnded](const auto& each) {
         const auto& worker = each.second;
+        if (!isAnyMeant && !worker.isInEarlierRecord)
+            return false;
         bool hasSaidNothing = !worker.hasAnsweredPoll && worker.leaseExpiryBound == Instant {};
-        return (isAnyMeant || worker.isInEarlierRecord) && (hasSaidNothing || worker.hasForeignRun);
+        return worker.mayLackEnds || (!haveEnded && (hasSaidNothing || worker.hasForeignRun));
     });
 }
 
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -57,6 +57,7 @@
     std::vector<RunningReport> running;
     std::vector<EndReport> ended;
     std::size_t unreadableRuns = 0; //!< number of runs whose rows name no run
+    bool mayLackEnds = false; //!< `ended` is as long as an answer can be: further ends may wait at the worker
 };
 
 void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at);
@@ -87,7 +88,8 @@
 //! True if a later incarnation of the worker may carry out a start unnoticed: one that this owner has sent, or one
 //! of an earlier owner if the worker's restart would not be listed.
 bool mayTakeLateStart(const Fleet& fleet, const Worker& worker, Instant at);
-//! True while a task that an earlier owner has started may run on a worker that has not answered this owner.
+//! True while a task that an earlier owner has started may run on a worker that has not answered this owner, or may
+//! have ended on one whose answers may lack ends.
 bool mayHaveUnreportedRuns(const Fleet& fleet, Instant at);
 
 //! Emits the polls of the workers that are due.
--- a/standins/platform/worker_model.cpp
+++ b/standins/platform/worker_model.cpp
@@ -253,8 +253,11 @@
         outcome.answer.running.push_back(
             { key, run.checkpoint, static_cast<int>(percent), tailLatencyOf(worker, run) });
     }
-    for (const auto& end : worker.ends)
-        outcome.answer.ended.push_back(end.report);
+    for (const auto& end : worker.ends) {
+        if (outcome.answer.ended.size() < maxEndsPerAnswer)
+            outcome.answer.ended.push_back(end.report);
+    }
+    outcome.answer.mayLackEnds = outcome.answer.ended.size() >= maxEndsPerAnswer;
     return outcome;
 }
 
--- a/standins/platform/worker_model.h
+++ b/standins/platform/worker_model.h
@@ -29,6 +29,9 @@
 
 TaskBehaviour parseBehaviour(const std::string& payload);
 
+//! A worker returns no more ends at a time.
+constexpr std::size_t maxEndsPerAnswer = 500;
+
 struct ModelTimes {
     std::int64_t gangAssemblyMs = 3000;
     std::int64_t stopMs = 150;
--- a/tests/fleet/odd_row_tests.cpp
+++ b/tests/fleet/odd_row_tests.cpp
@@ -1,4 +1,4 @@
-//! Rows of workers' answers that can't be read, among rows that can.
+//! Rows of workers' answers that can't be read, among rows that can, and answers that may lack rows.
 #include "agatevane/fleet/dispatch.h"
 #include "agatevane/fleet/jobs.h"
 #include "agatevane/fleet/record.h"
@@ -53,6 +53,14 @@
         fleet::applyPollAnswer(fleet, "w1", answer, ms, instantAt(ms));
     }
 
+    //! The worker answers with as many ends as it returns at a time. `running` are the runs that have not ended.
+    void answerLackingEnds(std::int64_t ms, std::vector<fleet::RunningReport> running)
+    {
+        fleet::PollAnswer answer { 1, ms, std::move(running), {}, 0, true };
+        worker().pollSentAt = instantAt(ms - 1);
+        fleet::applyPollAnswer(fleet, "w1", answer, ms, instantAt(ms));
+    }
+
     void commitAll()
     {
         auto batch = fleet::takeBatch(fleet, fleet.writes.size());
@@ -108,6 +116,44 @@
     BOOST_CHECK(worker().runs.contains(firstRun));
 }
 
+// Guards against a task that runs again after it has succeeded: a run whose end was beyond those that its worker
+// returns at a time counted as missing.
+BOOST_AUTO_TEST_CASE(A_run_missing_in_an_answer_that_may_lack_ends_is_kept, *boost::unit_test::label("tracking"))
+{
+    answer(1010, { { firstRun, "", 10 }, { secondRun, "", 10 } }, 0);
+    answerLackingEnds(1500, { { firstRun, "", 11 } });
+    BOOST_CHECK(worker().runs.contains(secondRun));
+    BOOST_CHECK(advance(1600).starts.empty());
+    answer(2000, { { firstRun, "", 12 } }, 0, { { 501, secondRun, fleet::EndKind::Done, "" } });
+    BOOST_CHECK(!worker().runs.contains(secondRun));
+    BOOST_CHECK(fleet::findTask(fleet, second)->isDone);
+}
+
+// Guards against the same by a run that counts as stalled, and against a worker that is avoided for that.
+BOOST_AUTO_TEST_CASE(A_run_whose_end_may_wait_is_not_taken_for_stalled, *boost::unit_test::label("tracking"))
+{
+    answer(1010, { { firstRun, "", 10 }, { secondRun, "", 10 } }, 0);
+    for (std::int64_t ms = 1500; ms <= 6500; ms += 500) {
+        answerLackingEnds(ms, { { firstRun, "", static_cast<int>(ms / 100) } });
+        BOOST_CHECK(advance(ms + 10).stops.empty());
+    }
+    BOOST_CHECK(fleet::isUsable(worker(), instantAt(6510)));
+}
+
+// Guards against the same after a takeover, also when all earlier leases have ended.
+BOOST_AUTO_TEST_CASE(Inherited_tasks_wait_while_their_ends_may_wait_at_a_worker, *boost::unit_test::label("tracking"))
+{
+    constexpr std::int64_t leasesEndedMs = takeoverMs + 12000;
+    answerLackingEnds(1010, {});
+    BOOST_CHECK(advance(1100).starts.empty());
+    answerLackingEnds(leasesEndedMs, {});
+    BOOST_CHECK(advance(leasesEndedMs + 100).starts.empty());
+    answer(leasesEndedMs + 500, {}, 0, { { 501, firstRun, fleet::EndKind::Done, "" } });
+    auto starts = advance(leasesEndedMs + 600).starts;
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    BOOST_CHECK(starts.front().task == second);
+}
+
 // Guards against an inherited task that starts again although its run may be the one that can't be named, and against a
 // run that nobody knows and whose lease is renewed for ever.
 BOOST_AUTO_TEST_CASE(A_worker_with_an_unnamed_run_is_not_known_to_be_empty, *boost::unit_test::label("tracking"))
--- a/tests/platform/odd_answer_tests.cpp
+++ b/tests/platform/odd_answer_tests.cpp
@@ -44,6 +44,21 @@
 
 } // namespace
 
+// Guards against runs that count as missing because the worker returns no more ends at a time.
+BOOST_AUTO_TEST_CASE(
+    An_answer_with_as_many_ends_as_a_worker_returns_may_lack_some, *boost::unit_test::label("platform"))
+{
+    auto pollWithEnds = [](int count) {
+        auto ends = nlohmann::json::array();
+        for (int number = 1; number <= count; ++number)
+            ends.push_back({ number, "5c0e7a21d94b36f8.0.1.9", 1, "done", "" });
+        return pollWith(R"("clockMs":5,"ended":)" + ends.dump());
+    };
+    BOOST_CHECK(!pollWithEnds(499).answer.mayLackEnds);
+    BOOST_CHECK(pollWithEnds(500).answer.mayLackEnds);
+    BOOST_CHECK_EQUAL(pollWithEnds(500).answer.ended.size(), 500U);
+}
+
 // Guards against a large run number that is cut off to the number of another run.
 BOOST_AUTO_TEST_CASE(A_run_number_out_of_range_names_no_run, *boost::unit_test::label("platform"))
 {
