Give a restarted worker no work by its earlier entry

Cause: when a worker's answer showed a new incarnation, the owner forgot the runs of the earlier one, but kept its service, labels, rack and capacity, and placed work there 0.75 s before the worker had written its new entry.

Change: a worker keeps the incarnation that its entry describes. Until that is the present one, the worker is not usable and no start is repeated there. When the entry comes, a start that it doesn't allow (service, label, room) is stopped; before, it was repeated whatever the new kind was. The check of service and label stood in placement and in the forecast of waiting times; both use isOfKind() now.

Why it works: nothing is started before the entry and the answers are of the same incarnation, and a start that is carried over is compared with the new entry.

--- a/src/agatevane/fleet/incarnations.cpp
+++ b/src/agatevane/fleet/incarnations.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/leases.h"
+#include "agatevane/fleet/placement.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
 
@@ -60,6 +61,25 @@
 
 } // namespace
 
+bool isEntryCurrent(const Worker& worker)
+{
+    return worker.describedIncarnation == 0 || worker.describedIncarnation == worker.incarnation;
+}
+
+void stopUnsuitableStarts(Fleet& fleet, Worker& worker, Instant at)
+{
+    bool isOverCapacity = !fitsWithin(worker.used, worker.capacity);
+    for (auto& [key, run] : worker.runs) {
+        auto* job = findJob(fleet, key.first.job);
+        if (run.state != RunState::Ordered || !job)
+            continue;
+        if (isOfKind(worker, *job, stepOf(*job, key.first)) && !isOverCapacity)
+            continue;
+        stopTaskRuns(fleet, *job, key.first, at, "worker_of_another_kind");
+        requestStop(run, at);
+    }
+}
+
 void removeExpiredStarts(Worker& worker, Instant at)
 {
     std::erase_if(worker.unansweredStarts, [at](const auto& each) { return at >= each.second; });
--- a/src/agatevane/fleet/incarnations.h
+++ b/src/agatevane/fleet/incarnations.h
@@ -6,6 +6,13 @@
 //! orders of the earlier one, but may still carry out late orders.
 namespace agatevane::fleet {
 
+//! True if the worker's entry is of its present incarnation. A restarted worker may be of another kind than before.
+bool isEntryCurrent(const Worker& worker);
+
+//! Stops the starts that are not confirmed and that the worker, by its entry, must not carry out. To be called when the
+//! entry of a new incarnation has come, since starts are repeated there.
+void stopUnsuitableStarts(Fleet& fleet, Worker& worker, Instant at);
+
 //! Forgets the unanswered starts that can't be carried out any more.
 void removeExpiredStarts(Worker& worker, Instant at);
 
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -134,15 +134,19 @@
     });
 }
 
+bool isOfKind(const Worker& worker, const Job& job, const StepSpec& step)
+{
+    if (worker.service != job.policy.service)
+        return false;
+    const auto& labels = worker.labels;
+    return step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+}
+
 bool isAllowed(const PendingStep& pending, const Worker& worker)
 {
-    const auto& spec = pending.spec();
-    if (worker.service != pending.job->policy.service
-        || (pending.allowedWorkers && !pending.allowedWorkers->contains(worker.id)))
+    if (pending.allowedWorkers && !pending.allowedWorkers->contains(worker.id))
         return false;
-    if (spec.requiredLabel.empty())
-        return true;
-    return std::find(worker.labels.begin(), worker.labels.end(), spec.requiredLabel) != worker.labels.end();
+    return isOfKind(worker, *pending.job, pending.spec());
 }
 
 std::size_t remainingTasksOn(const PendingStep& pending, const Worker& worker)
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -49,7 +49,9 @@
 
 //! True if all tasks of the steps that `step` waits for are done.
 bool arePredecessorsDone(const Occurrence& occurrence, const StepSpec& step);
-//! True if the worker belongs to the step's service, has its label and, where needed, a ticket for it.
+//! True if the worker belongs to the service of the job's queue and has the step's label.
+bool isOfKind(const Worker& worker, const Job& job, const StepSpec& step);
+//! True if the worker is of the step's kind and, where needed, has a ticket for it.
 bool isAllowed(const PendingStep& pending, const Worker& worker);
 //! How many more tasks of the step may run on the worker under `maxPerWorker`.
 std::size_t remainingTasksOn(const PendingStep& pending, const Worker& worker);
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/incarnations.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/worker_record.h"
 #include "agatevane/fleet/workers.h"
@@ -53,11 +54,11 @@
     }
 
     //! True if a start order for the run may be sent now. The lease is given on the worker's clock, which is only known
-    //! after the first poll of the incarnation.
+    //! after the first poll of the incarnation; the worker's kind, only after its entry.
     bool mayStartOn(const Fleet& fleet, const Worker& worker, const RunKey& key, Instant at)
     {
-        return isOwnershipConfirmed(fleet, at) && worker.hasAnsweredPoll && !hasOtherRun(worker, key)
-            && !mayEndUnseen(worker, at);
+        return isOwnershipConfirmed(fleet, at) && worker.hasAnsweredPoll && isEntryCurrent(worker)
+            && !hasOtherRun(worker, key) && !mayEndUnseen(worker, at);
     }
 
     //! True if a start or stop order is to be sent, now or later.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -166,6 +166,8 @@
     bool isDraining = false;
     Instant leavesAt; //!< earliest time at which a draining worker leaves; Instant {}: unknown
     std::int64_t incarnation = 0; //!< increases when the worker restarts under the same id; 0: unknown
+    //! The incarnation that the entry in use describes, from which service, labels, rack and capacity are; 0: unknown.
+    std::int64_t describedIncarnation = 0;
 
     //! The stored record of workers does not name the worker, or a newer record that is being written does not: it may
     //! get no starts.
--- a/src/agatevane/fleet/waiting.cpp
+++ b/src/agatevane/fleet/waiting.cpp
@@ -31,11 +31,7 @@
     {
         std::int64_t slots = 0;
         for (const auto& [id, worker] : fleet.workers) {
-            const auto& labels = worker.labels;
-            bool isOfKind = worker.service == job.policy.service
-                && (step.requiredLabel.empty()
-                    || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
-            if (!isOfKind || !isUsable(worker, at))
+            if (!isOfKind(worker, job, step) || !isUsable(worker, at))
                 continue;
             auto capacity = worker.capacity;
             if (room == Room::Free)
--- a/src/agatevane/fleet/worker_list.cpp
+++ b/src/agatevane/fleet/worker_list.cpp
@@ -23,7 +23,9 @@
         worker.awaitsNaming = isNew ? fleet.doStartsNeedNaming : worker.awaitsNaming;
         if (isNew || listing.incarnation != worker.incarnation)
             beginIncarnation(fleet, worker, listing.incarnation, at);
-        bool hasChanged = isNew || worker.isDraining != listing.isDraining || !worker.isListed;
+        bool wasEntryCurrent = isEntryCurrent(worker);
+        bool hasChanged = isNew || worker.isDraining != listing.isDraining || !worker.isListed || !wasEntryCurrent;
+        worker.describedIncarnation = listing.incarnation;
         fleet.isPlacementDue = fleet.isPlacementDue || hasChanged;
         worker.address = listing.address;
         worker.service = listing.service;
@@ -34,6 +36,8 @@
         worker.isDraining = listing.isDraining;
         worker.leavesAt = listing.timeLeft ? at + *listing.timeLeft : Instant {};
         worker.isListed = true;
+        if (!wasEntryCurrent)
+            stopUnsuitableStarts(fleet, worker, at);
         return hasChanged;
     }
 
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -339,8 +339,8 @@
 
 bool isUsable(const Worker& worker, Instant at)
 {
-    return worker.isListed && worker.hasAnsweredPoll && !worker.awaitsNaming && !worker.isDraining
-        && !worker.isEvacuating && !worker.hasRunOfUnknownSize && !worker.hasUnnamedRun
+    return worker.isListed && isEntryCurrent(worker) && worker.hasAnsweredPoll && !worker.awaitsNaming
+        && !worker.isDraining && !worker.isEvacuating && !worker.hasRunOfUnknownSize && !worker.hasUnnamedRun
         && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil
         && !mayReceiveLateAcknowledgement(worker, at);
 }
