Give up the ends of a silent worker with its leases

What it has not returned is given up once the leases of its runs, and those of earlier owners, have ended, as its runs are.

--- a/src/agatevane/fleet/expiry.cpp
+++ b/src/agatevane/fleet/expiry.cpp
@@ -28,11 +28,23 @@
             loseRun(fleet, worker, key, at, reason);
     }
 
-    //! True if the leases of the worker's runs have ended without an answer.
+    //! True if the worker is silent and all leases that this owner has given it have ended.
     bool hasLapsedUnseen(const Fleet& fleet, const Worker& worker, Instant at)
     {
-        return !worker.runs.empty() && worker.missedPolls > 0 && at >= worker.leaseExpiryBound
-            && isOwnershipConfirmed(fleet, at);
+        return worker.missedPolls > 0 && at >= worker.leaseExpiryBound && isOwnershipConfirmed(fleet, at);
+    }
+
+    //! What a silent worker has is given up with its leases: its runs, and the ends that it has not returned.
+    void giveUpLapsed(Fleet& fleet, Worker& worker, Instant at)
+    {
+        if (!worker.runs.empty()) {
+            loseRuns(fleet, worker, at, "lease_passed");
+            worker.hasAnsweredPoll = false;
+        }
+        if (worker.mayLackEnds && haveInheritedRunsEnded(fleet, at)) {
+            worker.mayLackEnds = false;
+            fleet.isPlacementDue = true;
+        }
     }
 
     //! True if the first end waits for its commit or its acknowledgement. An unreadable one, and those behind it, wait
@@ -86,10 +98,8 @@
     for (auto* worker : workers) {
         removeExpiredStarts(*worker, at);
         std::erase_if(worker->unansweredAcknowledgements, [at](const auto& each) { return at >= each.second; });
-        if (hasLapsedUnseen(fleet, *worker, at)) {
-            loseRuns(fleet, *worker, at, "lease_passed");
-            worker->hasAnsweredPoll = false;
-        }
+        if (hasLapsedUnseen(fleet, *worker, at))
+            giveUpLapsed(fleet, *worker, at);
         stopStalledRuns(fleet, *worker, at);
     }
     std::erase_if(workers, [&fleet, at](const Worker* worker) {
@@ -113,7 +123,7 @@
         next = std::min(next, until);
     for (const auto& [incarnation, until] : worker.unansweredAcknowledgements)
         next = std::min(next, until);
-    if (!worker.runs.empty() && worker.missedPolls > 0)
+    if ((!worker.runs.empty() || worker.mayLackEnds) && worker.missedPolls > 0)
         next = std::min(next, worker.leaseExpiryBound);
     for (const auto& [key, run] : worker.runs) {
         if (auto timeout = stallTimeoutOf(fleet, worker, run))
--- a/tests/fleet/odd_row_tests.cpp
+++ b/tests/fleet/odd_row_tests.cpp
@@ -154,6 +154,20 @@
     BOOST_CHECK(starts.front().task == second);
 }
 
+// Guards against inherited tasks that wait for ever for the ends of a worker that is listed and can't be reached.
+BOOST_AUTO_TEST_CASE(Ends_that_may_wait_are_given_up_with_the_leases, *boost::unit_test::label("tracking"))
+{
+    constexpr std::int64_t leasesEndedMs = takeoverMs + 12000;
+    answerLackingEnds(1010, {});
+    advance(1100);
+    for (int miss = 0; miss < 3; ++miss)
+        fleet::applyPollFailure(fleet, "w1", instantAt(1800));
+    advance(5000);
+    BOOST_CHECK(fleet::mayHaveUnreportedRuns(fleet, instantAt(5000)));
+    advance(leasesEndedMs);
+    BOOST_CHECK(!fleet::mayHaveUnreportedRuns(fleet, instantAt(leasesEndedMs)));
+}
+
 // Guards against an inherited task that starts again although its run may be the one that can't be named, and against a
 // run that nobody knows and whose lease is renewed for ever.
 BOOST_AUTO_TEST_CASE(A_worker_with_an_unnamed_run_is_not_known_to_be_empty, *boost::unit_test::label("tracking"))
