--- a/review/rig-2/cluster.cpp
+++ b/review/rig-2/cluster.cpp
@@ -136,13 +136,13 @@
     ::kill(nodes_.at(static_cast<std::size_t>(node)).process, number);
 }
 
-HttpResult Cluster::call(int node, const std::string& method, const std::string& job, const Json& body)
+HttpResult Cluster::call(int node, const std::string& method, const std::string& job, const Json& body, int timeoutMs)
 {
     const auto& instance = nodes_.at(static_cast<std::size_t>(node));
     return send(instance.address, instance.frontendPort, method, "/visits/" + job,
         { { "host", host }, { "content-type", "application/json" }, { "x-agatevane-credential", credential },
             { "x-agatevane-deadline-milliseconds", std::to_string(callTimeoutMs) } },
-        body.is_null() ? std::string() : body.dump(), callTimeoutMs);
+        body.is_null() ? std::string() : body.dump(), timeoutMs);
 }
 
 bool Cluster::submit(const std::string& job, const Json& body, int timeoutMs)
