--- a/review/rig-2/cluster.h
+++ b/review/rig-2/cluster.h
@@ -26,7 +26,8 @@
     static std::string nameOf(int node) { return "frontend-harju-a-" + std::to_string(node + 1); }
     int size() const { return static_cast<int>(nodes_.size()); }
 
-    HttpResult call(int node, const std::string& method, const std::string& job, const Json& body = {}, int timeoutMs = 3000);
+    HttpResult call(
+        int node, const std::string& method, const std::string& job, const Json& body = {}, int timeoutMs = 3000);
     //! Tries the nodes in turn until a 2xx answer, as a consumer does with one id. False if there is none in time.
     bool submit(const std::string& job, const Json& body, int timeoutMs = 10000);
     std::string stateOf(int node, const std::string& job);
