Read each prefix of the store on its own, so that an owner goes on hearing of workers

Callers saw a job accepted and never run (LOST): after the store had turned a new owner away for a second, that owner served callers and no longer heard of workers that joined, drained or left.

Cause: one timer of FleetOwner, which holds one action, served the repetition of the load, of the listing and of the watch of workers. A failed part of the load repeated all parts that had no answer yet, also those still under way. When the first copies timed out, 3 s later and long after the load, their handlers armed the timer for load() again. That cancelled the pending watch, and load() had nothing left to read.

Why this works: PrefixReading has one call for a prefix at a time, with its own retry; PrefixFollower makes listing, watch and the pause between them one chain with exactly one link under way, for the workers and for the waves of upkeep. So no answer can come after its question has been answered. A check of isReady_ in the handler would have mended this order of events only.

Ruled out: a watch that is left open (it has a deadline), ignored entries (no entry_ignored in the log), the order of the parts of the load (no earlier owner writes after the election).

--- /dev/null
+++ b/src/node/fleet_loader.cpp
@@ -0,0 +1,43 @@
+#include "node/fleet_loader.h"
+
+#include "agatevane/fleet/group_commit.h"
+#include "agatevane/fleet/queue_record.h"
+#include "node/committer.h"
+
+namespace agatevane::node {
+
+FleetLoader::FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix)
+    : context_(context)
+    , store_(store)
+    , workerPrefix_(std::move(workerPrefix))
+{
+}
+
+void FleetLoader::start(Done done)
+{
+    done_ = std::move(done);
+    read(fleet::acceptancePrefix, stored_.acceptances);
+    read(fleet::progressPrefix, stored_.progress);
+    read(fleet::queuePrefix, stored_.queues);
+    read(knownWorkersKey, stored_.knownWorkers);
+    read(workerPrefix_, stored_.listings);
+}
+
+void FleetLoader::stop()
+{
+    for (auto& reading : readings_)
+        reading->stop();
+}
+
+void FleetLoader::read(const std::string& prefix, kv::ReadResult& target)
+{
+    ++partsLeft_;
+    readings_.push_back(std::make_unique<PrefixReading>(context_, store_, prefix));
+    readings_.back()->start([this, &target](kv::ReadResult result) {
+        target = std::move(result);
+        if (--partsLeft_ == 0)
+            done_(std::exchange(stored_, {}));
+    });
+}
+
+} // namespace agatevane::node
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -24,6 +24,8 @@
     constexpr Millis adviceTimeout { 5000 };
     //! Time beyond `wait`, for which a worker may delay the answer to a poll.
     constexpr Millis pollMargin { 600 };
+    //! Each worker reports about once a second.
+    constexpr PrefixFollower::WatchTimes workersWatch { Millis(1000), Millis(400) };
     constexpr Millis pruneInterval { 10000 };
     //! Longer than callers usually wait for an answer: a node holds a submission no longer than that.
     constexpr Millis deniedRetention { 60000 };
@@ -46,7 +48,13 @@
     , tenureCheck_(environment.context, environment.store, tenure)
     , tickTimer_(environment.context)
     , advanceTimer_(environment.context)
-    , storeTimer_(environment.context)
+    , loader_(environment.context, environment.store, environment.translation.workerPrefix)
+    , workersFollower_(environment.context, environment.store, environment.translation.workerPrefix, workersWatch,
+          { [this](const kv::ReadResult& listed) {
+               applyListings(listed);
+               scheduleAdvance();
+           },
+              [this](const std::vector<kv::Change>& changes) { applyWorkerChanges(changes); } })
 {
     fleet_.limits = limits;
     fleet_.tenure = tenure;
@@ -61,12 +69,14 @@
 
 void FleetOwner::start()
 {
-    load();
+    loader_.start([this](StoredFleet stored) { load(std::move(stored)); });
 }
 
 void FleetOwner::stop()
 {
     isStopped_ = true;
+    loader_.stop();
+    workersFollower_.stop();
     committer_.stop();
     if (upkeepController_)
         upkeepController_->stop();
@@ -96,6 +106,7 @@
         std::erase_if(deniedCancellations_, [at](const auto& each) { return at - each.second >= deniedRetention; });
     }
     advance();
+    workersFollower_.reportSilence(bootNow());
     if (isReady_)
         invariantReporter_.checkIfDue(fleet_, bootNow());
 }
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -3,8 +3,10 @@
 #include "agatevane/fleet/state.h"
 #include "agatevane/kv/kv.h"
 #include "node/committer.h"
+#include "node/fleet_loader.h"
 #include "node/invariant_reporter.h"
 #include "node/ports.h"
+#include "node/prefix_follower.h"
 #include "node/records.h"
 #include "node/tenure_check.h"
 #include "node/timer.h"
@@ -57,6 +59,7 @@
     kv::Revision commitRevision() const { return committer_.revision(); }
     const fleet::Fleet& fleet() const { return fleet_; }
     std::size_t ignoredEntries() const { return ignoredEntries_.size(); }
+    const PrefixFollower& workersFollower() const { return workersFollower_; }
     const UpkeepController* upkeepController() const { return upkeepController_.get(); }
 
 private:
@@ -68,15 +71,14 @@
     };
     using Waiters = std::multimap<fleet::CommitSequence, std::shared_ptr<Waiter>>;
 
-    void load();
+    void load(StoredFleet stored);
     void loadQueues(const kv::ReadResult& queues);
     void loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress);
     void holdJob(const kv::Item& item, const fleet::JobId& id);
-    void listWorkers();
     std::optional<fleet::WorkerListing> decodeEntry(const kv::Item& item);
     void applyListings(const kv::ReadResult& listed);
     void loadKnownWorkers(const kv::ReadResult& known);
-    void watchWorkers();
+    void applyWorkerChanges(const std::vector<kv::Change>& changes);
     void applyWorkerChange(const kv::Change& change);
 
     //! True if no other node can have become the owner.
@@ -130,18 +132,12 @@
     std::map<fleet::JobId, Instant> deniedCancellations_;
     Waiters waiters_; //!< by the sequence number whose commit they wait for
 
-    // Results of the reads at a takeover. The fleet is loaded once all four are there.
-    std::optional<kv::ReadResult> acceptances_;
-    std::optional<kv::ReadResult> progress_;
-    std::optional<kv::ReadResult> queues_;
-    std::optional<kv::ReadResult> knownWorkers_;
-    std::optional<kv::ReadResult> listings_;
-    kv::Revision workersRevision_ = 0;
     std::set<std::string> ignoredEntries_; //!< keys below the workers' prefix whose entries name no worker to use
 
     Timer tickTimer_;
     Timer advanceTimer_;
-    Timer storeTimer_;
+    FleetLoader loader_;
+    PrefixFollower workersFollower_;
     Liveness liveness_;
 };
 
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -1,4 +1,4 @@
-//! The part of FleetOwner that reads from the store: all jobs once at a takeover, the workers continuously.
+//! The part of FleetOwner that takes over what the store holds: all jobs once, the workers continuously.
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/queue_record.h"
 #include "agatevane/fleet/record.h"
@@ -12,14 +12,6 @@
 
     using event_log::Line;
 
-    constexpr Millis loadTimeout { 3000 };
-    constexpr Millis storeRetryDelay { 100 };
-    constexpr Millis watchWait { 1000 };
-    //! Time beyond the wait in which the store has to answer a watch.
-    constexpr Millis watchMargin { 800 };
-    //! Each worker reports about once a second. The pause between watches collects changes and so saves calls.
-    constexpr Millis watchPause { 400 };
-
     std::string_view idOf(const kv::Item& item, std::string_view prefix)
     {
         return std::string_view(item.key).substr(prefix.size());
@@ -27,48 +19,23 @@
 
 } // namespace
 
-void FleetOwner::load()
+void FleetOwner::load(StoredFleet stored)
 {
-    auto read = [this](const char* prefix, std::optional<kv::ReadResult>& target) {
-        if (target)
-            return;
-        environment_.store.list(
-            prefix, { now() + loadTimeout, {} }, liveness_.guard([this, &target](const kv::ReadResult& result) {
-                if (isStopped_)
-                    return;
-                if (result.error) {
-                    Line("load_failed").with("error", result.error.message());
-                    storeTimer_.arm(storeRetryDelay, [this] { load(); });
-                    return;
-                }
-                target = result;
-                if (isReady_ || !acceptances_ || !progress_ || !queues_ || !knownWorkers_ || !listings_)
-                    return;
-                loadQueues(*queues_);
-                loadJobs(*acceptances_, *progress_);
-                loadKnownWorkers(*knownWorkers_);
-                applyListings(*listings_);
-                acceptances_.reset();
-                progress_.reset();
-                queues_.reset();
-                isReady_ = true;
-                Line("fleet_loaded")
-                    .with("tenure", fleet_.tenure)
-                    .with("jobs", fleet_.jobs.size())
-                    .with("open", fleet_.openJobs.size())
-                    .with("workers", fleet_.workers.size())
-                    .with("as_of", workersRevision_);
-                watchWorkers();
-                if (upkeepController_)
-                    upkeepController_->start();
-                tick();
-            }));
-    };
-    read(fleet::acceptancePrefix, acceptances_);
-    read(fleet::progressPrefix, progress_);
-    read(fleet::queuePrefix, queues_);
-    read(knownWorkersKey, knownWorkers_);
-    read(environment_.translation.workerPrefix.c_str(), listings_);
+    loadQueues(stored.queues);
+    loadJobs(stored.acceptances, stored.progress);
+    loadKnownWorkers(stored.knownWorkers);
+    applyListings(stored.listings);
+    isReady_ = true;
+    Line("fleet_loaded")
+        .with("tenure", fleet_.tenure)
+        .with("jobs", fleet_.jobs.size())
+        .with("open", fleet_.openJobs.size())
+        .with("workers", fleet_.workers.size())
+        .with("as_of", stored.listings.asOf);
+    workersFollower_.startAfter(stored.listings.asOf);
+    if (upkeepController_)
+        upkeepController_->start();
+    tick();
 }
 
 void FleetOwner::loadQueues(const kv::ReadResult& queues)
@@ -158,48 +125,15 @@
     }
     std::erase_if(ignoredEntries_, [&keys](const std::string& key) { return !keys.contains(key); });
     fleet::applyFullList(fleet_, listings, bootNow());
-    workersRevision_ = listed.asOf;
     fleet_.haveWorkersChanged = true;
 }
 
-void FleetOwner::listWorkers()
+void FleetOwner::applyWorkerChanges(const std::vector<kv::Change>& changes)
 {
-    environment_.store.list(environment_.translation.workerPrefix, { now() + loadTimeout, {} },
-        liveness_.guard([this](const kv::ReadResult& result) {
-            if (isStopped_)
-                return;
-            if (result.error) {
-                storeTimer_.arm(storeRetryDelay, [this] { listWorkers(); });
-                return;
-            }
-            applyListings(result);
-            scheduleAdvance();
-            watchWorkers();
-        }));
-}
-
-void FleetOwner::watchWorkers()
-{
-    auto deadline = now() + watchWait + watchMargin;
-    environment_.store.watch(environment_.translation.workerPrefix, workersRevision_, watchWait, { deadline, {} },
-        liveness_.guard([this](const kv::WatchResult& result) {
-            if (isStopped_)
-                return;
-            if (result.error) {
-                if (result.isHistoryCompacted)
-                    return listWorkers();
-                storeTimer_.arm(storeRetryDelay, [this] { watchWorkers(); });
-                return;
-            }
-            workersRevision_ = std::max(workersRevision_, result.asOf);
-            for (const auto& change : result.changes)
-                applyWorkerChange(change);
-            if (!result.changes.empty()) {
-                fleet_.haveWorkersChanged = true;
-                scheduleAdvance();
-            }
-            storeTimer_.arm(watchPause, [this] { watchWorkers(); });
-        }));
+    for (const auto& change : changes)
+        applyWorkerChange(change);
+    fleet_.haveWorkersChanged = true;
+    scheduleAdvance();
 }
 
 void FleetOwner::applyWorkerChange(const kv::Change& change)
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -132,6 +132,15 @@
         registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
         registry.gauge("agatevane_entries_ignored", "Entries among the workers' that name no worker to use")
             .set(static_cast<double>(fleetOwner_->ignoredEntries()));
+        auto setWatchAge = [&registry, at](const std::string& keys, const PrefixFollower& follower) {
+            registry
+                .gauge("agatevane_store_watch_age_seconds",
+                    "Time since the store last answered the owner's watch of these keys", { { "keys", keys } })
+                .set(std::chrono::duration<double>(follower.answerAge(at)).count());
+        };
+        setWatchAge("workers", fleetOwner_->workersFollower());
+        if (const auto* upkeep = fleetOwner_->upkeepController())
+            setWatchAge("waves", upkeep->wavesFollower());
         registry.gauge("agatevane_starts_ordered", "Starts ordered in this tenure")
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
--- /dev/null
+++ b/src/node/prefix_follower.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "node/prefix_reading.h"
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace agatevane::node {
+
+//! Follows all keys with a prefix: lists them, then watches them for changes, and lists them again if the store no
+//! longer has the changes in between. At each time exactly one of these is under way: a listing, a watch, or the pause
+//! before a watch.
+class PrefixFollower {
+public:
+    struct Callbacks {
+        std::function<void(kv::ReadResult listed)> listed; //!< replaces all that was known of the keys
+        std::function<void(const std::vector<kv::Change>& changes)> changed; //!< called for changes only
+    };
+
+    //! How long the store may hold a watch, and the pause before the next one, which collects changes and saves calls.
+    struct WatchTimes {
+        Millis wait;
+        Millis pause { 0 };
+    };
+
+    PrefixFollower(
+        asio::io_context& context, kv::Store& store, std::string prefix, const WatchTimes& times, Callbacks callbacks);
+
+    //! Begins with a listing. Called once, and not together with startAfter().
+    void start();
+    //! Begins with a watch for changes after `revision`.
+    void startAfter(kv::Revision revision);
+    void stop();
+
+    //! Logs when the store's answers stay away for longer than a listing and a watch take, and when they come again.
+    //! Called regularly.
+    void reportSilence(Instant at);
+    //! Time since the store last answered a listing or a watch; 0 before the start.
+    Millis answerAge(Instant at) const;
+
+private:
+    void list();
+    void watch();
+    void handleWatch(const kv::WatchResult& result);
+    void noteAnswer();
+
+    kv::Store& store_;
+    std::string prefix_;
+    WatchTimes times_;
+    Callbacks callbacks_;
+    kv::Revision revision_ = 0; //!< changes up to this one are known
+    Instant answeredAt_; //!< Instant {}: not started
+    bool isSilenceReported_ = false;
+    PrefixReading listing_;
+    Timer watchTimer_; //!< the pause before the next watch
+    Liveness liveness_;
+};
+
+} // namespace agatevane::node
--- a/src/node/upkeep_controller.cpp
+++ b/src/node/upkeep_controller.cpp
@@ -12,9 +12,7 @@
     constexpr Millis readTimeout { 1000 };
     constexpr Millis retryPause { 200 };
     //! Waves are rare and have tens of seconds to finish. Long watches save calls: each watch that ends is a paid call.
-    constexpr Millis watchWait { 10000 };
-    //! Time beyond the wait in which the store has to answer a watch.
-    constexpr Millis watchMargin { 800 };
+    constexpr PrefixFollower::WatchTimes wavesWatch { Millis(10000), Millis(0) };
     constexpr Millis machinesTimeout { 1000 };
     constexpr Millis orderTimeout { 1000 };
     //! Least time between two readings of the list of machines while a wave is in progress. Each reading is a paid
@@ -25,7 +23,10 @@
 
 UpkeepController::UpkeepController(const Environment& environment)
     : environment_(environment)
-    , watchTimer_(environment.context)
+    , recordTimer_(environment.context)
+    , wavesFollower_(environment.context, environment.store, environment.translation.wavePrefix, wavesWatch,
+          { [this](const kv::ReadResult& listed) { applyListedWaves(listed); },
+              [this](const std::vector<kv::Change>& changes) { applyWaveChanges(changes); } })
 {
     state_.tenureStartedAt = bootNow();
 }
@@ -35,6 +36,12 @@
     readRecord();
 }
 
+void UpkeepController::stop()
+{
+    isStopped_ = true;
+    wavesFollower_.stop();
+}
+
 void UpkeepController::readRecord()
 {
     environment_.store.get(
@@ -42,53 +49,30 @@
             if (isStopped_)
                 return;
             if (result.error) {
-                watchTimer_.arm(retryPause, [this] { readRecord(); });
+                recordTimer_.arm(retryPause, [this] { readRecord(); });
                 return;
             }
             for (const auto& item : result.items) {
                 if (!upkeep::decodeRecord(state_, item.value))
                     reportUnreadableRecord(item);
             }
-            listWaves();
+            wavesFollower_.start();
         }));
 }
 
-void UpkeepController::listWaves()
+void UpkeepController::applyListedWaves(const kv::ReadResult& listed)
 {
-    environment_.store.list(environment_.translation.wavePrefix, { now() + readTimeout, {} },
-        liveness_.guard([this](const kv::ReadResult& result) {
-            if (isStopped_)
-                return;
-            if (result.error) {
-                watchTimer_.arm(retryPause, [this] { listWaves(); });
-                return;
-            }
-            for (const auto& item : result.items)
-                applyWave(item);
-            isLoaded_ = true;
-            wavesRevision_ = std::max(wavesRevision_, result.asOf);
-            watchWaves();
-        }));
+    for (const auto& item : listed.items)
+        applyWave(item);
+    isLoaded_ = true;
 }
 
-void UpkeepController::watchWaves()
+void UpkeepController::applyWaveChanges(const std::vector<kv::Change>& changes)
 {
-    auto deadline = now() + watchWait + watchMargin;
-    environment_.store.watch(environment_.translation.wavePrefix, wavesRevision_, watchWait, { deadline, {} },
-        liveness_.guard([this](const kv::WatchResult& result) {
-            if (isStopped_)
-                return;
-            if (result.error) {
-                watchTimer_.arm(result.isHistoryCompacted ? Millis(0) : retryPause, [this] { listWaves(); });
-                return;
-            }
-            wavesRevision_ = std::max(wavesRevision_, result.asOf);
-            for (const auto& change : result.changes) {
-                if (!change.isRemoval)
-                    applyWave(change.item);
-            }
-            watchWaves();
-        }));
+    for (const auto& change : changes) {
+        if (!change.isRemoval)
+            applyWave(change.item);
+    }
 }
 
 void UpkeepController::applyWave(const kv::Item& item)
@@ -106,6 +90,7 @@
     if (!isLoaded_ || isStopped_)
         return;
     auto at = bootNow();
+    wavesFollower_.reportSilence(at);
     if (upkeep::needsMachineList(state_)) {
         readMachines();
         // An owner that may have been replaced without knowing it sends no orders: they could arrive after those of the
--- a/src/node/upkeep_controller.h
+++ b/src/node/upkeep_controller.h
@@ -2,6 +2,7 @@
 
 #include "node/committer.h"
 #include "node/ports.h"
+#include "node/prefix_follower.h"
 #include "node/timer.h"
 #include <asio/io_context.hpp>
 #include <functional>
@@ -28,28 +29,29 @@
     explicit UpkeepController(const Environment& environment);
 
     void start();
-    void stop() { isStopped_ = true; }
+    void stop();
     //! Sends the orders that are due and stores progress. The owner calls it in each round of decisions.
     void advance();
     const upkeep::State& state() const { return state_; }
+    const PrefixFollower& wavesFollower() const { return wavesFollower_; }
 
 private:
     void readRecord();
-    void listWaves();
-    void watchWaves();
+    void applyListedWaves(const kv::ReadResult& listed);
+    void applyWaveChanges(const std::vector<kv::Change>& changes);
     void applyWave(const kv::Item& item);
     void readMachines();
     void saveState();
 
     Environment environment_;
     upkeep::State state_;
-    kv::Revision wavesRevision_ = 0;
     bool isLoaded_ = false;
     bool isStopped_ = false;
     bool isReading_ = false;
     Instant nextReadAt_;
     std::uint64_t savedChanges_ = 0;
-    Timer watchTimer_;
+    Timer recordTimer_; //!< the pause before the record is read again
+    PrefixFollower wavesFollower_;
     Liveness liveness_;
 };
 
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -21,7 +21,8 @@
     Unresponsive, //!< neither executes calls nor answers them
     Refusing, //!< answers calls with an error that says that they had no effect; watches time out
     LosesAnswers, //!< executes calls but does not answer them
-    LosesListings //!< does not answer listings
+    LosesListings, //!< does not answer listings
+    RefusesEverySecondCall //!< the others get no answer and aren't executed; watches time out
 };
 
 //! The time that the models of the store and of the workers are called with.
@@ -151,9 +152,11 @@
         auto timer = std::make_shared<node::Timer>(context_);
         Result result;
         auto delay = Millis(2);
-        if (fault_ == StoreFault::Refusing) {
+        bool isSecondCall = ++calls_ % 2 == 0;
+        if (fault_ == StoreFault::Refusing || (fault_ == StoreFault::RefusesEverySecondCall && isSecondCall)) {
             result.error = Errc::Refused;
-        } else if (fault_ == StoreFault::Unresponsive || (isListing && fault_ == StoreFault::LosesListings)) {
+        } else if (fault_ == StoreFault::Unresponsive || fault_ == StoreFault::RefusesEverySecondCall
+            || (isListing && fault_ == StoreFault::LosesListings)) {
             result.error = Errc::Timeout;
             delay = elapsed(now(), deadline);
         } else {
@@ -173,7 +176,8 @@
         auto timer = std::make_shared<node::Timer>(context_);
         timer->arm(Millis(5), [this, timer, prefix, after, end, done = std::move(done)] {
             kv::WatchResult result;
-            if (fault_ == StoreFault::Unresponsive || fault_ == StoreFault::Refusing) {
+            if (fault_ == StoreFault::Unresponsive || fault_ == StoreFault::Refusing
+                || fault_ == StoreFault::RefusesEverySecondCall) {
                 result.error = Errc::Timeout;
                 return done(result);
             }
@@ -190,6 +194,7 @@
     ModelledLink* link_ = nullptr; //!< null: answers take no time on the way
     Millis delay_ { 0 };
     int commits_ = 0;
+    int calls_ = 0; //!< without watches
 };
 
 //! Passes orders and polls to a model of the workers after a few milliseconds.
