Store the denial of a cancellation before it is answered, so that later owners know of it

Callers saw a job run whose cancellation had been acknowledged with 410 (UNASKED): the owner that had answered was stopped or killed, and the next one accepted an earlier submission that had been held up on its way.

Cause: an owner refuses submissions older than its denials, and knew these by a map in its memory alone (deniedCancellations_). The next owner began with an empty one and did not even ask for the submission's age.

Why this works: a denial is a write in the owner's sequence of writes, committed under the condition on the commit key before the caller is answered. So each denial precedes the next election, and the next owner reads it before it serves. It dates inherited denials to its takeover, since the clocks of two owners can't be compared: a submission that certainly arrived after the takeover is new and is accepted. The commit proves the tenure, as the read did that it replaces. A record that can't be read stands for denials of all jobs for a minute.

While the store is down it gets 503, as before.

Ruled out: a wrong age (none was asked for), an owner that was none (confirmed, tenure read), a message from the leaving owner to the next one (a killed owner sends none). Refusing all submissions that wait for a takeover would turn sound work away at each one.

--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -213,7 +213,7 @@
     if (!job || job->phase != JobPhase::Accepting)
         return false;
     auto queued = std::find_if(fleet.writes.begin(), fleet.writes.end(),
-        [&id](const PendingWrite& write) { return write.job == id && write.mutation == Mutation::Accept; });
+        [&id](const PendingWrite& write) { return write.subject == id && write.mutation == Mutation::Accept; });
     if (queued == fleet.writes.end())
         return false;
     fleet.phaseChanges.erase(queued->sequence);
--- a/src/agatevane/fleet/model.h
+++ b/src/agatevane/fleet/model.h
@@ -10,6 +10,8 @@
 namespace agatevane::fleet {
 
 using JobId = std::string;
+//! Position of a write in the order in which writes become durable.
+using CommitSequence = std::uint64_t;
 using WorkerId = std::string;
 
 //! Number of a run of a task; a later run has a higher number.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -2,6 +2,7 @@
 
 #include "agatevane/base/enum_names.h"
 #include "agatevane/desired_state/desired_state.h"
+#include "agatevane/fleet/denials.h"
 #include "agatevane/fleet/model.h"
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
@@ -18,8 +19,6 @@
 //! I/O.
 namespace agatevane::fleet {
 
-//! Position of a write in the order in which writes become durable.
-using CommitSequence = std::uint64_t;
 //! The position of a write that this owner never makes.
 constexpr CommitSequence neverCommitted = std::numeric_limits<CommitSequence>::max();
 
@@ -238,12 +237,18 @@
     Unreadable //!< any worker, also one that is not known: the inherited record can't be read
 };
 
-enum class Mutation { Accept, Progress, Prune };
+enum class Mutation {
+    Accept,
+    Progress,
+    Prune,
+    Deny, //!< writes a record of denials
+    ForgetDenials //!< removes a record of denials
+};
 
 //! A write that has not been handed to the store.
 struct PendingWrite {
     CommitSequence sequence = 0;
-    JobId job;
+    std::string subject; //!< id of a job; key of a record of denials
     Mutation mutation = Mutation::Progress;
 };
 
@@ -306,6 +311,7 @@
     //! Number of open jobs, except scheduled ones, that have not started, by queue.
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
+    Denials denials;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
--- a/src/node/fleet_loader.cpp
+++ b/src/node/fleet_loader.cpp
@@ -19,6 +19,7 @@
     read(fleet::acceptancePrefix, stored_.acceptances);
     read(fleet::progressPrefix, stored_.progress);
     read(fleet::queuePrefix, stored_.queues);
+    read(fleet::denialPrefix, stored_.denials);
     read(knownWorkersKey, stored_.knownWorkers);
     read(workerPrefix_, stored_.listings);
 }
--- a/src/node/fleet_loader.h
+++ b/src/node/fleet_loader.h
@@ -14,6 +14,7 @@
     kv::ReadResult acceptances;
     kv::ReadResult progress;
     kv::ReadResult queues;
+    kv::ReadResult denials; //!< cancellations that earlier owners have answered with "no such job"
     kv::ReadResult knownWorkers; //!< workers that earlier owners have named
     kv::ReadResult listings; //!< workers that the platform lists
 };
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -27,11 +27,10 @@
     //! Each worker reports about once a second.
     constexpr PrefixFollower::WatchTimes workersWatch { Millis(1000), Millis(400) };
     constexpr Millis pruneInterval { 10000 };
-    //! Longer than callers usually wait for an answer: a node holds a submission no longer than that.
-    constexpr Millis deniedRetention { 60000 };
-    constexpr std::size_t maxDeniedCancellations = 20000;
     //! A submission that has not been sent to the store after this time is withdrawn, so that the caller can try again.
     constexpr Millis withdrawDelay { 800 };
+    //! Time in which a denial has to become durable: one call to the store, and the next if its answer is lost.
+    constexpr Millis denialTimeout { 1500 };
 
     fleet::FailedPoll effectOf(std::error_code error)
     {
@@ -103,7 +102,7 @@
         nextPruneUnixMs_ = unixMs + pruneInterval.count();
         auto at = bootNow();
         fleet::pruneEnded(fleet_, unixMs, at);
-        std::erase_if(deniedCancellations_, [at](const auto& each) { return at - each.second >= deniedRetention; });
+        fleet::pruneDenials(fleet_, at);
     }
     advance();
     workersFollower_.reportSilence(bootNow());
@@ -272,10 +271,25 @@
         if (!waiter->answer)
             continue;
         auto answer = std::exchange(waiter->answer, nullptr);
-        answer({ CallStatus::Ok, std::nullopt, std::nullopt, {} });
+        answer(durableAnswer(*waiter));
     }
 }
 
+//! The answer to a caller whose change is durable.
+CallerAnswer FleetOwner::durableAnswer(const Waiter& waiter)
+{
+    if (waiter.awaited != Awaited::Denial)
+        return { CallStatus::Ok, std::nullopt, std::nullopt, {} };
+    // A submission may have overtaken the cancellation, which is then asked again.
+    if (fleet_.jobs.contains(waiter.job))
+        return { CallStatus::WrongNode, std::nullopt, std::nullopt, "the job has just been submitted" };
+    // This process may have been paused since the store applied the write, and a later owner have accepted the job.
+    if (!isOwnershipConfirmed())
+        return { CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" };
+    fleet::noteDenialAnswered(fleet_, waiter.job, bootNow());
+    return { CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} };
+}
+
 void FleetOwner::call(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
     Instant deadline, Answer answer)
 {
@@ -298,9 +312,10 @@
         if (!mayAskFor(request.job, queue, tenant))
             return answer(jobOfOtherTenant());
         auto sequence = fleet::cancel(fleet_, request.job, unixMillis(), bootNow());
-        if (!sequence)
-            return denyIfProven(request, deadline, std::move(answer));
-        awaitCommit(*sequence, request, deadline, std::move(answer));
+        if (sequence)
+            awaitCommit(*sequence, { request.job, Awaited::Cancellation, std::move(answer) }, deadline);
+        else
+            denyCancellation(request, deadline, std::move(answer));
         break;
     }
     case CallKind::Submit:
@@ -319,12 +334,7 @@
     spec.queue = queue.name;
     spec.tenant = tenant;
     auto sequence = fleet::submit(fleet_, std::move(spec), queue, unixMillis(), bootNow());
-    awaitCommit(sequence, request, deadline, std::move(answer));
-}
-
-bool FleetOwner::hasDenied(const fleet::JobId& job) const
-{
-    return !fleet_.jobs.contains(job) && deniedCancellations_.contains(job);
+    awaitCommit(sequence, { request.job, Awaited::Acceptance, std::move(answer) }, deadline);
 }
 
 //! True if the submission may have reached a node before a cancellation of the job was answered with "no such job". The
@@ -332,18 +342,22 @@
 //! is not meant.
 bool FleetOwner::mayPrecedeDenial(const CallerRequest& submission) const
 {
-    if (!hasDenied(submission.job))
-        return false;
-    return !submission.receivedAfter || *submission.receivedAfter < deniedCancellations_.at(submission.job);
+    auto deniedUntil = fleet::deniedUntil(fleet_, submission.job);
+    return deniedUntil && (!submission.receivedAfter || *submission.receivedAfter < *deniedUntil);
 }
 
-void FleetOwner::noteDeniedCancellation(const fleet::JobId& job)
+//! There is no such job. This is answered once the denial is durable, so that later owners know of it, too; the commit
+//! also proves that there was no later owner before it.
+void FleetOwner::denyCancellation(const CallerRequest& request, Instant deadline, Answer answer)
 {
-    auto at = bootNow();
-    if (deniedCancellations_.size() >= maxDeniedCancellations)
-        std::erase_if(deniedCancellations_, [at](const auto& each) { return at - each.second >= deniedRetention / 2; });
-    if (deniedCancellations_.size() < maxDeniedCancellations)
-        deniedCancellations_[job] = at;
+    if (!isOwnershipConfirmed())
+        return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+    auto sequence = fleet::queueDenial(fleet_, request.job, bootNow());
+    if (!sequence)
+        return answer(
+            { CallStatus::NotAccepted, std::nullopt, std::nullopt, "too many cancellations of unknown jobs" });
+    auto answerBy = std::min(deadline, now() + denialTimeout);
+    awaitCommit(*sequence, { request.job, Awaited::Denial, std::move(answer) }, answerBy);
 }
 
 //! The desired state may have given the prefix of the job's queue to another queue. So a caller may ask through any
@@ -371,20 +385,16 @@
     if (!isOwnershipConfirmed())
         return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
     bool wasKnown = fleet_.jobs.contains(job);
-    tenureCheck_.ask(deadline,
-        liveness_.guard([this, job, wasKnown, kind = request.kind, answer = std::move(answer)](TenureState state) {
-            // A submission may have overtaken the question, which is then asked again.
-            if (fleet_.jobs.contains(job) && !wasKnown)
-                return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the job has just been submitted" });
-            if (state == TenureState::Current) {
-                if (kind == CallKind::Cancel)
-                    noteDeniedCancellation(job);
-                return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
-            }
-            answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
-            if (state == TenureState::Replaced && !isStopped_)
-                environment_.ownershipLost("store_knows_later_owner");
-        }));
+    tenureCheck_.ask(deadline, liveness_.guard([this, job, wasKnown, answer = std::move(answer)](TenureState state) {
+        // A submission may have overtaken the question, which is then asked again.
+        if (fleet_.jobs.contains(job) && !wasKnown)
+            return answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the job has just been submitted" });
+        if (state == TenureState::Current)
+            return answer({ CallStatus::NoSuchJob, std::nullopt, std::nullopt, {} });
+        answer({ CallStatus::WrongNode, std::nullopt, std::nullopt, "the ownership is not confirmed" });
+        if (state == TenureState::Replaced && !isStopped_)
+            environment_.ownershipLost("store_knows_later_owner");
+    }));
 }
 
 //! The answer about a job whose records this owner can't read. It exists, so that it is not denied; it may have ended,
@@ -395,12 +405,11 @@
     return { status, std::nullopt, std::nullopt, "the job's record can't be read" };
 }
 
-void FleetOwner::awaitCommit(
-    fleet::CommitSequence sequence, const CallerRequest& request, Instant deadline, Answer answer)
+void FleetOwner::awaitCommit(fleet::CommitSequence sequence, Waiter awaiting, Instant deadline)
 {
     if (sequence <= fleet_.committedSequence)
-        return answer({ CallStatus::Ok, std::nullopt, std::nullopt, {} });
-    auto waiter = std::make_shared<Waiter>(Waiter { request.job, request.kind, std::move(answer) });
+        return awaiting.answer(durableAnswer(awaiting));
+    auto waiter = std::make_shared<Waiter>(std::move(awaiting));
     waiters_.emplace(sequence, waiter);
     auto timer = std::make_shared<Timer>(environment_.context);
     auto delay = std::max(Millis(0), elapsed(now(), deadline));
@@ -414,7 +423,7 @@
 //! Withdraws a submission whose record was not sent to the store. It is then certain that the job is not accepted here.
 bool FleetOwner::withdraw(const Waiter& waiter)
 {
-    if (waiter.kind != CallKind::Submit)
+    if (waiter.awaited != Awaited::Acceptance)
         return false;
     // Another call with the same id waits for the same record and may still be answered that the job is accepted.
     bool isAwaitedByOtherCall = std::any_of(waiters_.begin(), waiters_.end(), [&waiter](const auto& each) {
@@ -437,7 +446,8 @@
 {
     if (!waiter->answer)
         return;
-    auto status = withdraw(*waiter) ? CallStatus::WrongNode : CallStatus::OwnershipEnded;
+    bool hasNoEffect = waiter->awaited == Awaited::Denial || withdraw(*waiter);
+    auto status = hasNoEffect ? CallStatus::WrongNode : CallStatus::OwnershipEnded;
     auto answer = std::exchange(waiter->answer, nullptr);
     answer({ status, std::nullopt, std::nullopt, "the ownership has ended" });
 }
@@ -448,8 +458,10 @@
     withdrawAndRefuse(waiter);
     if (!waiter->answer)
         return;
+    // There is no job that the cancellation could have ended.
+    auto status = waiter->awaited == Awaited::Denial ? CallStatus::NotAccepted : CallStatus::OutcomeUnknown;
     auto answer = std::exchange(waiter->answer, nullptr);
-    answer({ CallStatus::OutcomeUnknown, std::nullopt, std::nullopt, "the store has not confirmed in time" });
+    answer({ status, std::nullopt, std::nullopt, "the store has not confirmed in time" });
 }
 
 } // namespace agatevane::node
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -50,9 +50,9 @@
     void call(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
         Instant deadline, Answer answer);
 
-    //! True if this owner has answered a cancellation of the job with "no such job", and has not accepted it since. A
-    //! submission is then refused unless it is known to be younger than that answer.
-    bool hasDenied(const fleet::JobId& job) const;
+    //! True if this owner or an earlier one may have answered a cancellation of the job with "no such job", and none
+    //! has accepted it since. A submission is then refused unless it is known to be younger than that answer.
+    bool hasDenied(const fleet::JobId& job) const { return fleet::deniedUntil(fleet_, job).has_value(); }
 
     std::uint32_t tenure() const { return fleet_.tenure; }
     bool isReady() const { return isReady_; }
@@ -63,10 +63,13 @@
     const UpkeepController* upkeepController() const { return upkeepController_.get(); }
 
 private:
+    //! What becomes durable before a caller is answered.
+    enum class Awaited { Acceptance, Cancellation, Denial };
+
     //! A caller that waits until its change is durable. `answer` is empty once it was called.
     struct Waiter {
         fleet::JobId job;
-        CallKind kind = CallKind::Submit;
+        Awaited awaited = Awaited::Acceptance;
         Answer answer;
     };
     using Waiters = std::multimap<fleet::CommitSequence, std::shared_ptr<Waiter>>;
@@ -74,6 +77,7 @@
     void load(StoredFleet stored);
     void loadQueues(const kv::ReadResult& queues);
     void loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress);
+    void loadDenials(const kv::ReadResult& denials);
     void holdJob(const kv::Item& item, const fleet::JobId& id);
     std::optional<fleet::WorkerListing> decodeEntry(const kv::Item& item);
     void applyListings(const kv::ReadResult& listed);
@@ -98,7 +102,8 @@
 
     bool mayAskFor(const fleet::JobId& id, const desired_state::Queue& queue, const std::string& tenant);
     void denyIfProven(const CallerRequest& request, Instant deadline, Answer answer);
-    void noteDeniedCancellation(const fleet::JobId& job);
+    void denyCancellation(const CallerRequest& request, Instant deadline, Answer answer);
+    CallerAnswer durableAnswer(const Waiter& waiter);
     bool mayPrecedeDenial(const CallerRequest& submission) const;
     void submit(const CallerRequest& request, const desired_state::Queue& queue, const std::string& tenant,
         Instant deadline, Answer answer);
@@ -108,7 +113,7 @@
     bool hasWaitingCaller() const;
     void handleCommit();
     void answerCommittedCallers();
-    void awaitCommit(fleet::CommitSequence sequence, const CallerRequest& request, Instant deadline, Answer answer);
+    void awaitCommit(fleet::CommitSequence sequence, Waiter awaiting, Instant deadline);
     bool withdraw(const Waiter& waiter);
     void withdrawAndRefuse(const std::shared_ptr<Waiter>& waiter);
     void passToNextOwner(const std::shared_ptr<Waiter>& waiter);
@@ -128,8 +133,6 @@
     Millis placementInterval_ { 0 };
     std::int64_t nextPruneUnixMs_ = 0;
 
-    //! When a cancellation of the job was last answered with "no such job", on the clock of bootNow().
-    std::map<fleet::JobId, Instant> deniedCancellations_;
     Waiters waiters_; //!< by the sequence number whose commit they wait for
 
     std::set<std::string> ignoredEntries_; //!< keys below the workers' prefix whose entries name no worker to use
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -23,6 +23,7 @@
 {
     loadQueues(stored.queues);
     loadJobs(stored.acceptances, stored.progress);
+    loadDenials(stored.denials);
     loadKnownWorkers(stored.knownWorkers);
     applyListings(stored.listings);
     isReady_ = true;
@@ -30,6 +31,7 @@
         .with("tenure", fleet_.tenure)
         .with("jobs", fleet_.jobs.size())
         .with("open", fleet_.openJobs.size())
+        .with("denials", fleet_.denials.storedJobs)
         .with("workers", fleet_.workers.size())
         .with("as_of", stored.listings.asOf);
     workersFollower_.startAfter(stored.listings.asOf);
@@ -80,6 +82,16 @@
     fleet_.unreadableJobs.emplace(id, fault);
 }
 
+void FleetOwner::loadDenials(const kv::ReadResult& denials)
+{
+    for (const auto& item : denials.items) {
+        auto jobs = fleet::decodeDenials(item.value);
+        if (!jobs)
+            reportUnreadableRecord(item);
+        fleet::inheritDenials(fleet_, item.key, std::move(jobs));
+    }
+}
+
 //! Enters the workers that the inherited record names. They may still run tasks of earlier owners even if the platform
 //! no longer lists them. Each owner writes the record before it starts anything, so that it is missing only where
 //! nothing was started.
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -129,6 +129,8 @@
             .set(static_cast<double>(fleet.openJobs.size()));
         registry.gauge("agatevane_jobs_unreadable", "Accepted jobs whose records can't be read")
             .set(static_cast<double>(fleet.unreadableJobs.size()));
+        registry.gauge("agatevane_denials_stored", "Jobs in stored records of cancellations that found no such job")
+            .set(static_cast<double>(fleet.denials.storedJobs));
         registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
         registry.gauge("agatevane_entries_ignored", "Entries among the workers' that name no worker to use")
             .set(static_cast<double>(fleetOwner_->ignoredEntries()));
--- a/tests/node/denied_cancellation_tests.cpp
+++ b/tests/node/denied_cancellation_tests.cpp
@@ -98,6 +98,94 @@
     BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::Ok);
 }
 
+// Guards against a job that runs although its cancellation was acknowledged: only the owner that had answered "no such
+// job" knew of that, and the next one accepted an earlier submission.
+BOOST_AUTO_TEST_CASE(A_submission_older_than_a_denial_by_an_earlier_owner_is_refused, *boost::unit_test::label("node"))
+{
+    auto receivedAfter = bootNow();
+    BOOST_REQUIRE(callThrough(test::sampleQueue(), {}, CallKind::Cancel, jobId).status == CallStatus::NoSuchJob);
+    for (std::uint32_t tenure : { 2U, 3U }) {
+        owner.reset();
+        electOwner(tenure);
+        BOOST_CHECK(owner->hasDenied(jobId));
+        BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::NotAccepted);
+        BOOST_CHECK(submitReceivedAfter(std::nullopt) == CallStatus::NotAccepted);
+    }
+    BOOST_CHECK(!stored(fleet::acceptancePrefix + std::string(jobId)));
+}
+
+// Guards against the refusal of a job that its caller submits anew.
+BOOST_AUTO_TEST_CASE(
+    A_submission_after_the_takeover_is_accepted_despite_an_earlier_denial, *boost::unit_test::label("node"))
+{
+    BOOST_REQUIRE(callThrough(test::sampleQueue(), {}, CallKind::Cancel, jobId).status == CallStatus::NoSuchJob);
+    owner.reset();
+    electOwner(2);
+    BOOST_CHECK(submitReceivedAfter(bootNow()) == CallStatus::Ok);
+}
+
+BOOST_AUTO_TEST_CASE(A_submission_is_accepted_by_the_next_owner_after_a_mere_question, *boost::unit_test::label("node"))
+{
+    auto receivedAfter = bootNow();
+    BOOST_REQUIRE(callThrough(test::sampleQueue(), {}, CallKind::QueryState, jobId).status == CallStatus::NoSuchJob);
+    owner.reset();
+    electOwner(2);
+    BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::Ok);
+}
+
+// Guards against a denial that only this process knows of.
+BOOST_AUTO_TEST_CASE(A_cancellation_is_not_denied_unless_the_store_has_the_denial, *boost::unit_test::label("node"))
+{
+    for (auto fault : { test::StoreFault::Refusing, test::StoreFault::Unresponsive }) {
+        store.setFault(fault);
+        std::optional<node::CallerAnswer> answer;
+        owner->call({ CallKind::Cancel, jobId, {} }, test::sampleQueue(), {}, now() + Millis(4000),
+            [&answer](node::CallerAnswer received) { answer = std::move(received); });
+        BOOST_REQUIRE(waitUntil(Millis(2000), [&answer] { return answer.has_value(); }));
+        BOOST_CHECK(answer->status == CallStatus::NotAccepted);
+        BOOST_CHECK(!owner->hasDenied(jobId));
+    }
+}
+
+// Guards against a "no such job" from a process that was paused while a later owner accepted the job.
+BOOST_AUTO_TEST_CASE(A_cancellation_is_not_denied_once_the_ownership_is_unconfirmed, *boost::unit_test::label("node"))
+{
+    std::optional<node::CallerAnswer> answer;
+    owner->call({ CallKind::Cancel, jobId, {} }, test::sampleQueue(), {}, now() + Millis(1000),
+        [&answer](node::CallerAnswer received) { answer = std::move(received); });
+    isOwnershipConfirmed = false;
+    BOOST_REQUIRE(waitUntil(Millis(1500), [&answer] { return answer.has_value(); }));
+    BOOST_CHECK(answer->status == CallStatus::WrongNode);
+}
+
+// Guards against a flood of cancellations of unknown jobs that costs the store a write for each.
+BOOST_AUTO_TEST_CASE(Denials_share_their_writes, *boost::unit_test::label("node"))
+{
+    constexpr int cancellations = 600;
+    constexpr int maxCommits = 5;
+    int denied = 0;
+    auto commitsBefore = store.commits();
+    for (int n = 0; n < cancellations; ++n) {
+        owner->call({ CallKind::Cancel, "unknown-" + std::to_string(n), {} }, test::sampleQueue(), {},
+            now() + Millis(2000),
+            [&denied](const node::CallerAnswer& answer) { denied += answer.status == CallStatus::NoSuchJob ? 1 : 0; });
+    }
+    BOOST_CHECK(waitUntil(Millis(2500), [&denied] { return denied == cancellations; }));
+    BOOST_CHECK_LE(store.commits() - commitsBefore, maxCommits);
+}
+
+// Guards against an acceptance after a denial that a damaged record may have held.
+BOOST_AUTO_TEST_CASE(
+    A_submission_before_the_takeover_is_refused_if_a_record_of_denials_is_damaged, *boost::unit_test::label("node"))
+{
+    auto receivedAfter = bootNow();
+    put(fleet::denialPrefix + std::string("1.1"), "damaged");
+    owner.reset();
+    electOwner(2);
+    BOOST_CHECK(submitReceivedAfter(receivedAfter) == CallStatus::NotAccepted);
+    BOOST_CHECK(submitReceivedAfter(bootNow()) == CallStatus::Ok);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(forwarded_submissions, ForwardingFixture)
