Judge a run without progress by how long a percent of its work takes

Callers saw a job that never ended (LOST): it took eight times as long as declared, and each of its runs was stopped after 3.5 s as one without progress. At times nothing of it ran, since a worker gets no work for 8 s after such a stop.

Cause: stopStalledRuns() took 3.5 s without a new percent for a stall. Workers report whole percents, so that the time one takes grows with the task; and a stop left no trace, so that each next run was stopped at the same point.

Why this works: a run is stopped after the longest of the former constant, three times a percent's time by the declared length (30 s at most) and three times a percent's time by its own pace. Each stop of a task for this doubles that for its next run, so that no task is stopped for ever, whatever it declares and however its pace changes. A stuck worker is still found after 3.5 s by tasks that are declared to be short.

Ruled out: a longer constant (too short for some length, and stuck workers are found later); declared lengths alone (they are often far off, as here).

--- a/src/agatevane/fleet/expiry.cpp
+++ b/src/agatevane/fleet/expiry.cpp
@@ -13,11 +13,18 @@
 
 namespace {
 
-    //! A run without progress for this long is stuck: work of minutes advances by a percent in less time.
+    //! A run without progress for this long is stuck, unless a percent of its work is known to take long.
     constexpr Millis stallTimeout { 3500 };
     //! As `stallTimeout`, for fillers, which only have the cores that other tasks leave idle.
     constexpr Millis fillerStallTimeout { 12000 };
     constexpr Millis avoidAfterStall { 8000 };
+    //! A run is stuck once a percent takes this many times as long as expected.
+    constexpr int stallFactor = 3;
+    //! Declared lengths are often far too long, so that they delay the first stop by no more than this.
+    constexpr Millis maxDeclaredStallTimeout { 30000 };
+    //! Each stop of a task for a stall doubles the time that its next run has, this many times at most.
+    constexpr int maxStallDoublings = 12;
+    constexpr int allDone = 100;
 
     void loseRuns(Fleet& fleet, Worker& worker, Instant at, std::string_view reason)
     {
@@ -54,10 +61,21 @@
         return !worker.unacknowledgedEnds.empty() && worker.unacknowledgedEnds.front().isReadable;
     }
 
+    //! Time in which the run has advanced by a percent on average; 0: not known yet.
+    Millis observedPercentTime(const Run& run)
+    {
+        int gained = run.percent - run.firstPercent;
+        return gained > 0 ? elapsed(run.firstReportAt, run.progressAt) / gained : Millis(0);
+    }
+
+    Millis declaredStallTimeout(const StepSpec& step)
+    {
+        return std::min(Millis(step.estimatedMs / allDone) * stallFactor, maxDeclaredStallTimeout);
+    }
+
     //! A run without progress is stopped once it has made none for this long; nothing: it is never stopped for that.
     std::optional<Millis> stallTimeoutOf(const Fleet& fleet, const Worker& worker, const Run& run)
     {
-        constexpr int allDone = 100;
         if (run.state != RunState::Running || !run.isWanted || run.percent >= allDone)
             return std::nullopt;
         if (worker.missedPolls > 0 || worker.mayLackEnds)
@@ -65,7 +83,11 @@
         const auto* job = findJob(fleet, run.task.job);
         if (!job || stepOf(*job, run.task).isContinuous)
             return std::nullopt;
-        return stepOf(*job, run.task).isFiller ? fillerStallTimeout : stallTimeout;
+        const auto& step = stepOf(*job, run.task);
+        auto timeout = std::max({ step.isFiller ? fillerStallTimeout : stallTimeout, declaredStallTimeout(step),
+            observedPercentTime(run) * stallFactor });
+        // The work may take longer than declared, so that a run never gets far enough to show its pace.
+        return timeout * (1 << std::min(sharedTask(*job, run.task).stalls, maxStallDoublings));
     }
 
     void stopStalledRuns(Fleet& fleet, Worker& worker, Instant at)
@@ -79,6 +101,7 @@
                 run.progressAt = at;
             if (at - run.progressAt < *timeout)
                 continue;
+            ++sharedTask(job, key.first).stalls;
             worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterStall);
             stopTaskRuns(fleet, job, key.first, at, "no_progress");
         }
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -46,6 +46,7 @@
     std::string checkpoint; //!< newest known checkpoint; empty: none
     std::optional<TaskRun> run; //!< nothing: the task is idle
     std::vector<WorkerId> failedOn; //!< workers on which the task failed
+    int stalls = 0; //!< runs that this owner has stopped because they made no progress
 };
 
 struct Step {
@@ -119,6 +120,8 @@
     bool isReported = false; //!< a poll of the worker's present incarnation has reported the run
     int percent = 0; //!< share of the work that is done, as last reported
     Instant progressAt; //!< time when `percent` last changed
+    int firstPercent = 0; //!< `percent` when the run was first reported; more than 0 if an earlier owner has started it
+    Instant firstReportAt; //!< when the run was first reported to this owner
     std::int64_t tailLatencyMs = 0; //!< tail latency last reported; only for tasks that serve users
     std::optional<int> pace; //!< for fillers: pace in percent that the worker has confirmed; nothing: unknown
     bool isPaceInFlight = false;
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -9,6 +9,7 @@
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
+#include <utility>
 
 namespace agatevane::fleet {
 
@@ -82,7 +83,10 @@
             run.state = RunState::Running;
             run.isOrderInFlight = false;
         }
-        run.isReported = true;
+        if (!std::exchange(run.isReported, true)) {
+            run.firstReportAt = at;
+            run.firstPercent = std::max(0, report.percent);
+        }
         if (run.state == RunState::Running && !std::exchange(run.isConfirmed, true))
             run.confirmedAt = at;
         if (report.percent != unknownPercent && report.percent != run.percent) {
--- a/tests/fleet/polled_fleet.cpp
+++ b/tests/fleet/polled_fleet.cpp
@@ -62,9 +62,11 @@
     events_.emplace(nowMs_ + delayMs, std::move(action));
 }
 
-void PolledFleet::submit(std::int64_t durationMs)
+void PolledFleet::submit(std::int64_t durationMs, std::int64_t estimatedMs)
 {
     auto spec = sampleJob("job-" + std::to_string(nowMs_), 1, 1, durationMs);
+    if (estimatedMs > 0)
+        spec.steps.front().estimatedMs = estimatedMs;
     spec.queue = queue_.name;
     fleet::submit(fleet_, spec, queue_, nowMs_, instantAt(nowMs_));
 }
--- a/tests/fleet/polled_fleet.h
+++ b/tests/fleet/polled_fleet.h
@@ -37,7 +37,8 @@
     virtual void sendPoll(const fleet::PollOrder& order) { pollInTime(order); }
 
     void schedule(std::int64_t delayMs, std::function<void()> action);
-    void submit(std::int64_t durationMs);
+    //! Submits a job of one task. `estimatedMs`: its declared length; 0: its true one.
+    void submit(std::int64_t durationMs, std::int64_t estimatedMs = 0);
     void pollInTime(const fleet::PollOrder& order);
     //! The poll is carried out `delayMs` later and not answered.
     void pollLate(
