Count a task as running only while its worker answers, before a wave stops another one

Cause: isRunningAtFullPace() counted a run by its last report, however many polls the worker had missed since.

The task that is to be stopped still counts as running where its own worker is silent, since it may be at work; so each doubt makes the wave wait.

Ruled out: forgetting the runs of a silent worker earlier (they may be at work until their leases have ended).

--- a/src/agatevane/upkeep/upkeep.cpp
+++ b/src/agatevane/upkeep/upkeep.cpp
@@ -82,14 +82,23 @@
         return at + timePerMachine * static_cast<std::int64_t>(rounds) >= wave.deadline;
     }
 
-    //! True if the task has a run at full pace.
-    bool isRunningAtFullPace(Fleet& fleet, const fleet::TaskId& id)
+    //! True if the task had a run at full pace when its worker last answered.
+    bool mayRunAtFullPace(const Fleet& fleet, const fleet::TaskId& id)
     {
         const auto* run = fleet::findTaskRun(fleet, id);
         constexpr int fullPacePercent = 100;
         return run && run->state == RunState::Running && run->percent >= fullPacePercent;
     }
 
+    //! True if the task is known to have a run at full pace. The last report of a worker that has since missed a poll
+    //! says nothing of the present.
+    bool isRunningAtFullPace(const Fleet& fleet, const fleet::TaskId& id)
+    {
+        const auto* task = fleet::findTask(fleet, id);
+        const auto* worker = task && task->run ? fleet::findWorker(fleet, task->run->worker) : nullptr;
+        return worker && worker->missedPolls == 0 && mayRunAtFullPace(fleet, id);
+    }
+
     //! A continuous step with a nonzero `maxUnavailableTasks` allows at most that many of its tasks to be unavailable
     //! because of the scheduler's orders; 0 sets no bound.
     bool mayStopContinuousRun(Fleet& fleet, const fleet::Job& job, const fleet::TaskId& id)
@@ -103,7 +112,7 @@
             if (index != id.index && !isRunningAtFullPace(fleet, { id.job, id.occurrence, id.step, index }))
                 ++unavailableTasks;
         }
-        return !isRunningAtFullPace(fleet, id) || unavailableTasks + stoppedTasks <= spec.maxUnavailableTasks;
+        return !mayRunAtFullPace(fleet, id) || unavailableTasks + stoppedTasks <= spec.maxUnavailableTasks;
     }
 
     bool mayStop(Fleet& fleet, const Run& run, const fleet::Job& job, bool isTimeShort)
--- a/tests/upkeep/upkeep_tests.cpp
+++ b/tests/upkeep/upkeep_tests.cpp
@@ -108,6 +108,19 @@
         applyMachineList(state, listed, at);
     }
 
+    //! Decides, applies a list of machines 100 ms later and decides again.
+    void advanceWithList(const std::vector<MachineId>& ids)
+    {
+        at += Millis(100);
+        upkeep::advance(state, fleet, at);
+        at += Millis(100);
+        std::vector<Machine> listed;
+        for (const auto& id : ids)
+            listed.push_back(machines.at(id));
+        applyMachineList(state, listed, at);
+        upkeep::advance(state, fleet, at);
+    }
+
     UpkeepOutcome answerOrder(const UpkeepOrder& order)
     {
         auto& machine = machines.at(order.machine);
@@ -220,15 +233,36 @@
     auto second = simulation.startRun("00000000000000a3", 1, "w1", makeStep(false, true, 3, 1));
     simulation.startRun("00000000000000a3", 2, "w1", makeStep(false, true, 3, 1));
     simulation.requestWave(2, Millis(10000), 2);
-    simulation.at += Millis(100);
-    upkeep::advance(simulation.state, simulation.fleet, simulation.at);
-    simulation.at += Millis(100);
-    std::vector<Machine> listed { simulation.machines.at("m0"), simulation.machines.at("m1") };
-    applyMachineList(simulation.state, listed, simulation.at);
-    upkeep::advance(simulation.state, simulation.fleet, simulation.at);
+    simulation.advanceWithList({ "m0", "m1" });
     BOOST_CHECK_NE(simulation.isStopping(first), simulation.isStopping(second));
 }
 
+// Guards against the same where a task was lost with its worker, whose last report still counted as the task's state.
+BOOST_AUTO_TEST_CASE(A_task_of_a_silent_worker_does_not_count_as_running, *boost::unit_test::label("upkeep"))
+{
+    for (int missedPolls : { 0, 1 }) {
+        SimulatedMachines simulation(2);
+        auto first = simulation.startRun("00000000000000a3", 0, "w0", makeStep(false, true, 2, 1));
+        simulation.startRun("00000000000000a3", 1, "w1", makeStep(false, true, 2, 1));
+        simulation.fleet.workers.at("w1").missedPolls = missedPolls;
+        simulation.requestWave(1, Millis(10000), 1);
+        simulation.advanceWithList({ "m0", "m1" });
+        BOOST_CHECK_EQUAL(simulation.isStopping(first), missedPolls == 0);
+    }
+}
+
+// Guards against upkeep that takes a task for away, and so free to be stopped, because its worker has missed a poll.
+BOOST_AUTO_TEST_CASE(
+    A_task_of_a_silent_worker_is_not_stopped_beside_one_that_is_away, *boost::unit_test::label("upkeep"))
+{
+    SimulatedMachines simulation(2);
+    auto first = simulation.startRun("00000000000000a3", 0, "w0", makeStep(false, true, 2, 1));
+    simulation.fleet.workers.at("w0").missedPolls = 1;
+    simulation.requestWave(1, Millis(10000), 1);
+    simulation.advanceWithList({ "m0", "m1" });
+    BOOST_CHECK(!simulation.isStopping(first));
+}
+
 // Guards against a new owner that evacuates machines and takes them down a second time.
 BOOST_AUTO_TEST_CASE(A_later_owner_continues_from_the_stored_record, *boost::unit_test::label("upkeep"))
 {
