Send no request after its deadline, also when the process was paused before

Cause: the HTTP client wrote a request as soon as its connection was complete. After a pause the event loop runs that handler before the timer of the deadline; the ownership is checked only before the request is handed over. The same holds for a request that was handed over and not yet written to an open connection.

Why this works: the deadline is taken over to bootNow(), which counts pauses and suspension, and looked at right before the first byte is written. A request that is late ends as Unreachable, which says that it had no effect. An owner orders for 1 s after a confirmation, and a new owner waits for 3 s, so that no order of the earlier one is written after that.

Ruled out: a longer wait of the successor (no wait is longer than every pause), fencing at the receiver (the interface for machines need not check it). The peer client has the same order of events and sends nothing that its receiver doesn't fence; it is told in the postmortem and left as it is.

--- a/src/agatevane/event_http/client.cpp
+++ b/src/agatevane/event_http/client.cpp
@@ -65,9 +65,11 @@
     {
     }
 
-    void run(const Request& request, ResponseLimits limits, ResponseHandler done)
+    //! The request is not sent after `sendBy`, on the clock of bootNow().
+    void run(const Request& request, Instant sendBy, ResponseLimits limits, ResponseHandler done)
     {
         encode(request);
+        sendBy_ = sendBy;
         stallGuard_ = StallGuard(limits.transfer.beginBy);
         parser_.limitBody(limits.transfer.maxBytes > 0 ? limits.transfer.maxBytes : responseLimits.bodyBytes);
         limits_ = std::move(limits);
@@ -75,6 +77,8 @@
         done_ = std::move(done);
         response_.reset();
         ++requestNumber_;
+        if (isTooLateToSend())
+            return fail(Errc::Unreachable);
         watchTime();
         if (socket_.is_open())
             return write();
@@ -105,6 +109,9 @@
         });
     }
 
+    //! The process may have been paused, or its machine suspended, since the request was handed over.
+    bool isTooLateToSend() const { return bootNow() >= sendBy_; }
+
     void encode(const Request& request)
     {
         out_ = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + peer_.address + ":"
@@ -133,7 +140,7 @@
             [self = shared_from_this(), number = requestNumber_](std::error_code failure) {
                 if (number != self->requestNumber_ || !self->done_)
                     return;
-                if (failure)
+                if (failure || self->isTooLateToSend())
                     return self->fail(Errc::Unreachable);
                 self->setOptions();
                 self->write();
@@ -250,6 +257,7 @@
     std::optional<Response> response_;
     ResponseLimits limits_;
     TransferProgress progress_;
+    Instant sendBy_; //!< on the clock of bootNow()
     StallGuard stallGuard_ { Instant() };
     ResponseHandler done_;
     std::uint64_t requestNumber_ = 0; //!< number of the current request; completions of earlier ones are ignored
@@ -284,9 +292,12 @@
     ResponseLimits limits, ResponseHandler done)
 {
     ++state->counters.requests;
+    auto sendBy = bootNow() + elapsed(now(), limits.transfer.beginBy);
     asio::post(state->context,
-        [connection = connectionTo(state, peer), request = std::move(request), limits = std::move(limits),
-            done = std::move(done)]() mutable { connection->run(request, std::move(limits), std::move(done)); });
+        [connection = connectionTo(state, peer), request = std::move(request), sendBy, limits = std::move(limits),
+            done = std::move(done)]() mutable {
+            connection->run(request, sendBy, std::move(limits), std::move(done));
+        });
 }
 
 void Client::send(const PeerAddress& peer, Request request, const TransferLimits& limits, ResponseHandler done)
--- a/src/agatevane/event_http/client.h
+++ b/src/agatevane/event_http/client.h
@@ -14,8 +14,9 @@
 
 using net::PeerAddress;
 
-//! `error` is `Unreachable` if no byte was sent, so that the request had no effect. `Timeout` and `Disconnected` leave
-//! open whether it had an effect.
+//! `error` is `Unreachable` if no byte was sent, so that the request had no effect: also if its deadline had passed
+//! before it could be sent, on a clock that counts pauses of the process and suspension of the machine. `Timeout` and
+//! `Disconnected` leave open whether it had an effect.
 using ResponseHandler = std::function<void(std::error_code error, Response response)>;
 
 //! Totals since the client was created.
