Ask for a submission's age in nanoseconds, so that one sent right after a denial is new

A submission that an owner asks about within the millisecond of a denial was refused as older than it (503, to be sent again): the time of the question was cut to milliseconds, the time of the denial was not.

Only the owner that gave the time reads it, so that nodes of an earlier build hand it back as before.

Ruled out: rounding up, which would let a submission look younger than it is.

Also: PrefixReading::start() had a branch for a reading that is running, which no caller needs.

--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -95,14 +95,15 @@
     if (!isAgeKnown && fleetOwner_ && fleetOwner_->hasDenied(submission.call.job)) {
         SubmissionAnswer ask;
         ask.answer.status = CallStatus::WrongNode;
-        ask.askedAt = { fleetOwner_->tenure(), elapsed(Instant {}, bootNow()).count() };
+        // A submission that is asked about within the millisecond of the denial is younger than it.
+        ask.askedAt = { fleetOwner_->tenure(), std::chrono::nanoseconds(bootNow().time_since_epoch()).count() };
         Line("submission_age_asked").with("job", submission.call.job).with("held_ms", submission.heldMs);
         return reply(net::encode(ask));
     }
     std::optional<Instant> receivedAfter;
     if (isAgeKnown) {
         auto held = Millis(std::clamp<std::int64_t>(submission.heldMs, 0, maxHeldTime.count()));
-        receivedAfter = Instant(Millis(askedAt.bootMs)) - held;
+        receivedAfter = Instant(std::chrono::nanoseconds(askedAt.bootNs)) - held;
     }
     handleForwardedCall(submission.call, receivedAfter, decide);
 }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -85,9 +85,9 @@
 //! A time on the clock of an owner. Other nodes only hand it back to that owner.
 struct OwnerTime {
     std::uint32_t tenure = 0; //!< 0: none
-    std::int64_t bootMs = 0; //!< on the owner's clock of bootNow()
+    std::int64_t bootNs = 0; //!< nanoseconds on the owner's clock of bootNow()
 
-    template <typename Archive> void serialize(Archive& archive) { archive(tenure, bootMs); }
+    template <typename Archive> void serialize(Archive& archive) { archive(tenure, bootNs); }
 };
 
 //! A submission with what bounds its age from above, however long the message is on its way. An owner of an earlier
--- a/src/node/prefix_reading.cpp
+++ b/src/node/prefix_reading.cpp
@@ -27,10 +27,7 @@
 
 void PrefixReading::start(Done done)
 {
-    bool wasRunning = isRunning();
     done_ = std::move(done);
-    if (wasRunning)
-        return;
     timeouts_ = 0;
     send();
 }
--- a/src/node/prefix_reading.h
+++ b/src/node/prefix_reading.h
@@ -16,10 +16,10 @@
 
     PrefixReading(asio::io_context& context, kv::Store& store, std::string prefix);
 
-    //! `done` is called once, with a result without an error. It may start the reading again.
+    //! `done` is called once, with a result without an error, and may start the next reading. Called while none is
+    //! running.
     void start(Done done);
     void stop();
-    bool isRunning() const { return static_cast<bool>(done_); }
 
 private:
     void send();
@@ -27,7 +27,7 @@
 
     kv::Store& store_;
     std::string prefix_;
-    Done done_; //!< empty unless the reading is running
+    Done done_; //!< empty while no reading is running
     int timeouts_ = 0; //!< calls of this reading that ended without an answer
     Timer retryTimer_;
     Liveness liveness_;
--- a/tests/node/denied_cancellation_tests.cpp
+++ b/tests/node/denied_cancellation_tests.cpp
@@ -214,7 +214,7 @@
 BOOST_AUTO_TEST_CASE(A_time_of_another_owner_does_not_bound_the_age, *boost::unit_test::label("node"))
 {
     auto asked = forward(0, {}).askedAt;
-    auto answer = forward(0, { asked.tenure + 1, asked.bootMs });
+    auto answer = forward(0, { asked.tenure + 1, asked.bootNs });
     BOOST_CHECK(answer.answer.status == CallStatus::WrongNode);
     BOOST_CHECK_EQUAL(answer.askedAt.tenure, asked.tenure);
     BOOST_CHECK(!isKnown());
