--- a/src/agatevane/fleet/denials.cpp
+++ b/src/agatevane/fleet/denials.cpp
@@ -67,7 +67,7 @@
     auto& record = denials.records[key];
     record.openedAt = record.changedAt = fleet.tookOverAt;
     if (!jobs) {
-        denials.isAnyInherited = true;
+        denials.hasUnreadableRecord = true;
         return;
     }
     record.jobs = std::move(*jobs);
@@ -83,7 +83,7 @@
     auto answered = fleet.denials.answeredAt.find(job);
     if (answered != fleet.denials.answeredAt.end())
         return answered->second;
-    return fleet.denials.isAnyInherited ? std::optional(fleet.tookOverAt) : std::nullopt;
+    return fleet.denials.hasUnreadableRecord ? std::optional(fleet.tookOverAt) : std::nullopt;
 }
 
 void pruneDenials(Fleet& fleet, Instant at)
@@ -91,7 +91,7 @@
     auto& denials = fleet.denials;
     std::erase_if(denials.answeredAt, [at](const auto& each) { return at - each.second >= denialRetention; });
     if (at - fleet.tookOverAt >= denialRetention)
-        denials.isAnyInherited = false;
+        denials.hasUnreadableRecord = false;
     std::erase_if(denials.records, [&](const auto& each) {
         const auto& [key, record] = each;
         if (at - record.changedAt < recordRetention)
--- a/src/agatevane/fleet/denials.h
+++ b/src/agatevane/fleet/denials.h
@@ -38,7 +38,7 @@
     //! When the last denial of a job was answered, on the clock of bootNow(); the takeover for those of earlier owners.
     std::map<JobId, Instant> answeredAt;
     //! An inherited record can't be read, so that any job may have been denied before the takeover.
-    bool isAnyInherited = false;
+    bool hasUnreadableRecord = false;
 };
 
 //! Queues the write that has to be durable before the denial is answered. Nothing if too many are stored.
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -157,6 +157,17 @@
     return const_cast<Task*>(findTask(std::as_const(fleet), id));
 }
 
+const Task& sharedTask(const Job& job, const TaskId& id)
+{
+    auto index = stepOf(job, id).isGang ? 0 : id.index;
+    return job.occurrences[id.occurrence].steps[id.step].tasks[index];
+}
+
+Task& sharedTask(Job& job, const TaskId& id)
+{
+    return const_cast<Task&>(sharedTask(std::as_const(job), id));
+}
+
 const Job* findJob(const Fleet& fleet, const JobId& id)
 {
     auto found = fleet.jobs.find(id);
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -114,17 +114,6 @@
     return job.spec.steps[id.step];
 }
 
-const Task& sharedTask(const Job& job, const TaskId& id)
-{
-    auto index = stepOf(job, id).isGang ? 0 : id.index;
-    return job.occurrences[id.occurrence].steps[id.step].tasks[index];
-}
-
-Task& sharedTask(Job& job, const TaskId& id)
-{
-    return const_cast<Task&>(sharedTask(std::as_const(job), id));
-}
-
 const Run* findTaskRun(const Fleet& fleet, const TaskId& id)
 {
     const auto* task = findTask(fleet, id);
--- a/src/agatevane/fleet/runs.h
+++ b/src/agatevane/fleet/runs.h
@@ -47,10 +47,6 @@
 bool isServing(const StepSpec& step);
 const StepSpec& stepOf(const Job& job, const TaskId& id);
 
-//! The task that holds the failed runs, the stalls and the checkpoint: for a gang, which shares them, its first task.
-Task& sharedTask(Job& job, const TaskId& id);
-const Task& sharedTask(const Job& job, const TaskId& id);
-
 //! The task's run on its worker; null if the task is idle.
 const Run* findTaskRun(const Fleet& fleet, const TaskId& id);
 
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -389,6 +389,9 @@
 
 Task* findTask(Fleet& fleet, const TaskId& id);
 const Task* findTask(const Fleet& fleet, const TaskId& id);
+//! The task that holds the failed runs, the stalls and the checkpoint: for a gang, which shares them, its first task.
+Task& sharedTask(Job& job, const TaskId& id);
+const Task& sharedTask(const Job& job, const TaskId& id);
 Job* findJob(Fleet& fleet, const JobId& id);
 const Job* findJob(const Fleet& fleet, const JobId& id);
 Worker* findWorker(Fleet& fleet, const WorkerId& id);
