--- a/src/agatevane/fleet/evacuation.cpp
+++ b/src/agatevane/fleet/departure.cpp
@@ -1,4 +1,4 @@
-#include "agatevane/fleet/evacuation.h"
+#include "agatevane/fleet/departure.h"
 
 #include "agatevane/fleet/runs.h"
 
@@ -47,7 +47,7 @@
 
 } // namespace
 
-void evacuate(Fleet& fleet, const std::vector<Worker*>& workers, Instant at)
+void stopDepartingRuns(Fleet& fleet, const std::vector<Worker*>& workers, Instant at)
 {
     for (auto* worker : workers) {
         if (!isLeaving(*worker))
@@ -62,7 +62,7 @@
     }
 }
 
-Instant nextEvacuationOf(const Worker& worker)
+Instant nextDepartureOf(const Worker& worker)
 {
     return isLeaving(worker) && !worker.runs.empty() ? Instant::min() : Instant::max();
 }
--- a/src/agatevane/fleet/evacuation.h
+++ b/src/agatevane/fleet/departure.h
@@ -8,8 +8,8 @@
 //! Stops runs that can't end before their worker leaves: those that save checkpoints at the last moment, others as soon
 //! as it shows that they can't end in time. Also stops continuous runs outside gangs at the last moment, since they
 //! have to be restarted in any case.
-void evacuate(Fleet& fleet, const std::vector<Worker*>& workers, Instant at);
-//! When evacuate() has to look at the worker unless it changes; Instant::max(): never.
-Instant nextEvacuationOf(const Worker& worker);
+void stopDepartingRuns(Fleet& fleet, const std::vector<Worker*>& workers, Instant at);
+//! When stopDepartingRuns() has to look at the worker unless it changes; Instant::max(): never.
+Instant nextDepartureOf(const Worker& worker);
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/due_workers.cpp
+++ b/src/agatevane/fleet/due_workers.cpp
@@ -1,6 +1,6 @@
 #include "agatevane/fleet/due_workers.h"
 
-#include "agatevane/fleet/evacuation.h"
+#include "agatevane/fleet/departure.h"
 #include "agatevane/fleet/expiry.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/runs.h"
@@ -76,7 +76,7 @@
 void scheduleWorker(Fleet& fleet, Worker& worker)
 {
     reschedule(fleet, worker,
-        std::min({ nextExpiryOf(fleet, worker), nextEvacuationOf(worker), nextPollOf(fleet, worker),
+        std::min({ nextExpiryOf(fleet, worker), nextDepartureOf(worker), nextPollOf(fleet, worker),
             nextRunOrderOf(worker), nextPaceOrderOf(fleet, worker) }));
 }
 
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -3,6 +3,7 @@
 #include "agatevane/base/enum_names.h"
 #include "agatevane/desired_state/desired_state.h"
 #include "agatevane/fleet/denials.h"
+#include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
@@ -209,30 +210,13 @@
     int failuresInRow = 0; //!< runs that failed since the last one that succeeded
     Instant avoidUntil; //!< no new work until then, because runs failed or stalled, or the worker refused orders
     std::map<RunKey, Instant> unansweredStarts; //!< until its instant, also a later incarnation may carry out the start
-    bool isEvacuating = false; //!< the worker gets no new work because its machine is about to go down
+    bool awaitsUpkeep = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
 
     std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last computed
     Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
 };
 
-//! Limits and durations, set by the platform's settings.
-struct Limits {
-    Millis leaseDuration { 6000 }; //!< length of the lease that each order asks for
-    Millis maxLease { 6000 }; //!< a worker grants no longer lease, whatever an order asks for
-    Millis reportInterval { 1500 }; //!< workers report to the platform this often; entries lapse after three intervals
-    Millis stopDuration { 200 }; //!< time that a worker takes to stop a run
-    Millis gangAssemblyTimeout { 3000 }; //!< a member of a gang waits this long for the others
-    Millis reclaimDeadline { 2700 }; //!< guaranteed work must begin within this time
-    Millis statusRetention { 120000 }; //!< callers can query the state of an ended job for this long
-    double remoteRackSlowdown = 3; //!< factor by which work takes longer on another rack than its own
-    //! Starts whose answers may be awaited at a time. An owner that has more of them under way than it can handle in
-    //! time would take their answers for lost, and order them again.
-    std::size_t maxStartsUnderWay = 2000;
-    Millis startAnswerTimeout { 500 }; //!< a start that has no answer by then is no longer under way
-    Millis earlierLeaseTimeout { 7000 }; //!< this long after a takeover, all leases that earlier owners gave have ended
-};
-
 //! What an owner knows of the workers on which earlier owners may have started runs.
 enum class EarlierWorkers {
     AnyListed, //!< no record was read: any listed worker
--- a/src/agatevane/upkeep/upkeep.cpp
+++ b/src/agatevane/upkeep/upkeep.cpp
@@ -196,14 +196,14 @@
     void markEvacuatingWorkers(const State& state, Fleet& fleet)
     {
         for (auto& [id, worker] : fleet.workers)
-            worker.isEvacuating = false;
+            worker.awaitsUpkeep = false;
         for (const auto& [number, wave] : state.waves) {
             for (const auto& [id, machineProgress] : wave.progress) {
                 auto* worker = machineProgress.stage == Stage::Evacuating || mayBeDown(machineProgress.stage)
                     ? fleet::findWorker(fleet, machineProgress.workerBefore)
                     : nullptr;
                 if (worker)
-                    worker->isEvacuating = true;
+                    worker->awaitsUpkeep = true;
             }
         }
     }
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -41,7 +41,7 @@
             return "unlisted";
         if (worker.isDraining)
             return "draining";
-        if (worker.isEvacuating)
+        if (worker.awaitsUpkeep)
             return "emptying";
         if (at < worker.avoidUntil)
             return "failing";
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -28,6 +28,7 @@
     net::PeerAddress adviceAddress; //!< advice service; port 0: none
     double cpuShare = 1; //!< processor time that the node may use, in cores
     std::size_t maxDescriptors = 4096; //!< open files and sockets that the process may have
+    std::size_t memoryBytes = std::size_t(160) * 1024 * 1024; //!< memory that the process may use
     Millis minLeaseTtl { 1000 }; //!< shortest lease that the store grants
     Millis shutdownGrace { 6000 }; //!< time from SIGTERM until the machine kills the process
     Millis stateApplyBound { 2500 }; //!< a desired state has to be in force this long after it was acknowledged
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -51,6 +51,23 @@
     BOOST_CHECK_EQUAL(settings->seedNodes.size(), 2U);
     BOOST_CHECK(settings->fleetLimits.leaseDuration == Millis(5000));
     BOOST_CHECK(settings->fleetLimits.statusRetention == Millis(120000));
+    BOOST_CHECK(!settings->fleetLimits.evacuationBound);
+    BOOST_CHECK(!fleet::areStopsCostly(settings->fleetLimits));
+}
+
+// Guards against new decisions that take effect in deployments whose settings do not call for them.
+BOOST_AUTO_TEST_CASE(Settings_of_slow_stops_and_of_evacuations_are_read, *boost::unit_test::label("platform"))
+{
+    Findings findings;
+    auto text = std::string(settingsText)
+        + "\nbounds.stopMs=900\nbounds.restoreMs=100\nbounds.checkpointIntervalS=0.5\nbounds.evacuationMs=5000\n"
+          "limits.memoryMb=512\n";
+    auto settings = readSettings(text, findings);
+    BOOST_REQUIRE_MESSAGE(settings, format(findings));
+    BOOST_CHECK(settings->fleetLimits.evacuationBound == Millis(5000));
+    BOOST_CHECK(settings->fleetLimits.checkpointInterval == Millis(500));
+    BOOST_CHECK(fleet::areStopsCostly(settings->fleetLimits));
+    BOOST_CHECK_EQUAL(settings->memoryBytes, 512U * 1024 * 1024);
 }
 
 BOOST_AUTO_TEST_CASE(All_missing_and_malformed_settings_are_reported_together, *boost::unit_test::label("platform"))
--- a/tests/upkeep/upkeep_tests.cpp
+++ b/tests/upkeep/upkeep_tests.cpp
@@ -200,7 +200,7 @@
     simulation.requestWave(1, Millis(30000), 1);
     simulation.advanceRound();
     simulation.advanceRound();
-    BOOST_CHECK(simulation.fleet.workers.at("w0").isEvacuating);
+    BOOST_CHECK(simulation.fleet.workers.at("w0").awaitsUpkeep);
     for (int n = 0; n < 20; ++n)
         simulation.advanceRound();
     BOOST_CHECK(simulation.machinesTakenDown.empty());
