Send a commit or a lease renewal again as soon as its answer is overdue

The owner waited 1 s for the answer of each commit and 0.5 s for that of a renewal, against 4 ms that the store takes; with two losses in a row nothing was committed for 2.8 s, the lease ran out, and the next owner began anew. 92 submissions of these seconds were refused or answered as unknown. Change: both calls are sent again once the answer is overdue by the answer times seen so far (as TCP's retransmission timeout, at least 150 ms, doubled with each timeout in a row, at most as long as before). Repeating them is safe: a commit is conditional and carries a token.

--- a/src/node/committer.cpp
+++ b/src/node/committer.cpp
@@ -10,7 +10,8 @@
 
     using event_log::Line;
 
-    constexpr Millis storeTimeout { 1000 };
+    //! Longest time to wait for the answer to a commit.
+    constexpr Millis maxStoreTimeout { 1000 };
     //! Least time between commits while no caller waits, so that one transaction carries many progress changes.
     constexpr Millis progressCommitInterval { 40 };
     //! The store accepts at most 32 entries in one transaction. The commit key takes two of them, a condition and a
@@ -97,7 +98,13 @@
 
 void Committer::send()
 {
-    store_.commit(txn_, now() + storeTimeout, liveness_.guard([this](const kv::TxnResult& result) {
+    auto sentAt = now();
+    auto deadline = sentAt + responseTimeout(responseTimes_, maxStoreTimeout);
+    store_.commit(txn_, deadline, liveness_.guard([this, sentAt](const kv::TxnResult& result) {
+        if (result.error == Errc::Timeout)
+            addTimeout(responseTimes_);
+        else if (!result.error || result.error == Errc::Conflict)
+            addResponse(responseTimes_, elapsed(sentAt, now()));
         if (!isStopped_)
             handleResult(result);
     }));
@@ -121,7 +128,8 @@
     if (!mayBeApplied_)
         return returnBatchAndRetry();
     // Sending the same transaction again is safe: once it is applied, its condition on the commit key fails.
-    timer_.arm(storeRetryDelay, [this] { send(); });
+    bool hasWaited = result.error == Errc::Timeout;
+    timer_.arm(hasWaited ? Millis(0) : storeRetryDelay, [this] { send(); });
 }
 
 //! The store has certainly not applied the batch. It goes back to the queue, where submissions can be withdrawn again.
--- a/src/node/committer.h
+++ b/src/node/committer.h
@@ -4,6 +4,7 @@
 #include "agatevane/fleet/group_commit.h"
 #include "agatevane/kv/kv.h"
 #include "node/records.h"
+#include "node/response_times.h"
 #include "node/timer.h"
 #include <asio/io_context.hpp>
 #include <functional>
@@ -68,6 +69,7 @@
     bool isInFlight_ = false;
     bool mayBeApplied_ = false; //!< an attempt to commit `txn_` ended without a definite answer
     Instant lastCommitAt_;
+    ResponseTimes responseTimes_; //!< of commits
     std::string storedWorkerRecord_; //!< the record of workers that the store holds; empty: none
     std::optional<WorkerRecord> sentWorkerRecord_; //!< part of `txn_`
     Instant nextWorkerRecordAt_; //!< earliest time of the next record of workers
--- a/src/node/owner_election.cpp
+++ b/src/node/owner_election.cpp
@@ -16,7 +16,7 @@
     //! is replaced within seconds.
     constexpr Millis preferredLeaseTtl { 1500 };
     //! Shorter than the remaining time of the lease, so that there is time for another renewal if an answer is lost.
-    constexpr Millis renewalTimeout { 500 };
+    constexpr Millis maxRenewalTimeout { 500 };
     constexpr Millis watchWait { 3000 };
     //! Time beyond the wait in which a slow store may answer a watch. After that the watch is sent again.
     constexpr Millis watchMargin { 800 };
@@ -136,34 +136,40 @@
     isLeaseCallInFlight_ = true;
     auto sentAt = bootNow();
     auto lease = lease_;
-    store_.renewLease(
-        lease, now() + renewalTimeout, liveness_.guard([this, sentAt, lease](const kv::LeaseResult& result) {
-            isLeaseCallInFlight_ = false;
-            if (lease != lease_)
-                return;
-            if (result.hasEnded && !isOwner_) {
-                lease_ = 0;
-                return;
-            }
-            if (result.hasEnded) {
-                Line("lease_lost").with("lease", lease_).with("seated", isOwner_);
-                lease_ = ownerKeyLease_ = 0;
-                lastStoreAnswer_ = bootNow();
-                nextRenewal_ = bootNow();
-                if (isOwner_)
-                    readOwner();
-                return;
-            }
-            noteStoreAnswer(result.error);
-            nextRenewal_ = bootNow() + (result.error ? retryPause : leaseTtl_ / 4);
-            if (result.error)
-                return;
-            leaseRenewedAt_ = sentAt;
-            // The store removes the owner key when its lease ends, so a successful renewal of it confirms the
-            // ownership.
-            if (isOwner_ && lease_ == ownerKeyLease_)
-                confirmedAt_ = sentAt;
-        }));
+    auto timeout = responseTimeout(renewalTimes_, maxRenewalTimeout);
+    store_.renewLease(lease, now() + timeout, liveness_.guard([this, sentAt, lease](const kv::LeaseResult& result) {
+        isLeaseCallInFlight_ = false;
+        if (result.error == Errc::Timeout)
+            addTimeout(renewalTimes_);
+        else if (!result.error)
+            addResponse(renewalTimes_, elapsed(sentAt, bootNow()));
+        if (lease != lease_)
+            return;
+        if (result.hasEnded && !isOwner_) {
+            lease_ = 0;
+            return;
+        }
+        if (result.hasEnded) {
+            Line("lease_lost").with("lease", lease_).with("seated", isOwner_);
+            lease_ = ownerKeyLease_ = 0;
+            lastStoreAnswer_ = bootNow();
+            nextRenewal_ = bootNow();
+            if (isOwner_)
+                readOwner();
+            return;
+        }
+        noteStoreAnswer(result.error);
+        // After a timeout the renewal has waited already, and the lease goes on running out.
+        auto pause = result.error == Errc::Timeout ? Millis(0) : retryPause;
+        nextRenewal_ = bootNow() + (result.error ? pause : leaseTtl_ / 4);
+        if (result.error)
+            return;
+        leaseRenewedAt_ = sentAt;
+        // The store removes the owner key when its lease ends, so a successful renewal of it confirms the
+        // ownership.
+        if (isOwner_ && lease_ == ownerKeyLease_)
+            confirmedAt_ = sentAt;
+    }));
 }
 
 void OwnerElection::readOwner()
--- a/src/node/owner_election.h
+++ b/src/node/owner_election.h
@@ -3,6 +3,7 @@
 #include "agatevane/base/random.h"
 #include "agatevane/kv/kv.h"
 #include "node/records.h"
+#include "node/response_times.h"
 #include "node/timer.h"
 #include <asio/io_context.hpp>
 #include <functional>
@@ -106,6 +107,7 @@
 
     kv::LeaseId lease_ = 0;
     kv::LeaseId ownerKeyLease_ = 0; //!< the lease that holds this owner's key; 0: the key may have been removed
+    ResponseTimes renewalTimes_; //!< of renewals of `lease_`
     Instant leaseRenewedAt_; //!< when the call was sent that last renewed `lease_`
     bool isLeaseCallInFlight_ = false;
     bool isClaimInProgress_ = false;
