Add a library that learns run times, with the histogram of the first programs

The first programs correct them by a histogram of ratios, which knows no durations, no runs that go on and no stored form.

Result: test_run_times passes (15 cases); test_scheduling passes unchanged.

--- a/src/agatevane/scheduling/run_time_estimator.cpp
+++ b/src/agatevane/scheduling/run_time_estimator.cpp
@@ -1,6 +1,4 @@
 #include "agatevane/scheduling/run_time_estimator.h"
-#include <algorithm>
-#include <cmath>
 
 namespace agatevane::scheduling {
 
@@ -17,31 +15,14 @@
 
 void addSample(RatioHistogram& histogram, double ratio)
 {
-    constexpr int middle = RatioHistogram::octaves * RatioHistogram::bucketsPerOctave;
-    int bucket = middle;
-    if (ratio > 0)
-        bucket
-            += static_cast<int>(std::ceil(std::log2(std::clamp(ratio, 1e-6, 1e6)) * RatioHistogram::bucketsPerOctave));
-    else
-        bucket = 0;
-    for (float& count : histogram.counts)
-        count *= decayPerSample;
-    histogram.counts[std::clamp(bucket, 0, RatioHistogram::size - 1)] += 1;
-    histogram.total = histogram.total * decayPerSample + 1;
+    run_times::addToBucket(histogram, run_times::bucketOf<RatioHistogram>(ratio), decayPerSample);
 }
 
 double quantile(const RatioHistogram& histogram, double fraction, double defaultValue)
 {
     if (histogram.total < minSamples * decayPerSample)
         return defaultValue;
-    constexpr int middle = RatioHistogram::octaves * RatioHistogram::bucketsPerOctave;
-    double left = histogram.total * fraction;
-    int bucket = 0;
-    while (bucket < RatioHistogram::size - 1 && left > histogram.counts[bucket]) {
-        left -= histogram.counts[bucket];
-        ++bucket;
-    }
-    return std::exp2(static_cast<double>(bucket - middle) / RatioHistogram::bucketsPerOctave);
+    return run_times::upperEdge<RatioHistogram>(run_times::quantileBucket(histogram, fraction, histogram.total));
 }
 
 int findOrAddKind(RunTimeEstimator& estimator, int workspace, const std::string& kind)
--- a/src/agatevane/scheduling/run_time_estimator.h
+++ b/src/agatevane/scheduling/run_time_estimator.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <array>
+#include "agatevane/run_times/histogram.h"
 #include <cstdint>
 #include <map>
 #include <string>
@@ -9,17 +9,9 @@
 
 namespace agatevane::scheduling {
 
-//! Distribution of the ratio of actual to declared run time. Bucket edges are powers of two in steps of 1/4 of an
-//! exponent, from 1/32 to 32. Older samples have exponentially less weight.
-struct RatioHistogram {
-    static constexpr int bucketsPerOctave = 4;
-    //! Number of doublings on each side of the ratio 1. Declared run times are wrong by a factor of up to ten.
-    static constexpr int octaves = 5;
-    static constexpr int size = 2 * octaves * bucketsPerOctave + 1;
-
-    std::array<float, size> counts {};
-    float total = 0; //!< sum of all counts
-};
+//! Distribution of the ratio of actual to declared run time, from 1/32 to 32: declared run times are wrong by a factor
+//! of up to ten. Older samples have exponentially less weight.
+using RatioHistogram = run_times::Histogram<-5, 5>;
 
 void addSample(RatioHistogram& histogram, double ratio);
 
