Order and move work by learned run times where stops are costly

Cause: a job whose declared time is too short by 2.5 is taken for past its value while it still has some, since the objective is a multiple of its true work, and goes last. Runs on workers that leave are stopped, or lost with the worker, by the same wrong times.

Change: fleet/learned_run_times feeds the model from runs that end done and from runs that exceed their expected time, and answers ranking (median; past its value only if 10 %, 50 % and 90 % say so), departures (own pace, else 90 %) and stall limits (90 %, never shorter than now). start_ordered says which estimate was used.

--- a/src/agatevane/fleet/departure.cpp
+++ b/src/agatevane/fleet/departure.cpp
@@ -9,31 +9,19 @@
     //! Time for the stop order and the poll that reports the end, in addition to the stop itself. A call may have to be
     //! repeated.
     constexpr Millis orderAllowance { 500 };
-    constexpr int fullPercent = 100;
-    //! From this percentage on, the measured speed of a run predicts its end better than the estimate.
-    constexpr int minMeasuredPercent = 10;
 
-    //! Time until a run ends; nothing if it is unknown.
-    std::optional<Millis> remainingWork(const StepSpec& step, const Run& run, Instant at)
-    {
-        // If the step saves checkpoints, an earlier run may have done a part of the percentage.
-        if (!step.savesCheckpoints && run.percent >= minMeasuredPercent) {
-            auto whole = elapsed(run.confirmedAt, run.progressAt) * fullPercent / run.percent;
-            return whole - elapsed(run.confirmedAt, at);
-        }
-        if (step.estimatedMs == 0)
-            return std::nullopt;
-        return Millis(step.estimatedMs) * (fullPercent - run.percent) / fullPercent;
-    }
-
-    bool isDueToStop(const Fleet& fleet, const StepSpec& step, const Run& run, Instant at, Instant leavesAt)
+    bool isDueToStop(const Fleet& fleet, const Job& job, const Worker& worker, const Run& run, Instant at)
     {
+        const auto& step = stepOf(job, run.task);
+        auto leavesAt = worker.leavesAt;
         bool isLastMoment = elapsed(at, leavesAt) <= fleet.limits.stopDuration + orderAllowance;
         // Other members of a continuous gang run on workers that stay, and only a limited number of them may be
         // stopped.
         if (step.isContinuous)
             return isLastMoment && !step.isGang;
-        auto left = remainingWork(step, run, at);
+        // The estimate only matters while a run has done little that its stop would lose. A run that does not end in
+        // time loses all its work with the worker, so that it goes on only if that is unlikely.
+        auto left = remainingTime(fleet, job, worker, run, longFraction, at);
         if (step.savesCheckpoints)
             return isLastMoment && (!left || at + *left > leavesAt);
         return left && at + *left > leavesAt;
@@ -56,7 +44,7 @@
             auto* job = findJob(fleet, key.first.job);
             if (run.state != RunState::Running || !run.isWanted || !job || job->phase != JobPhase::Open)
                 continue;
-            if (isDueToStop(fleet, stepOf(*job, key.first), run, at, worker->leavesAt))
+            if (isDueToStop(fleet, *job, *worker, run, at))
                 stopTaskRuns(fleet, *job, key.first, at, "worker_leaves");
         }
     }
--- a/src/agatevane/fleet/expiry.cpp
+++ b/src/agatevane/fleet/expiry.cpp
@@ -20,8 +20,8 @@
     constexpr Millis avoidAfterStall { 8000 };
     //! A run is stuck once a percent takes this many times as long as expected.
     constexpr int stallFactor = 3;
-    //! Declared lengths are often far too long, so that they delay the first stop by no more than this.
-    constexpr Millis maxDeclaredStallTimeout { 30000 };
+    //! Expected lengths may be far too long, so that they delay the first stop by no more than this.
+    constexpr Millis maxExpectedStallTimeout { 30000 };
     //! Each stop of a task for a stall doubles the time that its next run has, this many times at most.
     constexpr int maxStallDoublings = 12;
     constexpr int allDone = 100;
@@ -68,9 +68,9 @@
         return gained > 0 ? elapsed(run.firstReportAt, run.progressAt) / gained : Millis(0);
     }
 
-    Millis declaredStallTimeout(const StepSpec& step)
+    Millis expectedStallTimeout(std::int64_t runTimeMs)
     {
-        return std::min(Millis(step.estimatedMs / allDone) * stallFactor, maxDeclaredStallTimeout);
+        return std::min(Millis(runTimeMs / allDone) * stallFactor, maxExpectedStallTimeout);
     }
 
     //! A run without progress is stopped once it has made none for this long; nothing: it is never stopped for that.
@@ -84,8 +84,11 @@
         if (!job || stepOf(*job, run.task).isContinuous)
             return std::nullopt;
         const auto& step = stepOf(*job, run.task);
-        auto timeout = std::max({ step.isFiller ? fillerStallTimeout : stallTimeout, declaredStallTimeout(step),
-            observedPercentTime(run) * stallFactor });
+        // A stop loses the work of a run, so that the time for a percent is taken from the long runs, and what was
+        // learned shortens no limit.
+        auto learned = expectedStallTimeout(runTimeMs(fleet, *job, step, longFraction));
+        auto timeout = std::max({ step.isFiller ? fillerStallTimeout : stallTimeout,
+            expectedStallTimeout(step.estimatedMs), learned, observedPercentTime(run) * stallFactor });
         // The work may take longer than declared, so that a run never gets far enough to show its pace.
         return timeout * (1 << std::min(sharedTask(*job, run.task).stalls, maxStallDoublings));
     }
--- a/src/agatevane/fleet/model.h
+++ b/src/agatevane/fleet/model.h
@@ -112,5 +112,7 @@
 
 //! Estimated duration, in milliseconds, of the longest chain of steps that wait for each other.
 std::int64_t longestChainMs(const std::vector<StepSpec>& steps);
+//! As above, of these durations of the steps.
+std::int64_t longestChainMs(const std::vector<StepSpec>& steps, const std::vector<std::int64_t>& durationsMs);
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -10,6 +10,7 @@
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -398,6 +399,7 @@
         {
             reserve(pending, placement);
             auto number = nextRunNumber(fleet_, *pending.job, pending.task(taskIndexes.front()));
+            auto expected = runTimeOf(fleet_, *pending.job, pending.spec());
             for (std::size_t n = 0; n < taskIndexes.size(); ++n) {
                 auto& worker = *headrooms_[placement[n]].worker;
                 auto id = pending.task(taskIndexes[n]);
@@ -411,7 +413,10 @@
                     .with("run", number)
                     .with("worker", worker.id)
                     .with("look_age_ms", elapsed(worker.lastAnswerAt, at_).count())
-                    .with("tier", pending.tier);
+                    .with("tier", pending.tier)
+                    .with("expected_ms", run_times::quantileMs(expected, medianFraction))
+                    .with("expected_by", nameOf(expected.source))
+                    .with("samples", std::lround(expected.samples));
             }
         }
 
--- a/src/agatevane/fleet/ranking.cpp
+++ b/src/agatevane/fleet/ranking.cpp
@@ -7,26 +7,29 @@
     //! A job that takes this many times its objective has no value any more.
     constexpr double lateFactor = 3;
 
-    struct Objective {
-        std::int64_t dueMs = 0; //!< objective, counted from acceptance or from the due time of the occurrence
-        std::int64_t lateMs = 0; //!< time from which the job has no value, counted from the same instant
+    //! Time until the rest of the job's work must start.
+    struct Slack {
+        std::int64_t dueMs = 0; //!< ... for the job to meet its objective
+        std::int64_t lateMs = 0; //!< ... for the job to have any value
     };
 
-    Objective objectiveOf(const Job& job)
+    //! The slack if each task takes the time that this fraction of such tasks does not exceed. The job's objective
+    //! depends on the time that its work truly takes, so that it is computed from the same times.
+    Slack slackOf(const Fleet& fleet, const PendingStep& pending, double fraction, std::int64_t ageMs)
     {
-        auto chain = static_cast<double>(longestChainMs(job.spec.steps));
+        const auto& job = *pending.job;
+        auto chain = static_cast<double>(learnedChainMs(fleet, job, fraction));
         auto due = job.policy.objectiveFactor * chain + static_cast<double>(job.policy.objectiveBase.count());
-        return { static_cast<std::int64_t>(due), static_cast<std::int64_t>(lateFactor * due) };
+        auto spentMs = ageMs + learnedChainMs(fleet, job, fraction, &job.occurrences[pending.occurrence]);
+        return { static_cast<std::int64_t>(due) - spentMs, static_cast<std::int64_t>(lateFactor * due) - spentMs };
     }
 
-    std::int64_t remainingChainMs(const Job& job, const Occurrence& occurrence)
+    //! Work that has lost its value goes last, so that it must have lost it whether it is long or short: a longer job
+    //! has a later objective, and a shorter one ends sooner.
+    bool isExpired(const Fleet& fleet, const PendingStep& pending, const Slack& median, std::int64_t ageMs)
     {
-        auto steps = job.spec.steps;
-        for (std::size_t stepIndex = 0; stepIndex < steps.size(); ++stepIndex) {
-            if (occurrence.steps[stepIndex].done == occurrence.steps[stepIndex].tasks.size())
-                steps[stepIndex].estimatedMs = 0;
-        }
-        return longestChainMs(steps);
+        auto isLate = [&](double fraction) { return slackOf(fleet, pending, fraction, ageMs).lateMs < 0; };
+        return median.lateMs < 0 && isLate(shortFraction) && isLate(longFraction);
     }
 
 } // namespace
@@ -34,20 +37,19 @@
 void rank(const Fleet& fleet, PendingStep& pending, std::int64_t ageMs)
 {
     const auto& job = *pending.job;
-    auto objective = objectiveOf(job);
-    auto remaining = remainingChainMs(job, job.occurrences[pending.occurrence]);
-    auto dueSlack = objective.dueMs - ageMs - remaining;
-    auto lateSlack = objective.lateMs - ageMs - remaining;
+    auto slack = slackOf(fleet, pending, medianFraction, ageMs);
     pending.isWithinGuarantee = job.policy.priority == 0 && fleet.tenantsWithinGuarantee.contains(job.spec.tenant);
-    pending.slackMs = dueSlack >= 0 ? dueSlack : lateSlack;
+    pending.slackMs = slack.dueMs >= 0 ? slack.dueMs : slack.lateMs;
     if (pending.isWithinGuarantee)
         pending.tier = guaranteedTier;
     else if (job.policy.priority == 0)
         pending.tier = urgentTier;
     else if (pending.spec().isContinuous)
         pending.tier = continuousTier;
+    else if (isExpired(fleet, pending, slack, ageMs))
+        pending.tier = expiredTier;
     else
-        pending.tier = lateSlack < 0 ? expiredTier : (dueSlack < 0 ? lateTier : onTimeTier) + job.policy.priority;
+        pending.tier = (slack.dueMs < 0 ? lateTier : onTimeTier) + job.policy.priority;
 }
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/record.cpp
+++ b/src/agatevane/fleet/record.cpp
@@ -101,7 +101,7 @@
 
 } // namespace
 
-std::int64_t longestChainMs(const std::vector<StepSpec>& steps)
+std::int64_t longestChainMs(const std::vector<StepSpec>& steps, const std::vector<std::int64_t>& durationsMs)
 {
     std::vector<std::int64_t> until(steps.size(), 0);
     std::int64_t longest = 0;
@@ -111,12 +111,21 @@
             if (earlier < stepIndex)
                 begin = std::max(begin, until[earlier]);
         }
-        until[stepIndex] = begin + steps[stepIndex].estimatedMs;
+        until[stepIndex] = begin + durationsMs[stepIndex];
         longest = std::max(longest, until[stepIndex]);
     }
     return longest;
 }
 
+std::int64_t longestChainMs(const std::vector<StepSpec>& steps)
+{
+    std::vector<std::int64_t> durationsMs;
+    durationsMs.reserve(steps.size());
+    for (const auto& step : steps)
+        durationsMs.push_back(step.estimatedMs);
+    return longestChainMs(steps, durationsMs);
+}
+
 Job makeJob(JobSpec spec, std::int64_t acceptedUnixMs)
 {
     Job job;
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -176,6 +176,7 @@
     run.priority = job.policy.priority;
     run.orderedAt = run.nextSendAt = run.progressAt = at;
     run.pace = fullPace;
+    run.isFromStart = sharedTask(job, id).checkpoint.empty();
     worker.used += run.need;
     worker.runs.emplace(RunKey { id, number }, run);
     task.run = { worker.id, number };
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -3,6 +3,7 @@
 #include "agatevane/base/enum_names.h"
 #include "agatevane/desired_state/desired_state.h"
 #include "agatevane/fleet/denials.h"
+#include "agatevane/fleet/learned_run_times.h"
 #include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
 #include "agatevane/fleet/violation.h"
@@ -109,6 +110,8 @@
     Capacity need;
     RunState state = RunState::Ordered;
     bool isWanted = true; //!< false: the worker reported the run, but it belongs to no task that needs it
+    //! Ordered by this owner, without a checkpoint of an earlier run, so that the run does the whole work.
+    bool isFromStart = false;
     bool isHeld = false; //!< the run belongs to a job whose records can't be read, and is neither wanted nor stopped
     int priority = 0;
     Instant orderedAt;
@@ -127,6 +130,7 @@
     std::optional<int> pace; //!< for fillers: pace in percent that the worker has confirmed; nothing: unknown
     bool isPaceInFlight = false;
     Instant nextPaceAt;
+    run_times::Sample sample; //!< the run's part in the learned run times
     std::optional<Instant> hiddenSince; //!< since then, the run may be the one in a row that can't be read
 };
 
@@ -299,6 +303,7 @@
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
     Denials denials;
+    LearnedRunTimes runTimes;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -50,6 +50,8 @@
                 continue;
             }
             logEndOfOtherRun(fleet, worker, end);
+            if (auto run = worker.runs.find(end.key); end.kind == EndKind::Done && run != worker.runs.end())
+                learnFromDone(fleet, worker, run->second, at);
             removeRun(fleet, worker, end.key);
             if (auto* job = findJob(fleet, end.key.first.job); job && findTask(fleet, end.key.first))
                 markStarted(fleet, *job);
@@ -93,6 +95,7 @@
             run.percent = report.percent;
             run.progressAt = at;
         }
+        learnFromRunning(fleet, worker, run, at);
         auto* job = findJob(fleet, run.task.job);
         if (job)
             markStarted(fleet, *job);
