Store learned run times for the next owner, and show them to operators

Cause: a new owner would order work by declared times until ten runs of each queue have ended.

FleetLoader reads the key only where stops are costly. jobs show has declaredMs, expectedMs, expectedBy and samples for each step; explain shows run_times_loaded.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -19,10 +19,10 @@
     constexpr std::int64_t includedAfterMs = 500;
 
     //! Events about a process itself and about the services it depends on.
-    constexpr std::array<std::string_view, 19> processEvents { "commit_unanswered", "desired_state_applied", "drained",
+    constexpr std::array<std::string_view, 20> processEvents { "commit_unanswered", "desired_state_applied", "drained",
         "earlier_life_ended", "fleet_loaded", "lease_lost", "owner_absent", "owner_key_restored", "ownership_gained",
-        "ownership_lost", "readiness_changed", "reloaded", "settings_wrong", "started", "stopped", "stopping",
-        "store_heard_again", "store_not_read", "store_silent" };
+        "ownership_lost", "readiness_changed", "reloaded", "run_times_loaded", "settings_wrong", "started", "stopped",
+        "stopping", "store_heard_again", "store_not_read", "store_silent" };
 
     bool isAbout(const LogLine& line, const std::string& job)
     {
--- a/src/node/fleet_loader.cpp
+++ b/src/node/fleet_loader.cpp
@@ -3,13 +3,15 @@
 #include "agatevane/fleet/group_commit.h"
 #include "agatevane/fleet/queue_record.h"
 #include "node/committer.h"
+#include "node/run_time_recorder.h"
 
 namespace agatevane::node {
 
-FleetLoader::FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix)
+FleetLoader::FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix, bool areRunTimesLearned)
     : context_(context)
     , store_(store)
     , workerPrefix_(std::move(workerPrefix))
+    , areRunTimesLearned_(areRunTimesLearned)
 {
 }
 
@@ -21,6 +23,8 @@
     read(fleet::queuePrefix, stored_.queues);
     read(fleet::denialPrefix, stored_.denials);
     read(knownWorkersKey, stored_.knownWorkers);
+    if (areRunTimesLearned_)
+        read(runTimesKey, stored_.runTimes);
     read(workerPrefix_, stored_.listings);
 }
 
--- a/src/node/fleet_loader.h
+++ b/src/node/fleet_loader.h
@@ -16,6 +16,7 @@
     kv::ReadResult queues;
     kv::ReadResult denials; //!< cancellations that earlier owners have answered with "no such job"
     kv::ReadResult knownWorkers; //!< workers that earlier owners have named
+    kv::ReadResult runTimes; //!< run times that earlier owners have learned; empty where none are learned
     kv::ReadResult listings; //!< workers that the platform lists
 };
 
@@ -24,7 +25,8 @@
 public:
     using Done = std::function<void(StoredFleet stored)>;
 
-    FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix);
+    //! `areRunTimesLearned`: see fleet/learned_run_times.h.
+    FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix, bool areRunTimesLearned);
 
     //! `done` is called once, when all parts are there. Called once.
     void start(Done done);
@@ -36,6 +38,7 @@
     asio::io_context& context_;
     kv::Store& store_;
     std::string workerPrefix_;
+    bool areRunTimesLearned_ = false;
     Done done_;
     StoredFleet stored_;
     std::size_t partsLeft_ = 0;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -40,10 +40,12 @@
     : environment_(environment)
     , committer_(environment.context, environment.store, fleet_, commitRevision,
           { [this] { handleCommit(); }, environment.ownershipLost, [this] { return hasWaitingCaller(); } })
+    , runTimeRecorder_(fleet_, committer_)
     , tenureCheck_(environment.context, environment.store, tenure)
     , tickTimer_(environment.context)
     , advanceTimer_(environment.context)
-    , loader_(environment.context, environment.store, environment.translation.workerPrefix)
+    , loader_(
+          environment.context, environment.store, environment.translation.workerPrefix, fleet::areStopsCostly(limits))
     , workersFollower_(environment.context, environment.store, environment.translation.workerPrefix, workersWatch,
           { [this](const kv::ReadResult& listed) {
                applyListings(listed);
@@ -152,6 +154,7 @@
     }
     if (upkeepController_)
         upkeepController_->advance();
+    runTimeRecorder_.saveIfDue(at);
     committer_.commitPending();
 }
 
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -8,6 +8,7 @@
 #include "node/ports.h"
 #include "node/prefix_follower.h"
 #include "node/records.h"
+#include "node/run_time_recorder.h"
 #include "node/tenure_check.h"
 #include "node/timer.h"
 #include "node/upkeep_controller.h"
@@ -123,6 +124,7 @@
     fleet::Fleet fleet_;
     InvariantReporter invariantReporter_;
     Committer committer_;
+    RunTimeRecorder runTimeRecorder_;
     TenureCheck tenureCheck_;
     std::unique_ptr<UpkeepController> upkeepController_; //!< null: machines take no orders
     bool isReady_ = false;
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -25,6 +25,7 @@
     loadJobs(stored.acceptances, stored.progress);
     loadDenials(stored.denials);
     loadKnownWorkers(stored.knownWorkers);
+    runTimeRecorder_.load(stored.runTimes, bootNow());
     applyListings(stored.listings);
     isReady_ = true;
     Line("fleet_loaded")
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -143,6 +143,8 @@
         setWatchAge("workers", fleetOwner_->workersFollower());
         if (const auto* upkeep = fleetOwner_->upkeepController())
             setWatchAge("waves", upkeep->wavesFollower());
+        registry.gauge("agatevane_run_time_queues", "Queues whose run times were learned from finished runs")
+            .set(static_cast<double>(fleet.runTimes.model.queues.size()));
         registry.gauge("agatevane_starts_ordered", "Starts ordered in this tenure")
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -6,6 +6,7 @@
 #include "agatevane/fleet/waiting.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace agatevane::node {
@@ -107,8 +108,12 @@
                 std::size_t failed = 0;
                 for (const auto& task : step.tasks)
                     failed += task.failedRuns.size();
+                auto expected = fleet::runTimeOf(view.fleet, job, job.spec.steps[index]);
                 steps.push_back({ { "occurrence", occurrence }, { "step", index }, { "tasks", step.tasks.size() },
-                    { "done", step.done }, { "withWorker", step.active }, { "failedRuns", failed } });
+                    { "done", step.done }, { "withWorker", step.active }, { "failedRuns", failed },
+                    { "declaredMs", expected.declaredMs },
+                    { "expectedMs", run_times::quantileMs(expected, fleet::medianFraction) },
+                    { "expectedBy", nameOf(expected.source) }, { "samples", std::lround(expected.samples) } });
             }
         }
         page["isDurable"] = job.durablePhase == job.phase;
--- a/tests/node/operator_pages_tests.cpp
+++ b/tests/node/operator_pages_tests.cpp
@@ -83,3 +83,23 @@
     BOOST_CHECK_EQUAL(page("/v1/workers").at("workers").size(), 2);
     BOOST_CHECK(page("/v1/waves").at("waves").empty());
 }
+
+// Guards against a page that does not say by which run time a job is ordered, and from how many runs it is known.
+BOOST_FIXTURE_TEST_CASE(The_page_of_a_job_shows_the_expected_run_time, PagesFixture, *boost::unit_test::label("node"))
+{
+    auto step = page("/v1/jobs/waits").at("steps")[0];
+    BOOST_CHECK_EQUAL(step.at("expectedMs"), 1000);
+    BOOST_CHECK_EQUAL(step.at("expectedBy"), "declared");
+    BOOST_CHECK_EQUAL(step.at("samples"), 0);
+    fleet.limits.stopDuration = Millis(900);
+    for (int n = 0; n < 12; ++n) {
+        run_times::Sample sample;
+        run_times::setDuration(fleet.runTimes.model, { "queue", "crew", 1000 }, sample, 4000, at);
+    }
+    fleet.jobs.at("waits").spec.queue = "queue";
+    step = page("/v1/jobs/waits").at("steps")[0];
+    BOOST_CHECK_EQUAL(step.at("declaredMs"), 1000);
+    BOOST_CHECK_EQUAL(step.at("expectedMs"), 4000);
+    BOOST_CHECK_EQUAL(step.at("expectedBy"), "workspace");
+    BOOST_CHECK_EQUAL(step.at("samples"), 12);
+}
