Compute the slack of a step once where its job has done nothing yet

Cause: the median round must stay under 1 ms with many pending steps, and the chains of work were computed up to six times for a step.

Change: the remaining chain is the whole one while no step is done; other quantiles are only looked at where run times are learned.

--- a/src/agatevane/fleet/ranking.cpp
+++ b/src/agatevane/fleet/ranking.cpp
@@ -1,5 +1,7 @@
 #include "agatevane/fleet/ranking.h"
 
+#include <algorithm>
+
 namespace agatevane::fleet {
 
 namespace {
@@ -18,9 +20,13 @@
     Slack slackOf(const Fleet& fleet, const PendingStep& pending, double fraction, std::int64_t ageMs)
     {
         const auto& job = *pending.job;
-        auto chain = static_cast<double>(learnedChainMs(fleet, job, fraction));
-        auto due = job.policy.objectiveFactor * chain + static_cast<double>(job.policy.objectiveBase.count());
-        auto spentMs = ageMs + learnedChainMs(fleet, job, fraction, &job.occurrences[pending.occurrence]);
+        const auto& occurrence = job.occurrences[pending.occurrence];
+        bool isAnyDone = std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+            [](const Step& step) { return step.done == step.tasks.size(); });
+        auto chain = learnedChainMs(fleet, job, fraction);
+        auto due = job.policy.objectiveFactor * static_cast<double>(chain)
+            + static_cast<double>(job.policy.objectiveBase.count());
+        auto spentMs = ageMs + (isAnyDone ? learnedChainMs(fleet, job, fraction, &occurrence) : chain);
         return { static_cast<std::int64_t>(due) - spentMs, static_cast<std::int64_t>(lateFactor * due) - spentMs };
     }
 
@@ -28,8 +34,11 @@
     //! has a later objective, and a shorter one ends sooner.
     bool isExpired(const Fleet& fleet, const PendingStep& pending, const Slack& median, std::int64_t ageMs)
     {
+        // Without learned times, all quantiles are the declared time.
+        if (median.lateMs >= 0 || !areStopsCostly(fleet.limits))
+            return median.lateMs < 0;
         auto isLate = [&](double fraction) { return slackOf(fleet, pending, fraction, ageMs).lateMs < 0; };
-        return median.lateMs < 0 && isLate(shortFraction) && isLate(longFraction);
+        return isLate(shortFraction) && isLate(longFraction);
     }
 
 } // namespace
