Decide on evacuations of data centres: nothing starts there, what runs goes on

Cause: operators of a new deployment evacuate data centres; from 5 s after the store's answer nothing may start there, not even by an order that is repeated. The fleet knew no such state. Change: fleet/evacuation holds the evacuated data centres and decides what becomes of starts there. An unsent start is withdrawn, a sent one without confirmation is stopped and not repeated, a gang that loses a member is stopped whole. Runs go on and are no preemption victims. Workers that were taken back come last for 5 s and while their entries say that they are cold.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/fleet/departure.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/expiry.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/runs.h"
@@ -26,8 +27,9 @@
     auto due = takeDueWorkers(fleet, at);
     expireRuns(fleet, due, at);
     abandonUnconfirmedStarts(fleet, due, at);
+    withdrawEvacuatedStarts(fleet, due, at);
     stopDepartingRuns(fleet, due, at);
-    if (fleet.isPlacementDue)
+    if (fleet.isPlacementDue && !areStartsHeld(fleet, at))
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.dueAdviceRequests, {});
     addDueWorkers(fleet, due, at);
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -13,6 +13,7 @@
         std::size_t fits = 0;
         Capacity available;
         std::int64_t interference = 0; //!< expected interference with the tasks on the worker; lower is better
+        bool isChosenLast = false;
     };
 
     std::size_t countFittingTasks(const Capacity& headroom, const Capacity& need, std::size_t most)
@@ -39,9 +40,12 @@
         return isServing(step) ? headroom.servingTasks + (headroom.fillerMilliCores > 0 ? 1 : 0) : 0;
     }
 
-    //! Sorts by interference, then the fullest workers first, so that entire workers stay free for large tasks.
+    //! Sorts workers that are chosen last behind all others, then by interference, then the fullest workers first, so
+    //! that entire workers stay free for large tasks.
     bool isFuller(const Candidate& a, const Candidate& b)
     {
+        if (a.isChosenLast != b.isChosenLast)
+            return b.isChosenLast;
         if (a.interference != b.interference)
             return a.interference < b.interference;
         if (a.available.accelerators != b.available.accelerators)
@@ -64,7 +68,8 @@
             auto fits
                 = countFittingTasks(available, need, std::min(count, remainingTasksOn(pending, *headroom.worker)));
             if (fits > 0)
-                candidates.push_back({ index, fits, available, interferenceOf(pending.spec(), headroom) });
+                candidates.push_back(
+                    { index, fits, available, interferenceOf(pending.spec(), headroom), headroom.isChosenLast });
         }
         std::sort(candidates.begin(), candidates.end(), isFuller);
         return candidates;
@@ -89,7 +94,8 @@
         return placement;
     }
 
-    //! Chooses the rack with the least free capacity that is sufficient.
+    //! Chooses the rack with the fewest tasks on workers that are chosen last, and among these the one with the least
+    //! free capacity that is sufficient.
     std::optional<Placement> assignOnOneRack(
         const std::vector<Candidate>& candidates, const std::vector<WorkerHeadroom>& headrooms, std::size_t count)
     {
@@ -97,15 +103,20 @@
         for (const auto& candidate : candidates)
             racks[headrooms[candidate.index].worker->rack].push_back(candidate);
         std::optional<Placement> best;
-        auto bestTotal = std::numeric_limits<std::size_t>::max();
+        constexpr auto unlimited = std::numeric_limits<std::size_t>::max();
+        auto bestCost = std::pair(unlimited, unlimited);
         for (const auto& [rack, members] : racks) {
             std::size_t total = 0;
             for (const auto& member : members)
                 total
                     += static_cast<std::size_t>(std::max<std::int64_t>(0, member.available.accelerators)) + member.fits;
             auto placement = assignInOrder(members, count);
-            if (placement && total < bestTotal) {
-                bestTotal = total;
+            if (!placement)
+                continue;
+            auto onLast = static_cast<std::size_t>(std::count_if(placement->begin(), placement->end(),
+                [&headrooms](std::size_t index) { return headrooms[index].isChosenLast; }));
+            if (auto cost = std::pair(onLast, total); cost < bestCost) {
+                bestCost = cost;
                 best = std::move(placement);
             }
         }
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -14,6 +14,7 @@
     Capacity afterStops; //!< capacity that is free once the runs that are being stopped have ended
     int servingTasks = 0; //!< tasks on the worker that serve users
     std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers on the worker could use
+    bool isChosenLast = false; //!< see isChosenLast() in evacuation.h
 };
 
 //! The tasks of one step of one occurrence that wait for a worker.
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -4,6 +4,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
@@ -119,6 +120,7 @@
                 headroom.afterStops += load.stopping;
                 headroom.servingTasks = load.servingTasks;
                 headroom.fillerMilliCores = load.fillerMilliCores;
+                headroom.isChosenLast = isChosenLast(worker, at_);
                 total += worker.capacity;
                 used += worker.used;
                 headrooms_.push_back(headroom);
--- a/src/agatevane/fleet/preemption.cpp
+++ b/src/agatevane/fleet/preemption.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/fleet/preemption.h"
 
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
 #include <limits>
@@ -72,7 +73,7 @@
             if (!run.isWanted || run.state == RunState::Stopping)
                 return;
             const auto* job = findJob(fleet_, run.task.job);
-            if (!job || stepOf(*job, run.task).isContinuous)
+            if (!job || stepOf(*job, run.task).isContinuous || isRunInEvacuatedZone(fleet_, *job, run.task))
                 return;
             auto id = run.task;
             bool isGang = stepOf(*job, id).isGang;
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -3,6 +3,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/incarnations.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/worker_record.h"
@@ -58,7 +59,7 @@
     bool mayStartOn(const Fleet& fleet, const Worker& worker, const RunKey& key, Instant at)
     {
         return isOwnershipConfirmed(fleet, at) && worker.hasAnsweredPoll && isEntryCurrent(worker)
-            && !hasOtherRun(worker, key) && !mayEndUnseen(worker, at);
+            && !hasOtherRun(worker, key) && !mayEndUnseen(worker, at) && mayStartDespiteEvacuations(fleet, worker, at);
     }
 
     //! True if a start or stop order is to be sent, now or later.
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -3,6 +3,7 @@
 #include "agatevane/base/enum_names.h"
 #include "agatevane/desired_state/desired_state.h"
 #include "agatevane/fleet/denials.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
 #include "agatevane/fleet/violation.h"
@@ -210,6 +211,9 @@
     int failuresInRow = 0; //!< runs that failed since the last one that succeeded
     Instant avoidUntil; //!< no new work until then, because runs failed or stalled, or the worker refused orders
     std::map<RunKey, Instant> unansweredStarts; //!< until its instant, also a later incarnation may carry out the start
+    bool isEvacuated = false; //!< the worker's data centre is evacuated: nothing starts there
+    Instant takenBackAt; //!< when the worker's data centre was last taken back; Instant {}: never
+    Instant coldUntil; //!< by its entry, the worker is cold until then; Instant {}: it is warm
     bool awaitsUpkeep = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
 
@@ -299,6 +303,7 @@
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
     Denials denials;
+    Evacuations evacuations;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
--- a/src/agatevane/fleet/waiting.cpp
+++ b/src/agatevane/fleet/waiting.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/waiting.h"
 
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/placement.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
@@ -66,6 +67,8 @@
     {
         const auto& spec = job.spec.steps[id.step];
         const auto& step = job.occurrences[id.occurrence].steps[id.step];
+        if (areStartsHeld(fleet, at))
+            return WaitReason::StartsHeld;
         if (job.isInherited && mayHaveUnreportedRuns(fleet, at))
             return WaitReason::RunsOfEarlierOwner;
         if (spec.isGang && step.active > 0)
--- a/src/agatevane/fleet/waiting.h
+++ b/src/agatevane/fleet/waiting.h
@@ -8,6 +8,7 @@
 enum class WaitReason {
     NotWaiting, //!< the job is not open, or all tasks that could run have a worker
     NotDue, //!< no occurrence is due yet
+    StartsHeld, //!< nothing starts, since it is not known which data centres are evacuated
     RunsOfEarlierOwner, //!< earlier runs may still run on a worker that has not answered since the takeover
     EarlierRunOpen, //!< an earlier run of the tasks is not known to have ended, or may still be started by a late order
     RunsBeingStopped, //!< a gang starts again once all members of its last run have ended
@@ -30,9 +31,10 @@
 
 template <> struct agatevane::EnumNames<agatevane::fleet::WaitReason> {
     using Reason = agatevane::fleet::WaitReason;
-    static constexpr std::array<std::pair<Reason, std::string_view>, 9> table { {
+    static constexpr std::array<std::pair<Reason, std::string_view>, 10> table { {
         { Reason::NotWaiting, "not_waiting" },
         { Reason::NotDue, "not_due" },
+        { Reason::StartsHeld, "starts_held" },
         { Reason::RunsOfEarlierOwner, "runs_of_earlier_owner" },
         { Reason::EarlierRunOpen, "earlier_run_open" },
         { Reason::RunsBeingStopped, "runs_being_stopped" },
--- a/src/agatevane/fleet/worker_list.cpp
+++ b/src/agatevane/fleet/worker_list.cpp
@@ -1,6 +1,7 @@
 //! The part of workers.h that applies the platform's list of workers.
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/incarnations.h"
 #include "agatevane/fleet/workers.h"
 
@@ -35,7 +36,9 @@
         worker.capacity = listing.capacity;
         worker.isDraining = listing.isDraining;
         worker.leavesAt = listing.timeLeft ? at + *listing.timeLeft : Instant {};
+        worker.coldUntil = listing.coldFor > Millis(0) ? at + listing.coldFor : Instant {};
         worker.isListed = true;
+        updateEvacuationOf(fleet, worker);
         if (!wasEntryCurrent)
             stopUnsuitableStarts(fleet, worker, at);
         return hasChanged;
--- a/src/agatevane/fleet/worker_record.cpp
+++ b/src/agatevane/fleet/worker_record.cpp
@@ -29,7 +29,7 @@
     for (const auto& [id, worker] : fleet.workers) {
         if (mayHaveOwnRuns(worker) || mayHaveEarlierRuns(fleet, worker, at))
             listings.push_back({ id, worker.address, worker.service, worker.zone, worker.rack, worker.labels,
-                worker.capacity, worker.isDraining, worker.incarnation, std::nullopt });
+                worker.capacity, worker.isDraining, worker.incarnation, std::nullopt, {} });
     }
     return listings;
 }
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -344,8 +344,8 @@
 bool isUsable(const Worker& worker, Instant at)
 {
     return worker.isListed && isEntryCurrent(worker) && worker.hasAnsweredPoll && !worker.awaitsNaming
-        && !worker.isDraining && !worker.awaitsUpkeep && !worker.hasRunOfUnknownSize && !worker.hasUnnamedRun
-        && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil
+        && !worker.isDraining && !worker.isEvacuated && !worker.awaitsUpkeep && !worker.hasRunOfUnknownSize
+        && !worker.hasUnnamedRun && worker.missedPolls < missedPollLimit && at >= worker.avoidUntil
         && !mayReceiveLateAcknowledgement(worker, at);
 }
 
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -21,10 +21,11 @@
     bool isDraining = false;
     std::int64_t incarnation = 0;
     std::optional<Millis> timeLeft; //!< shortest time that a draining worker still stays
+    Millis coldFor { 0 }; //!< time until the worker works at its full speed
 
     bool operator==(const WorkerListing&) const = default;
 
-    //! Omits `timeLeft`, which is out of date when the record is read again.
+    //! Omits `timeLeft` and `coldFor`, which are out of date when the record is read again.
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(id, address.address, address.port, service, zone, rack, labels, capacity, isDraining, incarnation);
--- a/tests/platform/odd_entry_tests.cpp
+++ b/tests/platform/odd_entry_tests.cpp
@@ -195,3 +195,40 @@
         BOOST_CHECK(!decodeWave(makeItem("op/wave/1", text), findings));
     }
 }
+
+// Guards against a request to evacuate that is ignored for its value, against one that names nothing, and against a
+// large value that is parsed on the owner's event loop.
+BOOST_AUTO_TEST_CASE(Only_the_key_of_a_request_to_evacuate_counts, *boost::unit_test::label("platform"))
+{
+    struct Case {
+        std::string name;
+        std::string value;
+        bool isRequest;
+        bool hasFinding;
+    };
+    for (const auto& each : std::vector<Case> { { "harju-a", "{}", true, false },
+             { "harju-a", R"({"by":"ops"})", true, false }, { "harju-a", "", true, true },
+             { "harju-a", "{", true, true }, { "harju-a", "[]", true, true }, { "harju-a", "\xff", true, true },
+             { "harju-a", std::string(1 << 20, '{'), true, true }, { "harju/a", "{}", true, false },
+             { std::string(129, 'z'), "{}", false, true }, { "", "{}", false, true } }) {
+        Findings findings;
+        auto zone = decodeEvacuation(makeItem("op/evacuate/" + each.name, each.value), findings);
+        BOOST_CHECK_EQUAL(zone.value_or(""), each.isRequest ? each.name : "");
+        BOOST_CHECK_EQUAL(!findings.empty(), each.hasFinding);
+    }
+}
+
+// Guards against a worker that can't be used, or is cold for ever, because of a value that only advises placement.
+BOOST_AUTO_TEST_CASE(The_time_for_which_a_worker_is_cold_is_read_leniently, *boost::unit_test::label("platform"))
+{
+    constexpr std::int64_t weekMs = 7LL * 24 * 3600 * 1000;
+    for (const auto& [value, expectedMs] : std::vector<std::pair<json, std::int64_t>> { { 0, 0 }, { 2500, 2500 },
+             { -5, 0 }, { "2500", 0 }, { nullptr, 0 }, { 9e300, 0 }, { weekMs * 1000, weekMs } }) {
+        auto entry = workerEntry();
+        entry["coldRemainingMs"] = value;
+        Findings findings;
+        auto listing = decodeListing(makeItem("servers/i-1", entry.dump()), findings);
+        BOOST_REQUIRE_MESSAGE(listing, format(findings));
+        BOOST_CHECK_EQUAL(listing->coldFor.count(), expectedMs);
+    }
+}
