Follow the requests to evacuate data centres, and show them to operators

Cause: the owner of the fleet has to know of each request within 5 s of the store's answer, also across takeovers and while one of its watches is silent. Change: node/evacuation_feed follows the keys; a new owner lists them with all else that it reads before it serves. Knowledge counts from when the last answered call was sent (PrefixFollower::knownAsOf()), since an answer may be late; once it is older than the bound less 1 s, starts are held. Where the bound is not set, nothing is read. Page /v1/evacuations, `agatevanectl evacuations`, two gauges, and the age of the watch among those of the others.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -32,6 +32,8 @@
 ExitCode listWorkers(const Context& context);
 //! Only nodes answer this request; entry VMs do not.
 ExitCode listWaves(const Context& context);
+//! Only nodes answer this request; entry VMs do not.
+ExitCode listEvacuations(const Context& context);
 //! Prints what the nodes' log files contain about a job. Sends no request.
 ExitCode explainJob(const Context& context, const std::string& job, const std::vector<std::string>& logs);
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr const char* summary = R"(Operates agatevane through the HTTP interface of any entry VM, and shows what any
-agatevane-node knows when --entry is the node's metrics address: jobs, workspaces, fleet, members, owners, workers and
-waves. `explain` reads the nodes' logs and asks no process.
+agatevane-node knows when --entry is the node's metrics address: jobs, workspaces, fleet, members, owners, workers,
+waves and evacuations. `explain` reads the nodes' logs and asks no process.
 
 Exit codes: 0 done, 1 refused (nothing was changed), 2 wrong usage, 3 the entry cannot be reached (nothing was
 changed), 4 conflict with another operator's change, 5 not found, 6 the answer was lost (the change may be in force),
@@ -128,6 +128,8 @@
     addCommand(app, "owners", "Owner and epoch of each data centre", chosen, ctl::listOwners);
     addCommand(app, "workers", "Workers as the owner of the fleet sees them (nodes only)", chosen, ctl::listWorkers);
     addCommand(app, "waves", "Waves of machine upkeep (nodes only)", chosen, ctl::listWaves);
+    addCommand(
+        app, "evacuations", "Data centres in which nothing may start (nodes only)", chosen, ctl::listEvacuations);
     auto* explain = addCommand(app, "explain", "What the nodes' logs contain about a job, in order of time", chosen,
         [&](const auto& commandContext) { return ctl::explainJob(commandContext, arguments.name, arguments.files); });
     explain->add_option("id", arguments.name, "job id")->required();
--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -74,6 +74,18 @@
     return answer.exitCode;
 }
 
+ExitCode listEvacuations(const Context& context)
+{
+    auto answer = sendRequest(context, "GET", "/v1/evacuations");
+    if (answer.exitCode == Success) {
+        printRows(context, answer.body, "evacuations",
+            { { "DATA CENTRE", "dataCentre" }, { "STARTED (UNIX MS)", "startedUnixMs" },
+                { "STARTED MS AGO", "startedMsAgo" }, { "WORKERS", "workers" }, { "RUNS", "runs" },
+                { "UNCONFIRMED STARTS", "unconfirmedStarts" } });
+    }
+    return answer.exitCode;
+}
+
 ExitCode explainJob(const Context& context, const std::string& job, const std::vector<std::string>& logs)
 {
     std::vector<event_log::LogLine> lines;
--- a/src/node/fleet_loader.cpp
+++ b/src/node/fleet_loader.cpp
@@ -6,22 +6,27 @@
 
 namespace agatevane::node {
 
-FleetLoader::FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix)
+FleetLoader::FleetLoader(
+    asio::io_context& context, kv::Store& store, std::string workerPrefix, std::string evacuationPrefix)
     : context_(context)
     , store_(store)
     , workerPrefix_(std::move(workerPrefix))
+    , evacuationPrefix_(std::move(evacuationPrefix))
 {
 }
 
 void FleetLoader::start(Done done)
 {
     done_ = std::move(done);
+    stored_.askedAt = bootNow();
     read(fleet::acceptancePrefix, stored_.acceptances);
     read(fleet::progressPrefix, stored_.progress);
     read(fleet::queuePrefix, stored_.queues);
     read(fleet::denialPrefix, stored_.denials);
     read(knownWorkersKey, stored_.knownWorkers);
     read(workerPrefix_, stored_.listings);
+    if (!evacuationPrefix_.empty())
+        read(evacuationPrefix_, stored_.evacuations);
 }
 
 void FleetLoader::stop()
--- a/src/node/fleet_loader.h
+++ b/src/node/fleet_loader.h
@@ -17,6 +17,8 @@
     kv::ReadResult denials; //!< cancellations that earlier owners have answered with "no such job"
     kv::ReadResult knownWorkers; //!< workers that earlier owners have named
     kv::ReadResult listings; //!< workers that the platform lists
+    kv::ReadResult evacuations; //!< data centres that operators have evacuated; not read where they evacuate none
+    Instant askedAt; //!< when the reading began
 };
 
 //! Reads a StoredFleet. All of its parts are read at the same time, each with repetitions of its own.
@@ -24,7 +26,8 @@
 public:
     using Done = std::function<void(StoredFleet stored)>;
 
-    FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix);
+    //! `evacuationPrefix` is empty where operators evacuate no data centres.
+    FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix, std::string evacuationPrefix);
 
     //! `done` is called once, when all parts are there. Called once.
     void start(Done done);
@@ -36,6 +39,7 @@
     asio::io_context& context_;
     kv::Store& store_;
     std::string workerPrefix_;
+    std::string evacuationPrefix_;
     Done done_;
     StoredFleet stored_;
     std::size_t partsLeft_ = 0;
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -43,7 +43,8 @@
     , tenureCheck_(environment.context, environment.store, tenure)
     , tickTimer_(environment.context)
     , advanceTimer_(environment.context)
-    , loader_(environment.context, environment.store, environment.translation.workerPrefix)
+    , loader_(environment.context, environment.store, environment.translation.workerPrefix,
+          limits.evacuationBound ? environment.translation.evacuationPrefix : std::string())
     , workersFollower_(environment.context, environment.store, environment.translation.workerPrefix, workersWatch,
           { [this](const kv::ReadResult& listed) {
                applyListings(listed);
@@ -60,6 +61,9 @@
         upkeepController_ = std::make_unique<UpkeepController>(
             UpkeepController::Environment { environment.context, environment.store, *environment.machines,
                 environment.translation, fleet_, committer_, [this] { return isOwnershipConfirmed(); } });
+    if (limits.evacuationBound)
+        evacuationFeed_ = std::make_unique<EvacuationFeed>(
+            environment.context, environment.store, environment.translation, fleet_, [this] { scheduleAdvance(); });
 }
 
 void FleetOwner::start()
@@ -75,6 +79,8 @@
     committer_.stop();
     if (upkeepController_)
         upkeepController_->stop();
+    if (evacuationFeed_)
+        evacuationFeed_->stop();
     auto waiters = waiters_;
     for (auto& [sequence, waiter] : waiters)
         passToNextOwner(waiter);
@@ -136,6 +142,8 @@
         return;
     auto at = bootNow();
     updateOwnership(at);
+    if (evacuationFeed_)
+        evacuationFeed_->update(at);
     bool mayPlace = at - lastPlacementAt_ >= placementInterval_;
     if (at - lastPlacementAt_ >= maxPlacementInterval)
         fleet_.isPlacementDue = true;
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -3,6 +3,7 @@
 #include "agatevane/fleet/state.h"
 #include "agatevane/kv/kv.h"
 #include "node/committer.h"
+#include "node/evacuation_feed.h"
 #include "node/fleet_loader.h"
 #include "node/invariant_reporter.h"
 #include "node/ports.h"
@@ -61,6 +62,7 @@
     std::size_t ignoredEntries() const { return ignoredEntries_.size(); }
     const PrefixFollower& workersFollower() const { return workersFollower_; }
     const UpkeepController* upkeepController() const { return upkeepController_.get(); }
+    const EvacuationFeed* evacuationFeed() const { return evacuationFeed_.get(); }
 
 private:
     //! What becomes durable before a caller is answered.
@@ -125,6 +127,7 @@
     Committer committer_;
     TenureCheck tenureCheck_;
     std::unique_ptr<UpkeepController> upkeepController_; //!< null: machines take no orders
+    std::unique_ptr<EvacuationFeed> evacuationFeed_; //!< null: operators evacuate no data centres
     bool isReady_ = false;
     bool isStopped_ = false;
     bool isAdvanceScheduled_ = false;
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -26,6 +26,8 @@
     loadDenials(stored.denials);
     loadKnownWorkers(stored.knownWorkers);
     applyListings(stored.listings);
+    if (evacuationFeed_)
+        evacuationFeed_->start(stored.evacuations, stored.askedAt);
     isReady_ = true;
     Line("fleet_loaded")
         .with("tenure", fleet_.tenure)
@@ -33,6 +35,7 @@
         .with("open", fleet_.openJobs.size())
         .with("denials", fleet_.denials.storedJobs)
         .with("workers", fleet_.workers.size())
+        .with("evacuated_data_centres", fleet_.evacuations.byZone.size())
         .with("as_of", stored.listings.asOf);
     workersFollower_.startAfter(stored.listings.asOf);
     if (upkeepController_)
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -25,7 +25,8 @@
 {
     return { platform::decodeCall, platform::hostOf, platform::apiKeyOf, platform::timeoutOf, platform::encodeAnswer,
         platform::desiredStateKey, platform::decodeDesiredState, platform::workerPrefix, platform::decodeListing,
-        platform::isReadinessCheck, platform::wavePrefix, platform::decodeWave, platform::encodeWaveStatus };
+        platform::isReadinessCheck, platform::wavePrefix, platform::decodeWave, platform::encodeWaveStatus,
+        platform::evacuationPrefix, platform::decodeEvacuation };
 }
 
 //! Interval between checks of the settings file, which the platform may change without a signal.
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -1,5 +1,6 @@
 //! The part of Node that serves metrics and operator pages at the metrics address.
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/json/reader.h"
 #include "node/node.h"
 #include "node/operator_pages.h"
@@ -26,6 +27,19 @@
         return jsonResponse(status, { { "status", status }, { "title", title } });
     }
 
+    void setEvacuationGauges(const fleet::Fleet& fleet)
+    {
+        auto summaries = fleet::summarizeEvacuations(fleet);
+        std::size_t runs = 0;
+        for (const auto& summary : summaries)
+            runs += summary.runs;
+        auto& registry = metrics::registry();
+        registry.gauge("agatevane_evacuated_data_centres", "Data centres in which nothing may start")
+            .set(static_cast<double>(summaries.size()));
+        registry.gauge("agatevane_runs_in_evacuated_data_centres", "Runs that go on in evacuated data centres")
+            .set(static_cast<double>(runs));
+    }
+
 } // namespace
 
 void Node::handleOperator(const event_http::Request& request, const event_http::Respond& respond)
@@ -143,6 +157,9 @@
         setWatchAge("workers", fleetOwner_->workersFollower());
         if (const auto* upkeep = fleetOwner_->upkeepController())
             setWatchAge("waves", upkeep->wavesFollower());
+        if (const auto* evacuations = fleetOwner_->evacuationFeed())
+            setWatchAge("evacuations", evacuations->follower());
+        setEvacuationGauges(fleet);
         registry.gauge("agatevane_starts_ordered", "Starts ordered in this tenure")
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -1,5 +1,6 @@
 #include "node/operator_pages.h"
 
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/placement.h"
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
@@ -41,6 +42,8 @@
             return "unlisted";
         if (worker.isDraining)
             return "draining";
+        if (worker.isEvacuated)
+            return "evacuated";
         if (worker.awaitsUpkeep)
             return "emptying";
         if (at < worker.avoidUntil)
@@ -256,6 +259,18 @@
         return { { "waves", std::move(rows) } };
     }
 
+    json listEvacuations(const FleetView& view)
+    {
+        auto rows = json::array();
+        for (const auto& summary : fleet::summarizeEvacuations(view.fleet)) {
+            auto age = elapsed(summary.requestedAt, view.at).count();
+            rows.push_back({ { "dataCentre", summary.zone }, { "startedUnixMs", view.unixMs - age },
+                { "startedMsAgo", age }, { "workers", summary.workers }, { "runs", summary.runs },
+                { "unconfirmedStarts", summary.unconfirmedStarts } });
+        }
+        return { { "startsHeld", fleet::areStartsHeld(view.fleet, view.at) }, { "evacuations", std::move(rows) } };
+    }
+
 } // namespace
 
 std::optional<nlohmann::json> operatorPage(const FleetView& view, std::string_view path)
@@ -264,9 +279,9 @@
     if (path.starts_with(jobPrefix))
         return showJob(view, std::string(path.substr(jobPrefix.size())));
     using Page = json (*)(const FleetView&);
-    constexpr std::array<std::pair<std::string_view, Page>, 5> pages { { { "/v1/jobs", listJobs },
+    constexpr std::array<std::pair<std::string_view, Page>, 6> pages { { { "/v1/jobs", listJobs },
         { "/v1/fleet", showFleet }, { "/v1/workspaces", listWorkspaces }, { "/v1/workers", listWorkers },
-        { "/v1/waves", listWaves } } };
+        { "/v1/waves", listWaves }, { "/v1/evacuations", listEvacuations } } };
     for (const auto& [name, page] : pages) {
         if (path == name)
             return page(view);
--- a/src/node/operator_pages.h
+++ b/src/node/operator_pages.h
@@ -24,8 +24,8 @@
     Instant at; //!< the same instant on the monotonic clock of bootNow()
 };
 
-//! Renders the page at `path`, which is "/v1/fleet", "/v1/workspaces", "/v1/workers", "/v1/waves", "/v1/jobs" or
-//! "/v1/jobs/ID". Returns nothing if there is no such page or job.
+//! Renders the page at `path`, which is "/v1/fleet", "/v1/workspaces", "/v1/workers", "/v1/waves", "/v1/evacuations",
+//! "/v1/jobs" or "/v1/jobs/ID". Returns nothing if there is no such page or job.
 std::optional<nlohmann::json> operatorPage(const FleetView& view, std::string_view path);
 
 } // namespace agatevane::node
--- a/src/node/ports.h
+++ b/src/node/ports.h
@@ -146,6 +146,10 @@
     std::function<std::optional<upkeep::WaveRequest>(const kv::Item& item, Findings& findings)> decodeWave;
     //! The item in the store in which operators read the progress of a wave.
     std::function<kv::Put(upkeep::WaveNumber wave, bool isCompleted)> encodeWaveStatus;
+
+    std::string evacuationPrefix;
+    //! The data centre that the item asks to evacuate, perhaps with findings; nothing if it names none.
+    std::function<std::optional<std::string>(const kv::Item& item, Findings& findings)> decodeEvacuation;
 };
 
 } // namespace agatevane::node
--- a/src/node/prefix_follower.cpp
+++ b/src/node/prefix_follower.cpp
@@ -41,9 +41,10 @@
     list();
 }
 
-void PrefixFollower::startAfter(kv::Revision revision)
+void PrefixFollower::startAfter(kv::Revision revision, Instant askedAt)
 {
     answeredAt_ = bootNow();
+    knownAsOf_ = askedAt;
     revision_ = revision;
     watch();
 }
@@ -57,6 +58,7 @@
 
 void PrefixFollower::list()
 {
+    askedAt_ = bootNow();
     listing_.start([this](kv::ReadResult result) {
         noteAnswer();
         revision_ = std::max(revision_, result.asOf);
@@ -67,6 +69,7 @@
 
 void PrefixFollower::watch()
 {
+    askedAt_ = bootNow();
     auto deadline = now() + times_.wait + watchMargin;
     store_.watch(prefix_, revision_, times_.wait, { deadline, {} },
         liveness_.guard([this](const kv::WatchResult& result) { handleWatch(result); }));
@@ -91,6 +94,7 @@
     if (std::exchange(isSilenceReported_, false))
         Line("store_heard_again").with("prefix", prefix_).with("silent_ms", answerAge(at).count());
     answeredAt_ = at;
+    knownAsOf_ = askedAt_;
 }
 
 void PrefixFollower::reportSilence(Instant at)
--- a/src/node/prefix_follower.h
+++ b/src/node/prefix_follower.h
@@ -28,8 +28,8 @@
 
     //! Begins with a listing. Called once, and not together with startAfter().
     void start();
-    //! Begins with a watch for changes after `revision`.
-    void startAfter(kv::Revision revision);
+    //! Begins with a watch for changes after `revision`, which a reading that began at `askedAt` has returned.
+    void startAfter(kv::Revision revision, Instant askedAt = bootNow());
     void stop();
 
     //! Logs when the store's answers stay away for longer than a listing and a watch take, and when they come again.
@@ -37,6 +37,9 @@
     void reportSilence(Instant at);
     //! Time since the store last answered a listing or a watch; 0 before the start.
     Millis answerAge(Instant at) const;
+    //! All changes before this time are known: it is when the call was sent that the store has answered last. Its
+    //! answer may have been on its way for longer than a change takes to be made.
+    Instant knownAsOf() const { return knownAsOf_; }
 
 private:
     void list();
@@ -50,6 +53,8 @@
     Callbacks callbacks_;
     kv::Revision revision_ = 0; //!< changes up to this one are known
     Instant answeredAt_; //!< Instant {}: not started
+    Instant askedAt_; //!< when the listing or watch under way began
+    Instant knownAsOf_;
     bool isSilenceReported_ = false;
     PrefixReading listing_;
     Timer watchTimer_; //!< the pause before the next watch
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -45,6 +45,10 @@
     void setLink(ModelledLink& link) { link_ = &link; }
     //! Reads and watches are answered this much later.
     void setDelay(Millis delay) { delay_ = delay; }
+    //! Watches of this prefix are not answered; empty: all are.
+    void silenceWatches(std::string prefix) { silentPrefix_ = std::move(prefix); }
+    //! True if the prefix was listed or watched.
+    bool hasBeenAskedFor(const std::string& prefix) const { return asked_.contains(prefix); }
     int commits() const { return commits_; }
 
     void get(const std::string& key, const TransferLimits& limits, std::function<void(kv::ReadResult)> done) override
@@ -56,6 +60,7 @@
         const std::string& prefix, const TransferLimits& limits, std::function<void(kv::ReadResult)> done) override
     {
         constexpr bool isListing = true;
+        asked_.insert(prefix);
         answer<kv::ReadResult>(
             limits.beginBy, overLink(limits, std::move(done)),
             [this, prefix] { return model_.list(prefix, modelTimeMs()); }, isListing);
@@ -63,6 +68,7 @@
     void watch(const std::string& prefix, kv::Revision after, Millis wait, const TransferLimits& limits,
         std::function<void(kv::WatchResult)> done) override
     {
+        asked_.insert(prefix);
         pollWatch(prefix, after, now() + wait, overLink(limits, std::move(done)));
     }
     void commit(const kv::Txn& txn, Instant deadline, std::function<void(kv::TxnResult)> done) override
@@ -176,6 +182,12 @@
         auto timer = std::make_shared<node::Timer>(context_);
         timer->arm(Millis(5), [this, timer, prefix, after, end, done = std::move(done)] {
             kv::WatchResult result;
+            if (!silentPrefix_.empty() && prefix == silentPrefix_) {
+                if (now() < end)
+                    return pollWatch(prefix, after, end, done);
+                result.error = Errc::Timeout;
+                return done(result);
+            }
             if (fault_ == StoreFault::Unresponsive || fault_ == StoreFault::Refusing
                 || fault_ == StoreFault::RefusesEverySecondCall) {
                 result.error = Errc::Timeout;
@@ -193,6 +205,8 @@
     StoreFault fault_ = StoreFault::None;
     ModelledLink* link_ = nullptr; //!< null: answers take no time on the way
     Millis delay_ { 0 };
+    std::string silentPrefix_;
+    std::set<std::string> asked_; //!< prefixes of listings and watches
     int commits_ = 0;
     int calls_ = 0; //!< without watches
 };
--- a/tests/node/operator_pages_tests.cpp
+++ b/tests/node/operator_pages_tests.cpp
@@ -1,6 +1,7 @@
 #include "node/operator_pages.h"
 
 #include "agatevane/fleet/dispatch.h"
+#include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/jobs.h"
 #include "agatevane/fleet/workers.h"
 #include "fakes.h"
@@ -83,3 +84,17 @@
     BOOST_CHECK_EQUAL(page("/v1/workers").at("workers").size(), 2);
     BOOST_CHECK(page("/v1/waves").at("waves").empty());
 }
+
+// Guards against an evacuation whose end operators can't foresee: the page shows what still runs there.
+BOOST_FIXTURE_TEST_CASE(
+    The_page_of_evacuations_shows_what_is_left_there, PagesFixture, *boost::unit_test::label("node"))
+{
+    BOOST_CHECK(page("/v1/evacuations").at("evacuations").empty());
+    fleet::requestEvacuation(fleet, "", at - Millis(1500));
+    auto row = page("/v1/evacuations").at("evacuations").at(0);
+    BOOST_CHECK_EQUAL(row.at("startedUnixMs"), unixMs - 1500);
+    BOOST_CHECK_EQUAL(row.at("workers"), 2);
+    BOOST_CHECK_EQUAL(row.at("runs"), 0);
+    BOOST_CHECK_EQUAL(row.at("unconfirmedStarts"), 1);
+    BOOST_CHECK_EQUAL(page("/v1/workers").at("workers")[0].at("state"), "evacuated");
+}
--- a/tests/node/owner_fixture.h
+++ b/tests/node/owner_fixture.h
@@ -36,7 +36,7 @@
                 [this](std::string_view reason) { ownershipLostReason = reason; },
                 [this] { return isOwnershipConfirmed ? Instant::max() : Instant {}; },
                 [this] { return ownershipEndsBy; } },
-            fleet::Limits {}, tenure, result.revision, desired);
+            limits, tenure, result.revision, desired);
         owner->start();
         BOOST_REQUIRE(runUntil(context, Millis(2000), [this] { return owner->isReady(); }));
     }
@@ -107,6 +107,7 @@
     FakeStore store;
     FakeWorkers workers;
     node::Translation translation;
+    fleet::Limits limits;
     std::unique_ptr<node::FleetOwner> owner;
     std::string ownershipLostReason;
     bool isOwnershipConfirmed = true;
