--- a/src/node/fleet_loader.cpp
+++ b/src/node/fleet_loader.cpp
@@ -7,10 +7,12 @@
 
 namespace agatevane::node {
 
-FleetLoader::FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix, bool areRunTimesLearned)
+FleetLoader::FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix,
+    std::string evacuationPrefix, bool areRunTimesLearned)
     : context_(context)
     , store_(store)
     , workerPrefix_(std::move(workerPrefix))
+    , evacuationPrefix_(std::move(evacuationPrefix))
     , areRunTimesLearned_(areRunTimesLearned)
 {
 }
@@ -18,6 +20,7 @@
 void FleetLoader::start(Done done)
 {
     done_ = std::move(done);
+    stored_.askedAt = bootNow();
     read(fleet::acceptancePrefix, stored_.acceptances);
     read(fleet::progressPrefix, stored_.progress);
     read(fleet::queuePrefix, stored_.queues);
@@ -26,6 +29,8 @@
     if (areRunTimesLearned_)
         read(runTimesKey, stored_.runTimes);
     read(workerPrefix_, stored_.listings);
+    if (!evacuationPrefix_.empty())
+        read(evacuationPrefix_, stored_.evacuations);
 }
 
 void FleetLoader::stop()
--- a/src/node/fleet_loader.h
+++ b/src/node/fleet_loader.h
@@ -18,6 +18,8 @@
     kv::ReadResult knownWorkers; //!< workers that earlier owners have named
     kv::ReadResult runTimes; //!< run times that earlier owners have learned; empty where none are learned
     kv::ReadResult listings; //!< workers that the platform lists
+    kv::ReadResult evacuations; //!< data centres that operators have evacuated; not read where they evacuate none
+    Instant askedAt; //!< when the reading began
 };
 
 //! Reads a StoredFleet. All of its parts are read at the same time, each with repetitions of its own.
@@ -25,8 +27,10 @@
 public:
     using Done = std::function<void(StoredFleet stored)>;
 
-    //! `areRunTimesLearned`: see fleet/learned_run_times.h.
-    FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix, bool areRunTimesLearned);
+    //! `evacuationPrefix` is empty where operators evacuate no data centres. `areRunTimesLearned`: see
+    //! fleet/learned_run_times.h.
+    FleetLoader(asio::io_context& context, kv::Store& store, std::string workerPrefix, std::string evacuationPrefix,
+        bool areRunTimesLearned);
 
     //! `done` is called once, when all parts are there. Called once.
     void start(Done done);
@@ -38,6 +42,7 @@
     asio::io_context& context_;
     kv::Store& store_;
     std::string workerPrefix_;
+    std::string evacuationPrefix_;
     bool areRunTimesLearned_ = false;
     Done done_;
     StoredFleet stored_;
