--- a/tests/platform_system/deployment.cpp
+++ b/tests/platform_system/deployment.cpp
@@ -64,7 +64,7 @@
             "a link of the relay to or from node " + std::to_string(index) + " can't listen");
     }
     for (int index = 0; index < options.nodes; ++index) {
-        writeSettings(nodes_[static_cast<std::size_t>(index)], index, options.maxLeaseMs);
+        writeSettings(nodes_[static_cast<std::size_t>(index)], index, options);
         startNode(index);
     }
     require(await(startTimeout, [this] { return owner() >= 0 && stateOf(0, "ffffffffffffffff") == "410"; }),
@@ -97,7 +97,7 @@
     return nlohmann::json::parse(answer).at("port");
 }
 
-void PlatformDeployment::writeSettings(NodeInstance& instance, int index, std::int64_t maxLeaseMs)
+void PlatformDeployment::writeSettings(NodeInstance& instance, int index, const DeploymentOptions& options)
 {
     instance.settingsFile
         = "/tmp/agatevane_node_" + std::to_string(::getpid()) + "_" + std::to_string(instance.peersPort);
@@ -112,7 +112,12 @@
          << "internalPortRange=" << instance.metricsPort - 1 << "," << instance.metricsPort + 1 << "\n"
          << "seedNodes=" << seeds << "\nplatform.address=127.0.0.1:" << instance.storePort << "\n"
          << "cloud.address=127.0.0.1:" << machinesPort_ << "\n"
-         << "platform.ttlMinMs=1000\nbounds.graceS=6\nbounds.holdMaxMs=" << maxLeaseMs << "\nbounds.status_s=120\n";
+         << "platform.ttlMinMs=1000\nbounds.graceS=6\nbounds.holdMaxMs=" << options.maxLeaseMs
+         << "\nbounds.status_s=120\n";
+    if (options.memoryMiB > 0)
+        file << "limits.memoryMb=" << options.memoryMiB << "\n";
+    if (options.fileDescriptors > 0)
+        file << "limits.fileDescriptors=" << options.fileDescriptors << "\n";
 }
 
 void PlatformDeployment::startNode(int index)
--- a/tests/platform_system/deployment.h
+++ b/tests/platform_system/deployment.h
@@ -21,11 +21,15 @@
     //! N) and to each other ("peer-N", to node N), and the callers' connections ("caller-N", to node N), over links of
     //! these names. If null, they connect directly.
     standin::Relay* relay = nullptr;
+    int memoryMiB = 0; //!< memory of a node's machine; 0: the node's default
+    int fileDescriptors = 0; //!< file descriptors of a node's machine; 0: the node's default
 };
 
 //! Throws std::runtime_error if a process can't be started.
 class PlatformDeployment {
 public:
+    static constexpr const char* readinessPath = "/api/readiness";
+
     explicit PlatformDeployment(const DeploymentOptions& options = {});
 
     //! Sends a caller's request about the job `id` to a node. Returns the HTTP status, or 0 if there was no answer.
@@ -62,6 +66,7 @@
     {
         return nodes_.at(static_cast<std::size_t>(node)).advertisedCallersPort;
     }
+    int readinessPort(int node) const { return nodes_.at(static_cast<std::size_t>(node)).readinessPort; }
     std::vector<std::string> workers() const { return workers_; }
     //! False if the condition does not hold within the limit.
     bool await(Millis limit, const std::function<bool()>& condition);
@@ -83,7 +88,7 @@
     static constexpr Millis defaultTimeout { 4000 };
 
     int send(int port, event_http::Request request, std::string* answer, Millis timeout = defaultTimeout);
-    void writeSettings(NodeInstance& instance, int index, std::int64_t maxLeaseMs);
+    void writeSettings(NodeInstance& instance, int index, const DeploymentOptions& options);
     void publishWorkersForRelay();
     //! Adds the links of a node to the workers. Returns the port of the store through which the node sees them.
     int relayWorkers(standin::Relay& relay, int node);
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -32,6 +32,8 @@
     //! Exit code, or -1 if a signal ended the process. Valid only after `isRunning` has found the process ended.
     int exitCode() const { return exitCode_; }
     std::string output() const;
+    //! Negative once the process has ended.
+    pid_t pid() const { return pid_; }
     const std::string& name() const { return name_; }
 
 private:
