Limit what the clients of an event_http server may use

Cause: a server read whatever it was sent into buffers without a bound on all of them together, kept every connection, and waited for ever for the rest of a message or for an answer to be read. After a failed accept it tried again at once. Change: ByteBudget counts what all connections hold, with a fixed share for each address. From half of a share on, no new message is read; connections that keep the pressure up are closed once a second, and at once from three quarters on, those first that hold the most for the least progress. ServerLimits bounds connections (the one that has been idle longest is closed for a new one), connections of one source, header fields, the times of a header, a message and an unread answer, the rate of a body, queued requests and the kernel's buffers. Incomplete and queued requests of a closed connection never reach the handler. A request tells how long the server had left it unread, because its receiver bounds its age by the event loop's delay alone. A server without options behaves as before, except that it waits 100 ms after a failed accept.

--- a/src/agatevane/event_http/message.h
+++ b/src/agatevane/event_http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatevane/base/instant.h"
 #include <string>
 #include <string_view>
 #include <utility>
@@ -16,6 +17,9 @@
     std::string target; //!< path and query
     Headers headers; //!< names in lower case
     std::string body;
+    //! For how long the server had left it unread or queued when it was handed to the handler. What waits in the kernel
+    //! while the event loop stands still is not counted.
+    Instant::duration waited { 0 };
 };
 
 struct Response {
--- a/src/agatevane/event_http/parser.cpp
+++ b/src/agatevane/event_http/parser.cpp
@@ -14,6 +14,26 @@
     return {};
 }
 
+namespace {
+
+    constexpr std::size_t fieldBytes = sizeof(Headers::value_type);
+
+    //! A string keeps short text in itself; a growing string has at most twice the capacity that it needs.
+    std::size_t heldBytesOf(const std::string& text)
+    {
+        return text.capacity() < sizeof(std::string) ? 0 : text.capacity();
+    }
+
+} // namespace
+
+std::size_t heldBytes(const Request& request)
+{
+    auto bytes = heldBytesOf(request.target) + heldBytesOf(request.body) + request.headers.capacity() * fieldBytes;
+    for (const auto& [name, value] : request.headers)
+        bytes += heldBytesOf(name) + heldBytesOf(value);
+    return bytes;
+}
+
 Parser::Parser(http_parser_type type, const MessageLimits& limits, MessageHandler handler)
     : limits_(limits)
     , handler_(std::move(handler))
@@ -25,7 +45,12 @@
 bool Parser::feed(std::string_view bytes)
 {
     auto parsed = http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
-    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && parsed == bytes.size();
+    auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (error == HPE_OK && parsed == bytes.size())
+        return true;
+    if (failure_ == ParseFailure::None)
+        failure_ = error == HPE_HEADER_OVERFLOW ? ParseFailure::HeaderSize : ParseFailure::Malformed;
+    return false;
 }
 
 bool Parser::finish()
@@ -54,13 +79,33 @@
 bool Parser::countHeaderBytes(std::size_t size)
 {
     headerBytes_ += size;
+    if (headerBytes_ > limits_.headerBytes)
+        refuse(ParseFailure::HeaderSize);
     return headerBytes_ <= limits_.headerBytes;
 }
 
+std::size_t Parser::heldBytes() const
+{
+    // The capacity of growing strings is at most twice their size; counting each one would cost time at each read.
+    return 2 * headerBytes_ + headers_.capacity() * fieldBytes + heldBytesOf(body_);
+}
+
+void Parser::discard()
+{
+    isInMessage_ = false;
+    isInBody_ = false;
+    headerBytes_ = 0;
+    // Assigning an empty value would keep the memory.
+    std::string().swap(target_);
+    Headers().swap(headers_);
+    std::string().swap(body_);
+}
+
 int Parser::onMessageBegin(http_parser* parser)
 {
     auto& self = *static_cast<Parser*>(parser->data);
     self.isInMessage_ = true;
+    self.isInBody_ = false;
     self.wasLastPartHeaderName_ = false;
     self.headerBytes_ = 0;
     self.announcedBodyBytes_ = 0;
@@ -80,8 +125,13 @@
 int Parser::onHeaderName(http_parser* parser, const char* data, std::size_t size)
 {
     auto& self = *static_cast<Parser*>(parser->data);
-    if (!self.wasLastPartHeaderName_)
+    if (!self.wasLastPartHeaderName_) {
+        if (self.headers_.size() >= self.limits_.headerFields) {
+            self.refuse(ParseFailure::HeaderSize);
+            return 1;
+        }
         self.headers_.emplace_back();
+    }
     self.wasLastPartHeaderName_ = true;
     std::transform(data, data + size, std::back_inserter(self.headers_.back().first),
         [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
@@ -103,12 +153,14 @@
     // Any other result than 0 to 2 is an error.
     constexpr int failure = -1;
     auto& self = *static_cast<Parser*>(parser->data);
+    self.isInBody_ = true;
     if (parser->content_length == unknownLength)
         return 0;
     self.announcedBodyBytes_ = parser->content_length;
-    self.isTooLarge_ = self.announcedBodyBytes_ > self.limits_.bodyBytes;
-    if (self.isTooLarge_)
+    if (self.announcedBodyBytes_ > self.limits_.bodyBytes) {
+        self.refuse(ParseFailure::BodySize);
         return failure;
+    }
     if (parser->type == HTTP_RESPONSE)
         self.body_.reserve(self.announcedBodyBytes_);
     return 0;
@@ -117,9 +169,10 @@
 int Parser::onBody(http_parser* parser, const char* data, std::size_t size)
 {
     auto& self = *static_cast<Parser*>(parser->data);
-    self.isTooLarge_ = self.body_.size() + size > self.limits_.bodyBytes;
-    if (self.isTooLarge_)
+    if (self.body_.size() + size > self.limits_.bodyBytes) {
+        self.refuse(ParseFailure::BodySize);
         return 1;
+    }
     self.body_.append(data, size);
     return 0;
 }
@@ -128,6 +181,8 @@
 {
     auto& self = *static_cast<Parser*>(parser->data);
     self.isInMessage_ = false;
+    self.isInBody_ = false;
+    self.headerBytes_ = 0;
     bool isKeepAlive = http_should_keep_alive(parser) != 0;
     if (parser->type == HTTP_REQUEST) {
         Request request { http_method_str(static_cast<http_method>(parser->method)), std::move(self.target_),
--- a/src/agatevane/event_http/server.cpp
+++ b/src/agatevane/event_http/server.cpp
@@ -1,10 +1,7 @@
 #include "agatevane/event_http/server.h"
 
-#include "agatevane/event_http/read_buffer.h"
-#include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
-#include <deque>
-#include <set>
+#include "agatevane/event_http/server_connection.h"
+#include <algorithm>
 
 namespace agatevane::event_http {
 
@@ -12,198 +9,206 @@
 
     using asio::ip::tcp;
 
-    //! The server stops reading from a connection while this many of its requests wait to be handled.
-    constexpr std::size_t maxPipelinedRequests = 16;
+    constexpr Millis sweepInterval { 1000 };
+    //! A sweep that is later than this closes no connection for its deadlines: the process has stood still, and what
+    //! clients have sent meanwhile is not read yet.
+    constexpr Millis maxSweepDelay { 500 };
+    //! Delay before the next connection is accepted after a failure, such as a lack of descriptors.
+    constexpr Millis acceptRetryDelay { 100 };
 
-    const char* reasonPhrase(int status)
+    ServerOptions optionsOf(const MessageLimits& limits)
     {
-        return http_status_str(static_cast<http_status>(status));
+        ServerOptions options;
+        options.limits.message = limits;
+        return options;
     }
 
 } // namespace
 
-class ServerConnection;
+Server::State::State(asio::io_context& context, Handler requestHandler, ServerOptions serverOptions)
+    : acceptor(context)
+    , handler(std::move(requestHandler))
+    , options(std::move(serverOptions))
+    , sweepTimer_(context)
+    , acceptTimer_(context)
+{
+}
 
-struct Server::State : std::enable_shared_from_this<Server::State> {
-    State(asio::io_context& context, Handler requestHandler, const MessageLimits& messageLimits)
-        : acceptor(context)
-        , handler(std::move(requestHandler))
-        , limits(messageLimits)
-    {
-    }
+void Server::State::start()
+{
+    accept();
+    if (options.budget || hasDeadlines(options.limits))
+        sweepLater();
+}
 
-    void accept();
-
-    tcp::acceptor acceptor;
-    Handler handler;
-    MessageLimits limits;
-    int port = 0;
-    bool isDraining = false;
-    int requestsInProgress = 0;
-    std::set<ServerConnection*> connections;
-};
-
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
-public:
-    ServerConnection(tcp::socket socket, std::shared_ptr<Server::State> server)
-        : socket_(std::move(socket))
-        , server_(std::move(server))
-        , parser_(HTTP_REQUEST, server_->limits,
-              [this](Request request, const Response&, bool isKeepAlive) { enqueue(std::move(request), isKeepAlive); })
-    {
-        server_->connections.insert(this);
-    }
+void Server::State::stop()
+{
+    std::error_code ignored;
+    acceptor.close(ignored);
+    acceptTimer_.cancel();
+    sweepTimer_.cancel();
+    isStopped_ = true;
+    auto all = connections;
+    for (auto* connection : all)
+        connection->close();
+    waiting.clear();
+}
 
-    ~ServerConnection()
-    {
-        server_->connections.erase(this);
-        server_->requestsInProgress -= static_cast<int>(queue_.size()) + (isBusy_ ? 1 : 0);
-    }
+void Server::State::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](std::error_code error, tcp::socket socket) {
+        if (!self->acceptor.is_open())
+            return;
+        if (!error)
+            self->admit(std::move(socket));
+        if (!error || error == asio::error::connection_aborted)
+            return self->accept();
+        if (error == asio::error::no_descriptors)
+            self->closeLongestIdle();
+        self->acceptLater();
+    });
+}
 
-    void start() { read(); }
+void Server::State::acceptLater()
+{
+    acceptTimer_.expires_after(acceptRetryDelay);
+    acceptTimer_.async_wait([self = shared_from_this()](std::error_code error) {
+        if (!error && self->acceptor.is_open())
+            self->accept();
+    });
+}
 
-    void close()
-    {
-        std::error_code ignored;
-        socket_.shutdown(tcp::socket::shutdown_both, ignored);
-        socket_.close(ignored);
+void Server::State::admit(tcp::socket socket)
+{
+    std::error_code error;
+    auto source = socket.remote_endpoint(error).address();
+    if (error)
+        return;
+    socket.non_blocking(true, error);
+    std::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    if (error || !makeRoomFor(source))
+        return sendRefusal(socket);
+    std::make_shared<ServerConnection>(std::move(socket), source, shared_from_this())->read();
+}
+
+//! False if a connection from `source` would exceed a limit.
+bool Server::State::makeRoomFor(const asio::ip::address& source)
+{
+    const auto& limits = options.limits;
+    auto found = connectionsOfSource.find(source);
+    if (found != connectionsOfSource.end() && found->second >= limits.connectionsPerSource) {
+        noteClosed(CloseReason::SourceLimit, 0);
+        return false;
     }
+    if (openConnections < limits.connections || closeLongestIdle())
+        return true;
+    noteClosed(CloseReason::ConnectionLimit, 0);
+    return false;
+}
 
-    void closeIfIdle()
-    {
-        if (!isHandlingRequests() && !parser_.isInMessage())
-            close();
+//! Closes the connection that has been idle longest. False if all handle requests.
+bool Server::State::closeLongestIdle()
+{
+    ServerConnection* longestIdle = nullptr;
+    for (auto* connection : connections) {
+        if (connection->isOpen() && !connection->isHandlingRequests()
+            && (!longestIdle || connection->idleSince() < longestIdle->idleSince()))
+            longestIdle = connection;
     }
+    if (longestIdle)
+        longestIdle->closeBecause(CloseReason::ConnectionLimit);
+    return longestIdle != nullptr;
+}
 
-private:
-    struct QueuedRequest {
-        Request request;
-        bool isKeepAlive = false;
-    };
+Pressure Server::State::pressure() const
+{
+    return options.budget ? options.budget->pressure(options.audience) : Pressure::None;
+}
 
-    bool isHandlingRequests() const { return isBusy_ || !queue_.empty(); }
+void Server::State::noteClosed(CloseReason reason, std::size_t refusedRequests) const
+{
+    if (options.closed)
+        options.closed(reason, refusedRequests);
+}
 
-    void read()
-    {
-        if (isReading_ || hasPeerFinished_ || queue_.size() >= maxPipelinedRequests || !socket_.is_open())
-            return;
-        isReading_ = true;
-        socket_.async_read_some(buffer_.space(), [self = shared_from_this()](std::error_code error, std::size_t size) {
-            self->isReading_ = false;
-            self->hasPeerFinished_ = error == asio::error::eof;
-            if (self->hasPeerFinished_ && self->isHandlingRequests())
-                return;
-            if (error)
-                return self->close();
-            if (!self->parser_.feed(self->buffer_.take(size)))
-                return self->reject();
-            self->handleNext();
-            self->read();
-        });
-    }
+void Server::State::relieveCriticalPressure()
+{
+    if (pressure() == Pressure::Critical)
+        closeLargest(now(), [this] { return pressure() != Pressure::Critical; });
+}
 
-    void enqueue(Request request, bool isKeepAlive)
-    {
-        ++server_->requestsInProgress;
-        queue_.push_back({ std::move(request), isKeepAlive });
+void Server::State::closeLargest(Instant at, const std::function<bool()>& isEnough)
+{
+    std::vector<std::pair<double, ServerConnection*>> candidates;
+    for (auto* connection : connections) {
+        auto memory = connection->freeableMemory(at);
+        if (connection->isOpen() && memory.bytes > 0)
+            candidates.emplace_back(closingOrder(memory, at), connection);
     }
-
-    void handleNext()
-    {
-        if (isBusy_ || queue_.empty())
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    for (const auto& [order, connection] : candidates) {
+        if (isEnough())
             return;
-        auto next = std::move(queue_.front());
-        queue_.pop_front();
-        isBusy_ = true;
-        isKeepAlive_ = next.isKeepAlive;
-        auto self = shared_from_this();
-        auto didRespond = std::make_shared<bool>(false);
-        server_->handler(std::move(next.request), [self, didRespond](Response response) {
-            if (std::exchange(*didRespond, true))
-                return;
-            self->send(std::move(response));
-        });
+        connection->closeBecause(CloseReason::Memory);
     }
+}
 
-    void send(Response response)
-    {
-        if (!socket_.is_open())
-            return endCurrentRequest();
-        bool isLastAnswer = queue_.empty() && (server_->isDraining || hasPeerFinished_);
-        bool isKeptOpen = isKeepAlive_ && !isLastAnswer;
-        out_ = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
-        for (const auto& [name, value] : response.headers)
-            out_ += name + ": " + value + "\r\n";
-        out_ += "content-length: " + std::to_string(response.body.size()) + "\r\n";
-        if (!isKeptOpen)
-            out_ += "connection: close\r\n";
-        out_ += "\r\n";
-        out_ += response.body;
-        asio::async_write(
-            socket_, asio::buffer(out_), [self = shared_from_this(), isKeptOpen](std::error_code error, std::size_t) {
-                self->endCurrentRequest();
-                if (error || (!isKeptOpen && self->queue_.empty()))
-                    return self->close();
-                self->handleNext();
-                self->read();
-            });
+void Server::State::resumeReading()
+{
+    while (!waiting.empty() && pressure() == Pressure::None) {
+        auto connection = std::move(waiting.front());
+        waiting.pop_front();
+        if (connection->isOpen())
+            connection->receive();
     }
+}
 
-    void endCurrentRequest()
-    {
-        if (!std::exchange(isBusy_, false))
+void Server::State::sweepLater()
+{
+    sweepDueAt_ = now() + sweepInterval;
+    sweepTimer_.expires_after(sweepInterval);
+    sweepTimer_.async_wait([self = shared_from_this()](std::error_code error) {
+        if (error || self->isStopped_)
             return;
-        --server_->requestsInProgress;
-    }
-
-    void reject()
-    {
-        if (isHandlingRequests())
-            return close();
-        isBusy_ = true;
-        ++server_->requestsInProgress;
-        isKeepAlive_ = false;
-        send({ 400, {}, {} });
-    }
+        self->sweep();
+        self->sweepLater();
+    });
+}
 
-    tcp::socket socket_;
-    std::shared_ptr<Server::State> server_;
-    Parser parser_;
-    ReadBuffer buffer_;
-    std::deque<QueuedRequest> queue_;
-    std::string out_;
-    bool isReading_ = false;
-    bool hasPeerFinished_ = false; //!< the peer sends nothing more, but may still wait for answers
-    bool isBusy_ = false; //!< a request is being handled or its response is being written
-    bool isKeepAlive_ = false;
-};
+void Server::State::sweep()
+{
+    auto at = now();
+    if (at - sweepDueAt_ < maxSweepDelay)
+        closeOverdue(at);
+    // Without this, messages that never end would keep the pressure up, and no other client would be served.
+    if (!waiting.empty() && pressure() != Pressure::None)
+        closeLargest(at, [this] { return options.budget->hasRecovered(options.audience); });
+    std::erase_if(waiting, [](const auto& connection) { return !connection->isOpen(); });
+    resumeReading();
+}
 
-void Server::State::accept()
+void Server::State::closeOverdue(Instant at)
 {
-    acceptor.async_accept([self = shared_from_this()](std::error_code error, tcp::socket socket) {
-        if (!self->acceptor.is_open())
-            return;
-        if (!error) {
-            std::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<ServerConnection>(std::move(socket), self)->start();
-        }
-        self->accept();
-    });
+    for (auto* connection : connections) {
+        if (auto reason = connection->exceededLimit(at); reason && connection->isOpen())
+            connection->closeBecause(*reason);
+    }
 }
 
 Server::Server(asio::io_context& context, Handler handler, const MessageLimits& limits)
-    : state_(std::make_shared<State>(context, std::move(handler), limits))
+    : Server(context, std::move(handler), optionsOf(limits))
+{
+}
+
+Server::Server(asio::io_context& context, Handler handler, ServerOptions options)
+    : state_(std::make_shared<State>(context, std::move(handler), std::move(options)))
 {
 }
 
 Server::~Server()
 {
-    std::error_code ignored;
-    state_->acceptor.close(ignored);
-    auto connections = state_->connections;
-    for (auto* connection : connections)
-        connection->close();
+    state_->stop();
 }
 
 std::error_code Server::listen(const std::string& address, int port)
@@ -217,6 +222,12 @@
     acceptor.open(endpoint.protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    // Connections inherit the sizes of the listening socket's buffers.
+    if (auto bytes = static_cast<int>(state_->options.limits.socketBufferBytes); !error && bytes > 0) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), error);
+        if (!error)
+            acceptor.set_option(asio::socket_base::send_buffer_size(bytes), error);
+    }
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
@@ -224,7 +235,7 @@
     if (error)
         return error;
     state_->port = acceptor.local_endpoint().port();
-    state_->accept();
+    state_->start();
     return {};
 }
 
@@ -252,4 +263,9 @@
     return state_->requestsInProgress;
 }
 
+std::size_t Server::connectionCount() const
+{
+    return state_->openConnections;
+}
+
 } // namespace agatevane::event_http
--- a/src/agatevane/event_http/server.h
+++ b/src/agatevane/event_http/server.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "agatevane/event_http/byte_budget.h"
 #include "agatevane/event_http/message.h"
-#include "agatevane/event_http/parser.h"
+#include "agatevane/event_http/server_limits.h"
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -14,11 +15,24 @@
 using Respond = std::function<void(Response response)>;
 using Handler = std::function<void(Request request, Respond respond)>;
 
-//! Serves requests on one address. Requests of one connection are answered one after the other.
+//! A connection was closed or refused because of a limit. `refusedRequests` had begun or were queued on it; none of
+//! them has reached the handler.
+using CloseObserver = std::function<void(CloseReason reason, std::size_t refusedRequests)>;
+
+struct ServerOptions {
+    ServerLimits limits;
+    std::shared_ptr<ByteBudget> budget; //!< null: the memory of the connections is not limited
+    Audience audience = Audience::Callers; //!< whose share of the budget is used
+    CloseObserver closed; //!< null: nobody is told
+};
+
+//! Serves requests on one address. Requests of one connection are answered one after the other. A request that is
+//! refused because of a limit is never handed to the handler.
 //! All members are called on the event loop's thread.
 class Server {
 public:
     Server(asio::io_context& context, Handler handler, const MessageLimits& limits = {});
+    Server(asio::io_context& context, Handler handler, ServerOptions options);
     //! Closes all connections.
     ~Server();
 
@@ -31,6 +45,7 @@
     void closeListenerAndIdleConnections();
     //! Requests that were read completely and whose responses are not written completely yet.
     int requestsInProgress() const;
+    std::size_t connectionCount() const;
 
     struct State;
 
