Serve callers, readiness checks and operators within the machine's limits

Change: Settings::clientLimits (keys agatevane.clients.* of the settings file, checked at start) with defaults from the machine's memory and descriptors: a quarter of the memory, 65 % of it for callers, 10 % for readiness checks and 25 % for operators, and 18 %, 1 % and 1 % of the descriptors. The body of a message is limited to 1 MiB rather than 4 MiB, and to 4 KiB at the readiness address. Counters by reason, gauges and log lines of at most one a second for each address and reason.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+    using event_http::Audience;
     using event_log::Line;
 
     //! A node is not ready for callers if the owner has not answered for this long and the store does not answer
@@ -90,18 +91,23 @@
             findings.push_back(
                 { place, address.address + ":" + std::to_string(address.port) + ": " + error.message() });
     };
-    callerServer_ = std::make_unique<event_http::Server>(
-        context_, liveness_.guard([this](const event_http::Request& request, event_http::Respond respond) {
+    connectionBudget_ = std::make_shared<event_http::ByteBudget>(
+        event_http::budgetBytes(settings_.clientLimits, machineLimits(settings_)));
+    callerServer_ = std::make_unique<event_http::Server>(context_,
+        liveness_.guard([this](const event_http::Request& request, event_http::Respond respond) {
             handleCaller(request, std::move(respond));
-        }));
-    readinessServer_ = std::make_unique<event_http::Server>(
-        context_, liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
+        }),
+        serverOptions(Audience::Callers));
+    readinessServer_ = std::make_unique<event_http::Server>(context_,
+        liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
             handleReadiness(request, respond);
-        }));
-    metricsServer_ = std::make_unique<event_http::Server>(
-        context_, liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
+        }),
+        serverOptions(Audience::Readiness));
+    metricsServer_ = std::make_unique<event_http::Server>(context_,
+        liveness_.guard([this](const event_http::Request& request, const event_http::Respond& respond) {
             handleOperator(request, respond);
-        }));
+        }),
+        serverOptions(Audience::Operators));
     peerServer_ = std::make_unique<net::RpcServer>(
         context_, liveness_.guard([this](std::uint16_t kind, std::string_view payload, const net::Reply& reply) {
             handlePeer(kind, payload, reply);
@@ -121,6 +127,14 @@
     return true;
 }
 
+event_http::ServerOptions Node::serverOptions(Audience audience)
+{
+    return { event_http::serverLimits(settings_.clientLimits, machineLimits(settings_), audience), connectionBudget_,
+        audience, liveness_.guard([this, audience](event_http::CloseReason reason, std::size_t refusedRequests) {
+            closedConnections_.note(audience, reason, refusedRequests);
+        }) };
+}
+
 void Node::beginOwnership(std::uint32_t tenure, kv::Revision commitRevision)
 {
     desired_state::DesiredState none;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #include "agatevane/event_http/server.h"
 #include "agatevane/metrics/registry.h"
 #include "agatevane/net/rpc.h"
+#include "node/closed_connections.h"
 #include "node/desired_state_feed.h"
 #include "node/fleet_owner.h"
 #include "node/loop_watch.h"
@@ -122,6 +123,11 @@
     MachinePort* machines_; //!< null: machines take no orders
     const Translation& translation_;
 
+    event_http::ServerOptions serverOptions(event_http::Audience audience);
+    void setConnectionMetrics() const;
+
+    std::shared_ptr<event_http::ByteBudget> connectionBudget_; //!< of the three servers below
+    ClosedConnections closedConnections_;
     std::unique_ptr<event_http::Server> callerServer_;
     std::unique_ptr<event_http::Server> readinessServer_;
     std::unique_ptr<event_http::Server> metricsServer_;
--- a/src/node/node_calls.cpp
+++ b/src/node/node_calls.cpp
@@ -69,7 +69,7 @@
     auto call = std::make_shared<CallState>();
     call->number = nextRequestNumber_++;
     call->receivedAt = now();
-    auto receivedAfter = loopWatch_.arrivedAfter();
+    auto receivedAfter = loopWatch_.arrivedAfter() - request.waited;
     call->respond = std::move(respond);
     call->translation = &translation_;
     auto timeout = translation_.timeoutOf(request).value_or(defaultCallTimeout);
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -102,6 +102,24 @@
     return { { "owners", std::move(rows) } };
 }
 
+void Node::setConnectionMetrics() const
+{
+    using event_http::Audience;
+    auto& registry = metrics::registry();
+    auto set = [&](Audience audience, const event_http::Server& server) {
+        metrics::Labels labels { { "address", std::string(nameOf(audience)) } };
+        registry.gauge("agatevane_client_connections", "Open connections of clients", labels)
+            .set(static_cast<double>(server.connectionCount()));
+        registry.gauge("agatevane_client_held_bytes", "Memory that the connections of clients hold", labels)
+            .set(static_cast<double>(connectionBudget_->used(audience)));
+        registry.gauge("agatevane_client_share_bytes", "Memory that the connections of clients may hold", labels)
+            .set(static_cast<double>(connectionBudget_->share(audience)));
+    };
+    set(Audience::Callers, *callerServer_);
+    set(Audience::Readiness, *readinessServer_);
+    set(Audience::Operators, *metricsServer_);
+}
+
 event_http::Response Node::metricsPage() const
 {
     auto& registry = metrics::registry();
@@ -123,6 +141,7 @@
         .set(secondsSince(desiredFeed_.storeAnsweredAt()));
     registry.gauge("agatevane_log_lines_dropped", "Log lines dropped since the start")
         .set(static_cast<double>(event_log::droppedLines()));
+    setConnectionMetrics();
     if (fleetOwner_) {
         const auto& fleet = fleetOwner_->fleet();
         registry.gauge("agatevane_open_jobs", "Accepted jobs that have not ended")
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -2,6 +2,7 @@
 
 #include "agatevane/base/finding.h"
 #include "agatevane/base/instant.h"
+#include "agatevane/event_http/client_limits.h"
 #include "agatevane/fleet/state.h"
 #include "agatevane/net/rpc.h"
 #include <cstddef>
@@ -32,7 +33,13 @@
     Millis minLeaseTtl { 1000 }; //!< shortest lease that the store grants
     Millis shutdownGrace { 6000 }; //!< time from SIGTERM until the machine kills the process
     Millis stateApplyBound { 2500 }; //!< a desired state has to be in force this long after it was acknowledged
+    event_http::ClientLimits clientLimits; //!< what callers, readiness checks and operators may use
     fleet::Limits fleetLimits;
 };
 
+inline event_http::MachineLimits machineLimits(const Settings& settings)
+{
+    return { settings.memoryBytes, settings.maxDescriptors };
+}
+
 } // namespace agatevane::node
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -70,6 +70,21 @@
     BOOST_CHECK_EQUAL(settings->memoryBytes, 512U * 1024 * 1024);
 }
 
+// Guards against limits on clients that are set and have no effect, or that exclude ordinary clients.
+BOOST_AUTO_TEST_CASE(Limits_on_clients_are_read_and_checked, *boost::unit_test::label("platform"))
+{
+    Findings findings;
+    auto text = std::string(settingsText) + "\nlimits.memoryMb=512\nagatevane.clients.budgetMb=64\n";
+    auto settings = readSettings(text + "agatevane.clients.connections=300\nagatevane.clients.headerS=30\n", findings);
+    BOOST_REQUIRE_MESSAGE(settings, format(findings));
+    BOOST_CHECK_EQUAL(settings->clientLimits.budgetBytes, 64U * 1024 * 1024);
+    BOOST_CHECK_EQUAL(settings->clientLimits.connections, 300U);
+    BOOST_CHECK(settings->clientLimits.headerTime == Millis(30000));
+    BOOST_CHECK_EQUAL(settings->clientLimits.bodyBytes, 1048576U);
+    BOOST_CHECK(!readSettings(text + "agatevane.clients.headerS=1\nagatevane.clients.bodyBytes=1000\n", findings));
+    BOOST_CHECK_EQUAL(findings.size(), 2U);
+}
+
 BOOST_AUTO_TEST_CASE(All_missing_and_malformed_settings_are_reported_together, *boost::unit_test::label("platform"))
 {
     Findings findings;
