Split the collection of headroom from the placement round

Change: fleet/headroom.{h,cpp} collects the free capacity of the usable workers; no decision changes.

--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -1,21 +1,12 @@
 #pragma once
 
-#include "agatevane/fleet/state.h"
+#include "agatevane/fleet/headroom.h"
 #include <optional>
 #include <vector>
 
 //! Finds workers with enough free capacity for the tasks of a step. Changes no state of the fleet.
 namespace agatevane::fleet {
 
-//! The free capacity of one usable worker during a placement round.
-struct WorkerHeadroom {
-    Worker* worker = nullptr;
-    Capacity free; //!< capacity that is free now
-    Capacity afterStops; //!< capacity that is free once the runs that are being stopped have ended
-    int servingTasks = 0; //!< tasks on the worker that serve users
-    std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers on the worker could use
-};
-
 //! The tasks of one step of one occurrence that wait for a worker.
 struct PendingStep {
     Job* job = nullptr;
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -61,12 +61,12 @@
             , at_(at)
             , areInheritedJobsBlocked_(mayHaveUnreportedRuns(fleet, at))
             , tasksWithOpenRun_(tasksWithOpenRun(fleet, at))
+            , headroom_(collectHeadroom(fleet, at))
         {
         }
 
         void run()
         {
-            collectHeadroom();
             findTenantsWithinGuarantee();
             collectPendingSteps();
             std::stable_sort(
@@ -87,14 +87,7 @@
         {
             auto limit = fleet_.limits.maxStartsUnderWay;
             auto needed = pending.isGang ? pending.taskIndexes.size() : 1;
-            return startsUnderWay_ + std::min(needed, limit) <= limit;
-        }
-
-        //! Workers that don't answer hold back no others: what has no answer in time is not counted.
-        std::size_t countUnderWay(const WorkerLoad& load) const
-        {
-            return static_cast<std::size_t>(std::count_if(load.unconfirmedSince.begin(), load.unconfirmedSince.end(),
-                [this](Instant since) { return at_ - since < fleet_.limits.startAnswerTimeout; }));
+            return headroom_.startsUnderWay + std::min(needed, limit) <= limit;
         }
 
         //! The more urgent work that was placed before goes first; the rest keeps its order.
@@ -104,32 +97,6 @@
             fleet_.isPlacementDue = true;
         }
 
-        void collectHeadroom()
-        {
-            Capacity total;
-            Capacity used;
-            for (auto& [id, worker] : fleet_.workers) {
-                if (!isUsable(worker, at_))
-                    continue;
-                WorkerHeadroom headroom { &worker, worker.capacity, {} };
-                headroom.free -= worker.used;
-                const auto& load = loadOf(fleet_, worker);
-                startsUnderWay_ += countUnderWay(load);
-                headroom.afterStops = headroom.free;
-                headroom.afterStops += load.stopping;
-                headroom.servingTasks = load.servingTasks;
-                headroom.fillerMilliCores = load.fillerMilliCores;
-                total += worker.capacity;
-                used += worker.used;
-                headrooms_.push_back(headroom);
-            }
-            auto share = [](std::int64_t part, std::int64_t whole) {
-                return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
-            };
-            utilization_
-                = std::max(share(used.accelerators, total.accelerators), share(used.milliCores, total.milliCores));
-        }
-
         //! Tenants whose open urgent jobs need no more accelerators than they are guaranteed.
         void findTenantsWithinGuarantee()
         {
@@ -226,7 +193,7 @@
             auto waited = elapsed(pending.job->acceptedAt, at_);
             if (isUrgent(pending))
                 return waited < urgentRackWait;
-            bool isFleetFull = utilization_ >= highUtilization && !pending.spec().isContinuous;
+            bool isFleetFull = headroom_.utilization >= highUtilization && !pending.spec().isContinuous;
             return waited < (isFleetFull ? longestRackWait : rackWait);
         }
 
@@ -253,7 +220,7 @@
             placeOnPreferredOrAnyRack(pending);
             if (pending.allowedWorkers && !pending.taskIndexes.empty()
                 && pending.state().done + pending.state().active < pending.state().tasks.size())
-                requestTickets(fleet_, pending, headrooms_, at_);
+                requestTickets(fleet_, pending, headroom_.workers, at_);
             pending.allowedWorkers = nullptr;
         }
 
@@ -293,7 +260,7 @@
             // A task that interferes with others changes which worker is the best one for the next.
             bool interferes = pending.spec().isFiller || isServing(pending.spec());
             auto wanted = interferes ? 1 : std::min(pending.taskIndexes.size(), startsLeft());
-            auto placement = findWorkersForSome(pending, headrooms_, wanted, constraint.rack);
+            auto placement = findWorkersForSome(pending, headroom_.workers, wanted, constraint.rack);
             if (placement.size() < wanted)
                 noteUnplaceable(pending, std::move(demand), unplaceableNow_);
             for (std::size_t n = 0; n < placement.size(); ++n)
@@ -306,7 +273,7 @@
         std::size_t startsLeft() const
         {
             auto limit = fleet_.limits.maxStartsUnderWay;
-            return limit - std::min(limit, startsUnderWay_);
+            return limit - std::min(limit, headroom_.startsUnderWay);
         }
 
         static Demand demandOf(const PendingStep& pending, std::size_t count, const RackConstraint& constraint)
@@ -332,7 +299,8 @@
             if (unplaceable.contains(demand))
                 return std::nullopt;
             ++fleet_.placementSearches;
-            auto placement = findWorkersFor(pending, headrooms_, count, kind, constraint.needsOneRack, constraint.rack);
+            auto placement
+                = findWorkersFor(pending, headroom_.workers, count, kind, constraint.needsOneRack, constraint.rack);
             if (!placement)
                 noteUnplaceable(pending, std::move(demand), unplaceable);
             return placement;
@@ -353,9 +321,9 @@
                 return false;
             ++fleet_.preemptionPlans;
             if (!victimTable_)
-                victimTable_ = findVictims(fleet_, headrooms_, at_);
-            auto plan
-                = planPreemption(*victimTable_, pending, headrooms_, constraint.needsOneRack, constraint.rack, at_);
+                victimTable_ = findVictims(fleet_, headroom_.workers, at_);
+            auto plan = planPreemption(
+                *victimTable_, pending, headroom_.workers, constraint.needsOneRack, constraint.rack, at_);
             if (!plan)
                 return false;
             for (auto number : plan->victims)
@@ -371,7 +339,7 @@
             ++fleet_.preemptedRuns;
             victim.isStopped = true;
             for (const auto& [index, capacity] : victim.freed)
-                headrooms_[index].afterStops += capacity;
+                headroom_.workers[index].afterStops += capacity;
             Line("preempted")
                 .with("job", victim.task.job)
                 .with("task", toString(victim.task))
@@ -387,9 +355,9 @@
         {
             auto need = reservedCapacity(pending.spec());
             for (auto place : placement) {
-                headrooms_[place].free -= need;
-                headrooms_[place].afterStops -= need;
-                addColocatedTask(headrooms_[place], pending.spec());
+                headroom_.workers[place].free -= need;
+                headroom_.workers[place].afterStops -= need;
+                addColocatedTask(headroom_.workers[place], pending.spec());
             }
         }
 
@@ -399,11 +367,11 @@
             reserve(pending, placement);
             auto number = nextRunNumber(fleet_, *pending.job, pending.task(taskIndexes.front()));
             for (std::size_t n = 0; n < taskIndexes.size(); ++n) {
-                auto& worker = *headrooms_[placement[n]].worker;
+                auto& worker = *headroom_.workers[placement[n]].worker;
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
                 markDue(fleet_, worker);
-                ++startsUnderWay_;
+                ++headroom_.startsUnderWay;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
                     .with("job", id.job)
@@ -420,10 +388,8 @@
         Instant at_;
         bool areInheritedJobsBlocked_;
         std::set<TaskId> tasksWithOpenRun_; //!< not started before their earlier runs have ended
-        std::vector<WorkerHeadroom> headrooms_;
+        FleetHeadroom headroom_;
         std::vector<PendingStep> pendingSteps_;
-        double utilization_ = 0;
-        std::size_t startsUnderWay_ = 0;
         std::set<Demand> unplaceableNow_;
         std::set<Demand> unplaceableAfterStops_;
         int planCount_ = 0;
