Choose victims by what a stop costs, where stops are costly

Cause: the plan with the least loss chose the runs that had just started, since these had lost nothing yet; one gang was stopped five times in 2.5 s. Runs about to end were stopped, and stops lost more than the claiming job was worth. Change: where areStopsCostly() holds, a victim's loss has the work not saved, the stop and the restart, and a share for each earlier stop of its step. A job is stopped at most three times for others, and a run that ends sooner by its own pace than a stop takes is left; its capacity counts as becoming free. A plan is carried out only if the claiming job gains more than the victims lose, each loss weighted by the objectives. Guaranteed work is bound by none of this. departure.cpp's prediction of a run's end moves to remaining_time.*. Stops by cause and core-seconds lost are metrics.

--- a/src/agatevane/fleet/departure.cpp
+++ b/src/agatevane/fleet/departure.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/fleet/departure.h"
 
+#include "agatevane/fleet/remaining_time.h"
 #include "agatevane/fleet/runs.h"
 
 namespace agatevane::fleet {
@@ -9,22 +10,6 @@
     //! Time for the stop order and the poll that reports the end, in addition to the stop itself. A call may have to be
     //! repeated.
     constexpr Millis orderAllowance { 500 };
-    constexpr int fullPercent = 100;
-    //! From this percentage on, the measured speed of a run predicts its end better than the estimate.
-    constexpr int minMeasuredPercent = 10;
-
-    //! Time until a run ends; nothing if it is unknown.
-    std::optional<Millis> remainingWork(const StepSpec& step, const Run& run, Instant at)
-    {
-        // If the step saves checkpoints, an earlier run may have done a part of the percentage.
-        if (!step.savesCheckpoints && run.percent >= minMeasuredPercent) {
-            auto whole = elapsed(run.confirmedAt, run.progressAt) * fullPercent / run.percent;
-            return whole - elapsed(run.confirmedAt, at);
-        }
-        if (step.estimatedMs == 0)
-            return std::nullopt;
-        return Millis(step.estimatedMs) * (fullPercent - run.percent) / fullPercent;
-    }
 
     bool isDueToStop(const Fleet& fleet, const StepSpec& step, const Run& run, Instant at, Instant leavesAt)
     {
@@ -33,7 +18,7 @@
         // stopped.
         if (step.isContinuous)
             return isLastMoment && !step.isGang;
-        auto left = remainingWork(step, run, at);
+        auto left = remainingTime(step, run, at);
         if (step.savesCheckpoints)
             return isLastMoment && (!left || at + *left > leavesAt);
         return left && at + *left > leavesAt;
--- a/src/agatevane/fleet/headroom.cpp
+++ b/src/agatevane/fleet/headroom.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/fleet/headroom.h"
 
+#include "agatevane/fleet/remaining_time.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
@@ -46,4 +47,14 @@
     return all;
 }
 
+void addEndingRuns(const Fleet& fleet, std::vector<WorkerHeadroom>& headrooms, Instant at)
+{
+    for (auto& headroom : headrooms) {
+        for (const auto& [key, run] : headroom.worker->runs) {
+            if (endsBeforeStop(fleet, run, at))
+                headroom.ending += run.need;
+        }
+    }
+}
+
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/headroom.h
+++ b/src/agatevane/fleet/headroom.h
@@ -11,6 +11,7 @@
     Worker* worker = nullptr;
     Capacity free; //!< capacity that is free now
     Capacity afterStops; //!< capacity that is free once the runs that are being stopped have ended
+    Capacity ending; //!< capacity of runs that end sooner than a stop would take; see addEndingRuns()
     int servingTasks = 0; //!< tasks on the worker that serve users
     std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers on the worker could use
 };
@@ -24,4 +25,7 @@
 
 FleetHeadroom collectHeadroom(Fleet& fleet, Instant at);
 
+//! Sets `WorkerHeadroom::ending`. Looks at all runs, so that rounds which free no capacity do without it.
+void addEndingRuns(const Fleet& fleet, std::vector<WorkerHeadroom>& headrooms, Instant at);
+
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -60,7 +60,7 @@
             const auto& headroom = headrooms[index];
             if ((!rack.empty() && headroom.worker->rack != rack) || !isAllowed(pending, *headroom.worker))
                 continue;
-            const auto& available = kind == HeadroomKind::Free ? headroom.free : headroom.afterStops;
+            auto available = availableOf(headroom, kind);
             auto fits
                 = countFittingTasks(available, need, std::min(count, remainingTasksOn(pending, *headroom.worker)));
             if (fits > 0)
@@ -114,6 +114,16 @@
 
 } // namespace
 
+Capacity availableOf(const WorkerHeadroom& headroom, HeadroomKind kind)
+{
+    if (kind == HeadroomKind::Free)
+        return headroom.free;
+    auto available = headroom.afterStops;
+    if (kind == HeadroomKind::AfterEnds)
+        available += headroom.ending;
+    return available;
+}
+
 double coreEquivalents(const Capacity& capacity)
 {
     constexpr double milliPerCore = 1000;
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -19,6 +19,8 @@
     const std::set<WorkerId>* allowedWorkers = nullptr; //!< workers with a valid ticket; null: no ticket is needed
     //! Time until the step must start for its job to meet the objective or, once it can't, to still have some value.
     std::int64_t slackMs = 0;
+    std::int64_t dueSlackMs = 0; //!< time until the step must start for its job to meet the objective
+    std::int64_t lateSlackMs = 0; //!< time until the step must start for its job to have any value
 
     const StepSpec& spec() const { return job->spec.steps[step]; }
     Step& state() const { return job->occurrences[occurrence].steps[step]; }
@@ -26,7 +28,13 @@
     TaskId task(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
 };
 
-enum class HeadroomKind { Free, AfterStops };
+enum class HeadroomKind {
+    Free,
+    AfterStops,
+    AfterEnds //!< after stops, and after runs that end by themselves sooner than a stop would take
+};
+
+Capacity availableOf(const WorkerHeadroom& headroom, HeadroomKind kind);
 
 //! For each task of a pending step, the index of its worker in the list of headrooms.
 using Placement = std::vector<std::size_t>;
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -4,14 +4,17 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/due_workers.h"
+#include "agatevane/fleet/guarantees.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
+#include <map>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace agatevane::fleet {
 
@@ -59,6 +62,7 @@
             : fleet_(fleet)
             , unixMs_(unixMs)
             , at_(at)
+            , areStopsCostly_(areStopsCostly(fleet.limits))
             , areInheritedJobsBlocked_(mayHaveUnreportedRuns(fleet, at))
             , tasksWithOpenRun_(tasksWithOpenRun(fleet, at))
             , headroom_(collectHeadroom(fleet, at))
@@ -67,7 +71,7 @@
 
         void run()
         {
-            findTenantsWithinGuarantee();
+            findTenantsWithinGuarantee(fleet_);
             collectPendingSteps();
             std::stable_sort(
                 pendingSteps_.begin(), pendingSteps_.end(), [](const PendingStep& a, const PendingStep& b) {
@@ -81,6 +85,13 @@
         }
 
     private:
+
+        void collectEndingRuns()
+        {
+            if (!std::exchange(areEndingRunsKnown_, true))
+                addEndingRuns(fleet_, headroom_.workers, at_);
+        }
+
         //! True if as many starts may be under way as the step needs at once. A gang that needs more than the limit
         //! waits until no other start is under way.
         bool mayStartNow(const PendingStep& pending) const
@@ -97,26 +108,6 @@
             fleet_.isPlacementDue = true;
         }
 
-        //! Tenants whose open urgent jobs need no more accelerators than they are guaranteed.
-        void findTenantsWithinGuarantee()
-        {
-            fleet_.tenantsWithinGuarantee.clear();
-            std::map<std::string, std::int64_t> needs;
-            for (const auto& id : fleet_.openJobs) {
-                const auto& job = fleet_.jobs.at(id);
-                if (job.policy.priority != 0)
-                    continue;
-                auto& need = needs[job.spec.tenant];
-                for (const auto& step : job.spec.steps)
-                    need += static_cast<std::int64_t>(step.count) * step.need.accelerators;
-            }
-            for (const auto& [name, need] : needs) {
-                const auto* tenant = desired_state::findTenantByName(fleet_.desired, name);
-                if (tenant && need <= tenant->guaranteedAccelerators)
-                    fleet_.tenantsWithinGuarantee.insert(name);
-            }
-        }
-
         void collectPendingSteps()
         {
             for (const auto& id : fleet_.openJobs) {
@@ -254,7 +245,7 @@
         bool startSomeTasks(PendingStep& pending, const RackConstraint& constraint)
         {
             auto demand = demandOf(pending, 1, constraint);
-            if (pending.taskIndexes.empty() || startsLeft() == 0 || unplaceableNow_.contains(demand))
+            if (pending.taskIndexes.empty() || startsLeft() == 0 || unplaceable_[HeadroomKind::Free].contains(demand))
                 return false;
             ++fleet_.placementSearches;
             // A task that interferes with others changes which worker is the best one for the next.
@@ -262,7 +253,7 @@
             auto wanted = interferes ? 1 : std::min(pending.taskIndexes.size(), startsLeft());
             auto placement = findWorkersForSome(pending, headroom_.workers, wanted, constraint.rack);
             if (placement.size() < wanted)
-                noteUnplaceable(pending, std::move(demand), unplaceableNow_);
+                noteUnplaceable(pending, std::move(demand), HeadroomKind::Free);
             for (std::size_t n = 0; n < placement.size(); ++n)
                 start(pending, { pending.taskIndexes[n] }, { placement[n] });
             pending.taskIndexes.erase(pending.taskIndexes.begin(),
@@ -284,10 +275,10 @@
         }
 
         //! With a limit per worker, or tickets, a search without a result is only valid for its step.
-        static void noteUnplaceable(const PendingStep& pending, Demand demand, std::set<Demand>& unplaceable)
+        void noteUnplaceable(const PendingStep& pending, Demand demand, HeadroomKind kind)
         {
             if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers)
-                unplaceable.insert(std::move(demand));
+                unplaceable_[kind].insert(std::move(demand));
         }
 
         //! As findWorkersFor, but skips demands that could not be placed earlier in this round.
@@ -295,14 +286,13 @@
             const PendingStep& pending, std::size_t count, HeadroomKind kind, const RackConstraint& constraint)
         {
             auto demand = demandOf(pending, count, constraint);
-            auto& unplaceable = kind == HeadroomKind::Free ? unplaceableNow_ : unplaceableAfterStops_;
-            if (unplaceable.contains(demand))
+            if (unplaceable_[kind].contains(demand))
                 return std::nullopt;
             ++fleet_.placementSearches;
             auto placement
                 = findWorkersFor(pending, headroom_.workers, count, kind, constraint.needsOneRack, constraint.rack);
             if (!placement)
-                noteUnplaceable(pending, std::move(demand), unplaceable);
+                noteUnplaceable(pending, std::move(demand), kind);
             return placement;
         }
 
@@ -312,45 +302,36 @@
             // Work that can no longer meet its objective preempts nothing and reserves no capacity.
             if (!isUrgent(pending) && pending.tier >= lateTier)
                 return false;
-            if (auto placement
-                = findPlacement(pending, pending.taskIndexes.size(), HeadroomKind::AfterStops, constraint)) {
+            auto kind = freedWithoutStop(fleet_.limits, pending, at_);
+            if (kind == HeadroomKind::AfterEnds)
+                collectEndingRuns();
+            if (auto placement = findPlacement(pending, pending.taskIndexes.size(), kind, constraint)) {
                 reserve(pending, *placement);
                 return true;
             }
+            if (areStopsCostly_ && !pending.isWithinGuarantee && gainOf(fleet_.limits, pending) <= 0)
+                return false;
+            return preempt(pending, constraint, kind);
+        }
+
+        bool preempt(const PendingStep& pending, const RackConstraint& constraint, HeadroomKind kind)
+        {
             if (++planCount_ > maxPlansPerRound)
                 return false;
             ++fleet_.preemptionPlans;
             if (!victimTable_)
                 victimTable_ = findVictims(fleet_, headroom_.workers, at_);
             auto plan = planPreemption(
-                *victimTable_, pending, headroom_.workers, constraint.needsOneRack, constraint.rack, at_);
-            if (!plan)
+                *victimTable_, pending, headroom_.workers, constraint.needsOneRack, constraint.rack, at_, kind);
+            if (!plan || !isWorthwhile(fleet_.limits, *victimTable_, *plan, pending))
                 return false;
-            for (auto number : plan->victims)
-                stopVictim(victimTable_->victims[number], pending);
-            unplaceableAfterStops_.clear();
+            stopVictims(fleet_, *victimTable_, *plan, pending, headroom_.workers, at_);
+            unplaceable_[HeadroomKind::AfterStops].clear();
+            unplaceable_[HeadroomKind::AfterEnds].clear();
             reserve(pending, plan->placement);
             return true;
         }
 
-        void stopVictim(Victim& victim, const PendingStep& pending)
-        {
-            auto* job = findJob(fleet_, victim.task.job);
-            ++fleet_.preemptedRuns;
-            victim.isStopped = true;
-            for (const auto& [index, capacity] : victim.freed)
-                headroom_.workers[index].afterStops += capacity;
-            Line("preempted")
-                .with("job", victim.task.job)
-                .with("task", toString(victim.task))
-                .with("priority", job->policy.priority)
-                .with("saves", victim.savesCheckpoints)
-                .with("gang", stepOf(*job, victim.task).isGang)
-                .with("for", pending.job->spec.id)
-                .with("for_tier", pending.tier);
-            stopTaskRuns(fleet_, *job, victim.task, at_, "preempted");
-        }
-
         void reserve(const PendingStep& pending, const Placement& placement)
         {
             auto need = reservedCapacity(pending.spec());
@@ -386,12 +367,13 @@
         Fleet& fleet_;
         std::int64_t unixMs_;
         Instant at_;
+        bool areStopsCostly_;
         bool areInheritedJobsBlocked_;
         std::set<TaskId> tasksWithOpenRun_; //!< not started before their earlier runs have ended
         FleetHeadroom headroom_;
         std::vector<PendingStep> pendingSteps_;
-        std::set<Demand> unplaceableNow_;
-        std::set<Demand> unplaceableAfterStops_;
+        std::map<HeadroomKind, std::set<Demand>> unplaceable_;
+        bool areEndingRunsKnown_ = false;
         int planCount_ = 0;
         std::optional<VictimTable> victimTable_; //!< made for the round's first plan
     };
--- a/src/agatevane/fleet/preemption.cpp
+++ b/src/agatevane/fleet/preemption.cpp
@@ -1,9 +1,13 @@
 #include "agatevane/fleet/preemption.h"
 
+#include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/ranking.h"
+#include "agatevane/fleet/remaining_time.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace agatevane::fleet {
@@ -18,12 +22,18 @@
     //! Added to the loss of urgent victims, whose tenant exceeds its guarantee, so that they are stopped as a last
     //! resort.
     constexpr double urgentVictimLoss = 1e6;
+    //! A job is stopped this often for others, so that it ends some time. Only guaranteed work stops it more often.
+    constexpr int maxStopsForOthers = 3;
     constexpr double impossible = std::numeric_limits<double>::infinity();
 
-    bool mayStop(const PendingStep& pending, const Victim& victim, Instant at)
+    bool mayStop(const PendingStep& pending, const Victim& victim, HeadroomKind kind, Instant at)
     {
         if (victim.isStopped || victim.job == pending.job)
             return false;
+        if (kind == HeadroomKind::AfterEnds && victim.endsBeforeStop)
+            return false;
+        if (!pending.isWithinGuarantee && victim.stopsOfJob >= maxStopsForOthers)
+            return false;
         auto ownPriority = pending.job->policy.priority;
         auto victimPriority = victim.job->policy.priority;
         if (ownPriority == 0 && victimPriority == 0)
@@ -33,6 +43,48 @@
         return ownPriority == 0 || (victim.savesCheckpoints && at - victim.orderedAt >= minRunTime);
     }
 
+    double inSeconds(Millis time)
+    {
+        return std::chrono::duration<double>(time).count();
+    }
+
+    int countStops(const Occurrence& occurrence)
+    {
+        return std::accumulate(occurrence.steps.begin(), occurrence.steps.end(), 0,
+            [](int sum, const Step& step) { return sum + step.stopsForOthers; });
+    }
+
+    //! Work and time that a stop loses where stops are costly.
+    double lostSeconds(const Limits& limits, const StepSpec& step, const Run& run, Instant at)
+    {
+        auto unsaved = elapsed(run.orderedAt, at);
+        if (step.savesCheckpoints)
+            unsaved = std::min(unsaved, limits.checkpointInterval);
+        return inSeconds(unsaved + limits.stopDuration + limits.restoreDuration);
+    }
+
+    //! What the earlier stops of a step add to its loss: after the last permitted one as much as if all of its work
+    //! were lost. Otherwise the run that has just started again would always be the cheapest victim.
+    double secondsForEarlierStops(const Limits& limits, const StepSpec& step, int stops)
+    {
+        auto each
+            = std::max(limits.stopDuration + limits.restoreDuration, Millis(step.estimatedMs) / maxStopsForOthers);
+        return stops * inSeconds(each);
+    }
+
+    //! Core-seconds of the steps of the pending step's occurrence that are not done.
+    double remainingCoreSeconds(const PendingStep& pending)
+    {
+        double sum = 0;
+        const auto& steps = pending.job->occurrences[pending.occurrence].steps;
+        for (std::size_t index = 0; index < steps.size(); ++index) {
+            const auto& spec = pending.job->spec.steps[index];
+            auto tasks = static_cast<double>(steps[index].tasks.size() - steps[index].done);
+            sum += tasks * inSeconds(Millis(spec.estimatedMs)) * coreEquivalents(spec.need);
+        }
+        return sum;
+    }
+
     double lossOf(const Job& job, const Run& run, Instant at)
     {
         auto ran = std::chrono::duration<double>(at - run.orderedAt).count();
@@ -47,6 +99,7 @@
             : fleet_(fleet)
             , headrooms_(headrooms)
             , at_(at)
+            , areStopsCostly_(areStopsCostly(fleet.limits))
         {
         }
 
@@ -100,6 +153,9 @@
             victim.isWithinGuarantee
                 = job.policy.priority == 0 && fleet_.tenantsWithinGuarantee.contains(job.spec.tenant);
             victim.orderedAt = run.orderedAt;
+            const auto& occurrence = job.occurrences[id.occurrence];
+            victim.stopsOfStep = occurrence.steps[id.step].stopsForOthers;
+            victim.stopsOfJob = areStopsCostly_ ? countStops(occurrence) : 0;
             if (isGang)
                 addMembers(victim);
             else
@@ -123,14 +179,32 @@
         //! `index` is nothing for a run on a worker that gets no work.
         void addMember(Victim& victim, const Run& run, std::optional<std::size_t> index)
         {
-            victim.loss += lossOf(*victim.job, run, at_);
+            addLoss(victim, run);
+            victim.endsBeforeStop = victim.endsBeforeStop || (areStopsCostly_ && endsBeforeStop(fleet_, run, at_));
             if (index)
                 victim.freed.emplace_back(*index, run.need);
         }
 
+        void addLoss(Victim& victim, const Run& run) const
+        {
+            if (!areStopsCostly_) {
+                auto loss = lossOf(*victim.job, run, at_);
+                victim.loss += loss;
+                victim.lostCoreSeconds += victim.job->policy.priority == 0 ? loss - urgentVictimLoss : loss;
+                return;
+            }
+            const auto& step = stepOf(*victim.job, run.task);
+            auto lost = lostSeconds(fleet_.limits, step, run, at_) * coreEquivalents(run.need);
+            victim.lostCoreSeconds += lost;
+            victim.loss += lost
+                + secondsForEarlierStops(fleet_.limits, step, victim.stopsOfStep) * coreEquivalents(run.need)
+                + (victim.job->policy.priority == 0 ? urgentVictimLoss : 0);
+        }
+
         const Fleet& fleet_;
         const std::vector<WorkerHeadroom>& headrooms_;
         Instant at_;
+        bool areStopsCostly_;
         VictimTable table_;
         std::map<const Worker*, std::size_t> indexes_;
         std::map<TaskId, std::size_t> gangs_;
@@ -141,19 +215,20 @@
     class Planner {
     public:
         Planner(const VictimTable& table, const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
-            const std::string& rack, Instant at)
+            const std::string& rack, Instant at, HeadroomKind kind)
             : table_(table)
             , pending_(pending)
             , headrooms_(headrooms)
             , rack_(rack)
             , at_(at)
+            , kind_(kind)
             , need_(reservedCapacity(pending.spec()))
             , isChosen_(table.victims.size(), false)
             , placedCounts_(headrooms.size(), 0)
         {
             available_.reserve(headrooms.size());
             for (const auto& headroom : headrooms)
-                available_.push_back(headroom.afterStops);
+                available_.push_back(availableOf(headroom, kind));
             losses_.reserve(headrooms.size());
             for (std::size_t index = 0; index < headrooms.size(); ++index)
                 losses_.push_back(lossOn(index));
@@ -180,7 +255,7 @@
                 return true;
             for (auto number : table_.byWorker[index]) {
                 const auto& victim = table_.victims[number];
-                if (isChosen_[number] || !mayStop(pending_, victim, at_))
+                if (isChosen_[number] || !mayStop(pending_, victim, kind_, at_))
                     continue;
                 for (const auto& [freedOn, capacity] : victim.freed) {
                     if (freedOn == index)
@@ -230,6 +305,7 @@
         const std::vector<WorkerHeadroom>& headrooms_;
         const std::string& rack_;
         Instant at_;
+        HeadroomKind kind_;
         Capacity need_;
         std::vector<bool> isChosen_; //!< by number of the victim
         std::vector<std::size_t> placedCounts_; //!< the following are by index of the headroom
@@ -246,20 +322,96 @@
 }
 
 std::optional<PreemptionPlan> planPreemption(const VictimTable& table, const PendingStep& pending,
-    const std::vector<WorkerHeadroom>& headrooms, bool needsOneRack, const std::string& rack, Instant at)
+    const std::vector<WorkerHeadroom>& headrooms, bool needsOneRack, const std::string& rack, Instant at,
+    HeadroomKind kind)
 {
     if (!needsOneRack || !rack.empty())
-        return Planner(table, pending, headrooms, rack, at).plan();
+        return Planner(table, pending, headrooms, rack, at, kind).plan();
     std::set<std::string> racks;
     for (const auto& headroom : headrooms)
         racks.insert(headroom.worker->rack);
     std::optional<PreemptionPlan> best;
     for (const auto& each : racks) {
-        auto plan = Planner(table, pending, headrooms, each, at).plan();
+        auto plan = Planner(table, pending, headrooms, each, at, kind).plan();
         if (plan && (!best || plan->loss < best->loss))
             best = std::move(plan);
     }
     return best;
 }
 
+HeadroomKind freedWithoutStop(const Limits& limits, const PendingStep& pending, Instant at)
+{
+    auto latestBelief = limits.reclaimDeadline - 2 * (limits.stopDuration + endReportAllowance);
+    bool isTooLate = pending.isWithinGuarantee && elapsed(pending.job->acceptedAt, at) > latestBelief;
+    return areStopsCostly(limits) && !isTooLate ? HeadroomKind::AfterEnds : HeadroomKind::AfterStops;
+}
+
+double gainOf(const Limits& limits, const PendingStep& pending)
+{
+    if (pending.spec().estimatedMs == 0)
+        return std::numeric_limits<double>::infinity();
+    auto work = remainingCoreSeconds(pending);
+    if (pending.dueSlackMs >= limits.stopDuration.count())
+        return work;
+    auto objective = objectiveOf(*pending.job);
+    auto left = static_cast<double>(pending.lateSlackMs - limits.stopDuration.count());
+    return work * std::clamp(left / static_cast<double>(objective.lateMs - objective.dueMs + 1), 0.0, 1.0);
+}
+
+bool isWorthwhile(
+    const Limits& limits, const VictimTable& table, const PreemptionPlan& plan, const PendingStep& pending)
+{
+    if (!areStopsCostly(limits) || pending.isWithinGuarantee)
+        return true;
+    // The same delay costs a job the less, the more time its objective allows.
+    auto ownMs = static_cast<double>(objectiveOf(*pending.job).dueMs);
+    double loss = 0;
+    for (auto number : plan.victims) {
+        const auto& victim = table.victims[number];
+        auto victimMs = static_cast<double>(std::max<std::int64_t>(1, objectiveOf(*victim.job).dueMs));
+        loss += victim.loss * std::min(1.0, ownMs / victimMs);
+    }
+    return gainOf(limits, pending) > loss;
+}
+
+void stopVictims(Fleet& fleet, VictimTable& table, const PreemptionPlan& plan, const PendingStep& pending,
+    std::vector<WorkerHeadroom>& headrooms, Instant at)
+{
+    std::set<StepId> stoppedSteps;
+    std::set<const Job*> stoppedJobs;
+    for (auto number : plan.victims) {
+        auto& victim = table.victims[number];
+        auto& job = *findJob(fleet, victim.task.job);
+        ++fleet.preemptedRuns;
+        fleet.preemptedCoreSeconds += victim.lostCoreSeconds;
+        victim.isStopped = true;
+        for (const auto& [index, capacity] : victim.freed) {
+            headrooms[index].afterStops += capacity;
+            if (victim.endsBeforeStop)
+                headrooms[index].ending = {};
+        }
+        event_log::Line("preempted")
+            .with("job", victim.task.job)
+            .with("task", toString(victim.task))
+            .with("priority", job.policy.priority)
+            .with("saves", victim.savesCheckpoints)
+            .with("gang", stepOf(job, victim.task).isGang)
+            .with("loss", victim.lostCoreSeconds)
+            .with("stops_before", victim.stopsOfStep)
+            .with("for", pending.job->spec.id)
+            .with("for_tier", pending.tier);
+        stopTaskRuns(fleet, job, victim.task, at, "preempted");
+        // Tasks of one step that are stopped for the same step count as one stop.
+        if (stoppedSteps.insert({ victim.task.job, victim.task.occurrence, victim.task.step }).second)
+            ++job.occurrences[victim.task.occurrence].steps[victim.task.step].stopsForOthers;
+        stoppedJobs.insert(&job);
+    }
+    if (!areStopsCostly(fleet.limits))
+        return;
+    for (auto& victim : table.victims) {
+        if (stoppedJobs.contains(victim.job))
+            victim.stopsOfJob = countStops(victim.job->occurrences[victim.task.occurrence]);
+    }
+}
+
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/ranking.cpp
+++ b/src/agatevane/fleet/ranking.cpp
@@ -7,18 +7,6 @@
     //! A job that takes this many times its objective has no value any more.
     constexpr double lateFactor = 3;
 
-    struct Objective {
-        std::int64_t dueMs = 0; //!< objective, counted from acceptance or from the due time of the occurrence
-        std::int64_t lateMs = 0; //!< time from which the job has no value, counted from the same instant
-    };
-
-    Objective objectiveOf(const Job& job)
-    {
-        auto chain = static_cast<double>(longestChainMs(job.spec.steps));
-        auto due = job.policy.objectiveFactor * chain + static_cast<double>(job.policy.objectiveBase.count());
-        return { static_cast<std::int64_t>(due), static_cast<std::int64_t>(lateFactor * due) };
-    }
-
     std::int64_t remainingChainMs(const Job& job, const Occurrence& occurrence)
     {
         auto steps = job.spec.steps;
@@ -31,6 +19,13 @@
 
 } // namespace
 
+Objective objectiveOf(const Job& job)
+{
+    auto chain = static_cast<double>(longestChainMs(job.spec.steps));
+    auto due = job.policy.objectiveFactor * chain + static_cast<double>(job.policy.objectiveBase.count());
+    return { static_cast<std::int64_t>(due), static_cast<std::int64_t>(lateFactor * due) };
+}
+
 void rank(const Fleet& fleet, PendingStep& pending, std::int64_t ageMs)
 {
     const auto& job = *pending.job;
@@ -39,6 +34,8 @@
     auto dueSlack = objective.dueMs - ageMs - remaining;
     auto lateSlack = objective.lateMs - ageMs - remaining;
     pending.isWithinGuarantee = job.policy.priority == 0 && fleet.tenantsWithinGuarantee.contains(job.spec.tenant);
+    pending.dueSlackMs = dueSlack;
+    pending.lateSlackMs = lateSlack;
     pending.slackMs = dueSlack >= 0 ? dueSlack : lateSlack;
     if (pending.isWithinGuarantee)
         pending.tier = guaranteedTier;
--- a/src/agatevane/fleet/ranking.h
+++ b/src/agatevane/fleet/ranking.h
@@ -14,6 +14,14 @@
 constexpr int lateTier = 1000; //!< the job misses its objective and still has some value
 constexpr int expiredTier = 2000; //!< the job ends too late to have any value
 
+//! Times until which a job should end.
+struct Objective {
+    std::int64_t dueMs = 0; //!< objective, counted from acceptance or from the due time of the occurrence
+    std::int64_t lateMs = 0; //!< time from which the job has no value, counted from the same instant
+};
+
+Objective objectiveOf(const Job& job);
+
 //! Sets the step's tier and slack. `ageMs` is the time since its job was accepted or its occurrence was due.
 void rank(const Fleet& fleet, PendingStep& pending, std::int64_t ageMs);
 
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -281,6 +281,7 @@
         if (!run || run->state == RunState::Stopping)
             continue;
         requestStop(*run, at);
+        ++fleet.stopsByCause.try_emplace(std::string(reason)).first->second;
         Line("stop_ordered")
             .with("job", id.job)
             .with("task", toString(member))
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -54,6 +54,7 @@
     std::vector<Task> tasks;
     std::uint32_t done = 0; //!< number of tasks that are done
     std::uint32_t active = 0; //!< number of tasks that have a run
+    int stopsForOthers = 0; //!< how often this owner has stopped tasks of the step for more urgent work
 };
 
 struct Occurrence {
@@ -310,6 +311,8 @@
     int adviceRequestsInFlight = 0;
     std::uint64_t startsOrdered = 0;
     std::uint64_t preemptedRuns = 0;
+    std::map<std::string, std::uint64_t, std::less<>> stopsByCause; //!< runs that were ordered to stop
+    double preemptedCoreSeconds = 0; //!< core-seconds lost by stops for more urgent work
     std::uint64_t fillerSlowdowns = 0; //!< how often the pace of a worker's fillers was lowered
     std::uint64_t workerVisits = 0; //!< workers that rounds of decisions have looked at
     std::uint64_t placementSearches = 0; //!< searches over all workers; they dominate the CPU time of a round
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -26,6 +26,19 @@
         return jsonResponse(status, { { "status", status }, { "title", title } });
     }
 
+    void setPreemptionMetrics(metrics::Registry& registry, const fleet::Fleet& fleet)
+    {
+        for (const auto& [cause, stops] : fleet.stopsByCause) {
+            registry
+                .gauge("agatevane_run_stops", "Runs ordered to stop in this tenure, by cause", { { "cause", cause } })
+                .set(static_cast<double>(stops));
+        }
+        registry
+            .gauge("agatevane_preemption_lost_core_seconds",
+                "Core-seconds lost by stops for more urgent work in this tenure")
+            .set(fleet.preemptedCoreSeconds);
+    }
+
 } // namespace
 
 void Node::handleOperator(const event_http::Request& request, const event_http::Respond& respond)
@@ -147,6 +160,7 @@
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
             .set(static_cast<double>(fleet.preemptedRuns));
+        setPreemptionMetrics(registry, fleet);
         registry
             .gauge("agatevane_rounds_deferred",
                 "Rounds in this tenure that left work waiting because enough starts were under way")
