Hold freed capacity for the step that it was freed for

Cause: capacity that was freed by stops went to whichever step came first in the next round, so that one urgent job had 284 stops made for it in 11 rounds. Change: where stops are costly, capacity that a plan frees is held for its step until it starts, its job ends or gangMs have passed. Steps of the same or a later tier don't get it, and no further run is stopped for the step; guaranteed and more urgent work may use it. A hold that can't be completed is given up.

--- a/src/agatevane/fleet/model.h
+++ b/src/agatevane/fleet/model.h
@@ -103,6 +103,16 @@
     auto operator<=>(const TaskId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+//! A step of one occurrence of a job.
+struct StepId {
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const StepId&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 //! The task's name in logs and on the platform: JOB.OCCURRENCE.STEP.INDEX.
 inline std::string toString(const TaskId& id)
 {
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -11,6 +11,7 @@
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 #include <tuple>
@@ -77,14 +78,33 @@
                 pendingSteps_.begin(), pendingSteps_.end(), [](const PendingStep& a, const PendingStep& b) {
                     return std::pair(a.tier, a.slackMs) < std::pair(b.tier, b.slackMs);
                 });
+            if (areStopsCostly_)
+                removeEndedHolds(fleet_, at_);
+            placePendingSteps();
+        }
+
+    private:
+        void placePendingSteps()
+        {
             for (auto& pending : pendingSteps_) {
                 if (!mayStartNow(pending))
                     return deferRest();
+                if (areStopsCostly_)
+                    takeRoomBefore(pending);
                 placePendingStep(pending);
             }
         }
 
-    private:
+        //! Takes the capacity out of the headrooms that is held for other steps.
+        void takeRoomBefore(const PendingStep& pending)
+        {
+            auto tier = isUrgent(pending) ? pending.tier : std::numeric_limits<int>::max();
+            if (tier > heldRoomTakenTo_ && !fleet_.roomHolds.byStep.empty()) {
+                collectEndingRuns();
+                takeHeldRoom(fleet_, headroom_.workers, tier);
+            }
+            heldRoomTakenTo_ = std::max(heldRoomTakenTo_, tier);
+        }
 
         void collectEndingRuns()
         {
@@ -208,7 +228,13 @@
                 allowedWorkers = workersWithTicket(fleet_, pending.id(), at_);
                 pending.allowedWorkers = &allowedWorkers;
             }
-            placeOnPreferredOrAnyRack(pending);
+            bool hadRoom = releaseHeldRoom(fleet_, pending.id(), headroom_.workers);
+            if (hadRoom)
+                startTasks(pending, findHeldRoom(fleet_, pending, headroom_.workers));
+            if (!pending.taskIndexes.empty())
+                placeOnPreferredOrAnyRack(pending);
+            if (hadRoom)
+                removeHoldIfStarted(fleet_, pending.id());
             if (pending.allowedWorkers && !pending.taskIndexes.empty()
                 && pending.state().done + pending.state().active < pending.state().tasks.size())
                 requestTickets(fleet_, pending, headroom_.workers, at_);
@@ -254,13 +280,24 @@
             auto placement = findWorkersForSome(pending, headroom_.workers, wanted, constraint.rack);
             if (placement.size() < wanted)
                 noteUnplaceable(pending, std::move(demand), HeadroomKind::Free);
-            for (std::size_t n = 0; n < placement.size(); ++n)
-                start(pending, { pending.taskIndexes[n] }, { placement[n] });
-            pending.taskIndexes.erase(pending.taskIndexes.begin(),
-                pending.taskIndexes.begin() + static_cast<std::ptrdiff_t>(placement.size()));
+            startTasks(pending, placement);
             return interferes && !placement.empty();
         }
 
+        //! Starts as many waiting tasks as there are places and starts left; of a gang, all or none.
+        void startTasks(PendingStep& pending, const Placement& placement)
+        {
+            if (pending.isGang && !placement.empty()) {
+                start(pending, pending.taskIndexes, placement);
+                return pending.taskIndexes.clear();
+            }
+            auto count = std::min(placement.size(), startsLeft());
+            for (std::size_t n = 0; n < count; ++n)
+                start(pending, { pending.taskIndexes[n] }, { placement[n] });
+            pending.taskIndexes.erase(
+                pending.taskIndexes.begin(), pending.taskIndexes.begin() + static_cast<std::ptrdiff_t>(count));
+        }
+
         std::size_t startsLeft() const
         {
             auto limit = fleet_.limits.maxStartsUnderWay;
@@ -299,6 +336,8 @@
         //! True if running stops or new preemptions free enough capacity for all waiting tasks, which is then reserved.
         bool freeUpCapacity(const PendingStep& pending, const RackConstraint& constraint)
         {
+            if (keepHeldRoom(fleet_, pending, headroom_.workers))
+                return true;
             // Work that can no longer meet its objective preempts nothing and reserves no capacity.
             if (!isUrgent(pending) && pending.tier >= lateTier)
                 return false;
@@ -329,6 +368,8 @@
             unplaceable_[HeadroomKind::AfterStops].clear();
             unplaceable_[HeadroomKind::AfterEnds].clear();
             reserve(pending, plan->placement);
+            if (areStopsCostly_)
+                holdRoom(fleet_, pending, plan->placement, headroom_.workers, at_);
             return true;
         }
 
@@ -373,6 +414,7 @@
         FleetHeadroom headroom_;
         std::vector<PendingStep> pendingSteps_;
         std::map<HeadroomKind, std::set<Demand>> unplaceable_;
+        int heldRoomTakenTo_ = -1; //!< the room held by steps of the tiers up to this one is taken out of the headrooms
         bool areEndingRunsKnown_ = false;
         int planCount_ = 0;
         std::optional<VictimTable> victimTable_; //!< made for the round's first plan
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -5,6 +5,7 @@
 #include "agatevane/fleet/denials.h"
 #include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
+#include "agatevane/fleet/room_holds.h"
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
@@ -246,16 +247,6 @@
     JobPhase phase = JobPhase::Open;
 };
 
-//! A step of one occurrence of a job.
-struct StepId {
-    JobId job;
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-
-    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
-    auto operator<=>(const StepId&) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 //! Permission of the advice service to run the tasks of one step on one incarnation of a worker.
 struct WorkerTicket {
     std::string value;
@@ -300,6 +291,7 @@
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
     Denials denials;
+    RoomHolds roomHolds;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
