Keep free accelerators for the urgent work that arrives next

Cause: waiting work took the capacity that urgent work left, and was stopped again for the next urgent job. Change: where stops are costly, the owner keeps for each service a peak of the accelerators that urgent work uses and waits for, with a half-life of 4 s. Work that is not urgent leaves the peak less the current use free, at most a quarter of the service's usable accelerators, as whole workers of the racks with the most free accelerators. Without recent urgent work nothing is kept. Gauge agatevane_urgent_reserve_accelerators.

--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -81,6 +81,8 @@
             if (areStopsCostly_)
                 removeEndedHolds(fleet_, at_);
             placePendingSteps();
+            if (areStopsCostly_ && !isReserveTaken_)
+                takeReserve();
         }
 
     private:
@@ -95,7 +97,8 @@
             }
         }
 
-        //! Takes the capacity out of the headrooms that is held for other steps.
+        //! Takes the capacity out of the headrooms that the step may not use: what is held for other steps and, unless
+        //! the step is urgent, what is kept for urgent work.
         void takeRoomBefore(const PendingStep& pending)
         {
             auto tier = isUrgent(pending) ? pending.tier : std::numeric_limits<int>::max();
@@ -104,6 +107,14 @@
                 takeHeldRoom(fleet_, headroom_.workers, tier);
             }
             heldRoomTakenTo_ = std::max(heldRoomTakenTo_, tier);
+            if (!isUrgent(pending) && !isReserveTaken_)
+                takeReserve();
+        }
+
+        void takeReserve()
+        {
+            isReserveTaken_ = true;
+            reserveForUrgentWork(fleet_, headroom_.workers, at_);
         }
 
         void collectEndingRuns()
@@ -416,6 +427,7 @@
         std::map<HeadroomKind, std::set<Demand>> unplaceable_;
         int heldRoomTakenTo_ = -1; //!< the room held by steps of the tiers up to this one is taken out of the headrooms
         bool areEndingRunsKnown_ = false;
+        bool isReserveTaken_ = false;
         int planCount_ = 0;
         std::optional<VictimTable> victimTable_; //!< made for the round's first plan
     };
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -6,6 +6,7 @@
 #include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
 #include "agatevane/fleet/room_holds.h"
+#include "agatevane/fleet/urgent_reserve.h"
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
@@ -292,6 +293,7 @@
 
     Denials denials;
     RoomHolds roomHolds;
+    UrgentReserve urgentReserve;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -37,6 +37,8 @@
             .gauge("agatevane_preemption_lost_core_seconds",
                 "Core-seconds lost by stops for more urgent work in this tenure")
             .set(fleet.preemptedCoreSeconds);
+        registry.gauge("agatevane_urgent_reserve_accelerators", "Free accelerators that are kept for urgent work")
+            .set(static_cast<double>(fleet.urgentReserve.reservedAccelerators));
         registry.gauge("agatevane_room_holds", "Steps for which freed capacity is held")
             .set(static_cast<double>(fleet.roomHolds.byStep.size()));
     }
