--- a/src/agatevane/fleet/learned_run_times.cpp
+++ b/src/agatevane/fleet/learned_run_times.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/fleet/learned_run_times.h"
 
+#include "agatevane/fleet/remaining_time.h"
 #include "agatevane/fleet/runs.h"
 #include <algorithm>
 
@@ -8,8 +9,6 @@
 namespace {
 
     constexpr int fullPercent = 100;
-    //! From this percentage on, the measured speed of a run predicts its end better than any estimate.
-    constexpr int minMeasuredPercent = 10;
     //! The start of a run is known up to the time between its order and its confirmation. If that is a larger part of
     //! the run, its duration is too uncertain to learn from.
     constexpr int minDurationPerUncertainty = 4;
@@ -64,16 +63,9 @@
     //! The remaining time by the run's own pace; nothing if it has not done enough of its work.
     std::optional<Millis> remainingByPace(const Fleet& fleet, const StepSpec& step, const Run& run, Instant at)
     {
-        if (!step.savesCheckpoints && run.percent >= minMeasuredPercent) {
-            auto whole = elapsed(run.confirmedAt, run.progressAt) * fullPercent / run.percent;
-            return whole - elapsed(run.confirmedAt, at);
-        }
-        // If the step saves checkpoints, an earlier run may have done a part of the percentage.
-        int gained = run.percent - run.firstPercent;
-        if (!areStopsCostly(fleet.limits) || gained < minMeasuredPercent)
+        if (step.savesCheckpoints && !areStopsCostly(fleet.limits))
             return std::nullopt;
-        auto left = elapsed(run.firstReportAt, run.progressAt) * (fullPercent - run.percent) / gained;
-        return left - elapsed(run.progressAt, at);
+        return measuredRemainingTime(step, run, at);
     }
 
     std::optional<Millis> remainingByEstimate(
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -1,22 +1,12 @@
 #pragma once
 
-#include "agatevane/fleet/state.h"
+#include "agatevane/fleet/headroom.h"
 #include <optional>
 #include <vector>
 
 //! Finds workers with enough free capacity for the tasks of a step. Changes no state of the fleet.
 namespace agatevane::fleet {
 
-//! The free capacity of one usable worker during a placement round.
-struct WorkerHeadroom {
-    Worker* worker = nullptr;
-    Capacity free; //!< capacity that is free now
-    Capacity afterStops; //!< capacity that is free once the runs that are being stopped have ended
-    int servingTasks = 0; //!< tasks on the worker that serve users
-    std::int64_t fillerMilliCores = 0; //!< thousandths of a core that the fillers on the worker could use
-    bool isChosenLast = false; //!< see isChosenLast() in evacuation.h
-};
-
 //! The tasks of one step of one occurrence that wait for a worker.
 struct PendingStep {
     Job* job = nullptr;
@@ -29,6 +19,8 @@
     const std::set<WorkerId>* allowedWorkers = nullptr; //!< workers with a valid ticket; null: no ticket is needed
     //! Time until the step must start for its job to meet the objective or, once it can't, to still have some value.
     std::int64_t slackMs = 0;
+    std::int64_t dueSlackMs = 0; //!< time until the step must start for its job to meet the objective
+    std::int64_t lateSlackMs = 0; //!< time until the step must start for its job to have any value
 
     const StepSpec& spec() const { return job->spec.steps[step]; }
     Step& state() const { return job->occurrences[occurrence].steps[step]; }
@@ -36,7 +28,13 @@
     TaskId task(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
 };
 
-enum class HeadroomKind { Free, AfterStops };
+enum class HeadroomKind {
+    Free,
+    AfterStops,
+    AfterEnds //!< after stops, and after runs that end by themselves sooner than a stop would take
+};
+
+Capacity availableOf(const WorkerHeadroom& headroom, HeadroomKind kind);
 
 //! For each task of a pending step, the index of its worker in the list of headrooms.
 using Placement = std::vector<std::size_t>;
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -4,7 +4,7 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/due_workers.h"
-#include "agatevane/fleet/evacuation.h"
+#include "agatevane/fleet/guarantees.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
@@ -12,8 +12,11 @@
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <map>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace agatevane::fleet {
 
@@ -61,96 +64,80 @@
             : fleet_(fleet)
             , unixMs_(unixMs)
             , at_(at)
+            , areStopsCostly_(areStopsCostly(fleet.limits))
             , areInheritedJobsBlocked_(mayHaveUnreportedRuns(fleet, at))
             , tasksWithOpenRun_(tasksWithOpenRun(fleet, at))
+            , headroom_(collectHeadroom(fleet, at))
         {
         }
 
         void run()
         {
-            collectHeadroom();
-            findTenantsWithinGuarantee();
+            findTenantsWithinGuarantee(fleet_);
             collectPendingSteps();
             std::stable_sort(
                 pendingSteps_.begin(), pendingSteps_.end(), [](const PendingStep& a, const PendingStep& b) {
                     return std::pair(a.tier, a.slackMs) < std::pair(b.tier, b.slackMs);
                 });
+            if (areStopsCostly_)
+                removeEndedHolds(fleet_, at_);
+            placePendingSteps();
+            if (areStopsCostly_ && !isReserveTaken_)
+                takeReserve();
+        }
+
+    private:
+        void placePendingSteps()
+        {
             for (auto& pending : pendingSteps_) {
                 if (!mayStartNow(pending))
                     return deferRest();
+                if (areStopsCostly_)
+                    takeRoomBefore(pending);
                 placePendingStep(pending);
             }
         }
 
-    private:
-        //! True if as many starts may be under way as the step needs at once. A gang that needs more than the limit
-        //! waits until no other start is under way.
-        bool mayStartNow(const PendingStep& pending) const
+        //! Takes the capacity out of the headrooms that the step may not use: what is held for other steps and, unless
+        //! the step is urgent, what is kept for urgent work.
+        void takeRoomBefore(const PendingStep& pending)
         {
-            auto limit = fleet_.limits.maxStartsUnderWay;
-            auto needed = pending.isGang ? pending.taskIndexes.size() : 1;
-            return startsUnderWay_ + std::min(needed, limit) <= limit;
+            auto tier = isUrgent(pending) ? pending.tier : std::numeric_limits<int>::max();
+            if (tier > heldRoomTakenTo_ && !fleet_.roomHolds.byStep.empty()) {
+                collectEndingRuns();
+                takeHeldRoom(fleet_, headroom_.workers, tier);
+            }
+            heldRoomTakenTo_ = std::max(heldRoomTakenTo_, tier);
+            if (!isUrgent(pending) && !isReserveTaken_)
+                takeReserve();
         }
 
-        //! Workers that don't answer hold back no others: what has no answer in time is not counted.
-        std::size_t countUnderWay(const WorkerLoad& load) const
+        void takeReserve()
         {
-            return static_cast<std::size_t>(std::count_if(load.unconfirmedSince.begin(), load.unconfirmedSince.end(),
-                [this](Instant since) { return at_ - since < fleet_.limits.startAnswerTimeout; }));
+            isReserveTaken_ = true;
+            reserveForUrgentWork(fleet_, headroom_.workers, at_);
         }
 
-        //! The more urgent work that was placed before goes first; the rest keeps its order.
-        void deferRest()
+        void collectEndingRuns()
         {
-            ++fleet_.deferredRounds;
-            fleet_.isPlacementDue = true;
+            if (!std::exchange(areEndingRunsKnown_, true))
+                addEndingRuns(fleet_, headroom_.workers, at_);
         }
 
-        void collectHeadroom()
+        //! True if as many starts may be under way as the step needs at once. A gang that needs more than the limit
+        //! waits until no other start is under way.
+        bool mayStartNow(const PendingStep& pending) const
         {
-            Capacity total;
-            Capacity used;
-            for (auto& [id, worker] : fleet_.workers) {
-                if (!isUsable(worker, at_))
-                    continue;
-                WorkerHeadroom headroom { &worker, worker.capacity, {} };
-                headroom.free -= worker.used;
-                const auto& load = loadOf(fleet_, worker);
-                startsUnderWay_ += countUnderWay(load);
-                headroom.afterStops = headroom.free;
-                headroom.afterStops += load.stopping;
-                headroom.servingTasks = load.servingTasks;
-                headroom.fillerMilliCores = load.fillerMilliCores;
-                headroom.isChosenLast = isChosenLast(worker, at_);
-                total += worker.capacity;
-                used += worker.used;
-                headrooms_.push_back(headroom);
-            }
-            auto share = [](std::int64_t part, std::int64_t whole) {
-                return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
-            };
-            utilization_
-                = std::max(share(used.accelerators, total.accelerators), share(used.milliCores, total.milliCores));
+            auto limit = fleet_.limits.maxStartsUnderWay;
+            auto needed = pending.isGang ? pending.taskIndexes.size() : 1;
+            return headroom_.startsUnderWay + std::min(needed, limit) <= limit;
         }
 
-        //! Tenants whose open urgent jobs need no more accelerators than they are guaranteed.
-        void findTenantsWithinGuarantee()
+        //! The more urgent work that was placed before goes first; the rest keeps its order.
+        void deferRest()
         {
-            fleet_.tenantsWithinGuarantee.clear();
-            std::map<std::string, std::int64_t> needs;
-            for (const auto& id : fleet_.openJobs) {
-                const auto& job = fleet_.jobs.at(id);
-                if (job.policy.priority != 0)
-                    continue;
-                auto& need = needs[job.spec.tenant];
-                for (const auto& step : job.spec.steps)
-                    need += static_cast<std::int64_t>(step.count) * step.need.accelerators;
-            }
-            for (const auto& [name, need] : needs) {
-                const auto* tenant = desired_state::findTenantByName(fleet_.desired, name);
-                if (tenant && need <= tenant->guaranteedAccelerators)
-                    fleet_.tenantsWithinGuarantee.insert(name);
-            }
+            ++fleet_.deferredRounds;
+            fleet_.isPlacementDue = true;
         }
 
         void collectPendingSteps()
@@ -229,7 +216,7 @@
             auto waited = elapsed(pending.job->acceptedAt, at_);
             if (isUrgent(pending))
                 return waited < urgentRackWait;
-            bool isFleetFull = utilization_ >= highUtilization && !pending.spec().isContinuous;
+            bool isFleetFull = headroom_.utilization >= highUtilization && !pending.spec().isContinuous;
             return waited < (isFleetFull ? longestRackWait : rackWait);
         }
 
@@ -253,10 +240,16 @@
                 allowedWorkers = workersWithTicket(fleet_, pending.id(), at_);
                 pending.allowedWorkers = &allowedWorkers;
             }
-            placeOnPreferredOrAnyRack(pending);
+            bool hadRoom = releaseHeldRoom(fleet_, pending.id(), headroom_.workers);
+            if (hadRoom)
+                startTasks(pending, findHeldRoom(fleet_, pending, headroom_.workers));
+            if (!pending.taskIndexes.empty())
+                placeOnPreferredOrAnyRack(pending);
+            if (hadRoom)
+                removeHoldIfStarted(fleet_, pending.id());
             if (pending.allowedWorkers && !pending.taskIndexes.empty()
                 && pending.state().done + pending.state().active < pending.state().tasks.size())
-                requestTickets(fleet_, pending, headrooms_, at_);
+                requestTickets(fleet_, pending, headroom_.workers, at_);
             pending.allowedWorkers = nullptr;
         }
 
@@ -290,26 +283,37 @@
         bool startSomeTasks(PendingStep& pending, const RackConstraint& constraint)
         {
             auto demand = demandOf(pending, 1, constraint);
-            if (pending.taskIndexes.empty() || startsLeft() == 0 || unplaceableNow_.contains(demand))
+            if (pending.taskIndexes.empty() || startsLeft() == 0 || unplaceable_[HeadroomKind::Free].contains(demand))
                 return false;
             ++fleet_.placementSearches;
             // A task that interferes with others changes which worker is the best one for the next.
             bool interferes = pending.spec().isFiller || isServing(pending.spec());
             auto wanted = interferes ? 1 : std::min(pending.taskIndexes.size(), startsLeft());
-            auto placement = findWorkersForSome(pending, headrooms_, wanted, constraint.rack);
+            auto placement = findWorkersForSome(pending, headroom_.workers, wanted, constraint.rack);
             if (placement.size() < wanted)
-                noteUnplaceable(pending, std::move(demand), unplaceableNow_);
-            for (std::size_t n = 0; n < placement.size(); ++n)
-                start(pending, { pending.taskIndexes[n] }, { placement[n] });
-            pending.taskIndexes.erase(pending.taskIndexes.begin(),
-                pending.taskIndexes.begin() + static_cast<std::ptrdiff_t>(placement.size()));
+                noteUnplaceable(pending, std::move(demand), HeadroomKind::Free);
+            startTasks(pending, placement);
             return interferes && !placement.empty();
         }
 
+        //! Starts as many waiting tasks as there are places and starts left; of a gang, all or none.
+        void startTasks(PendingStep& pending, const Placement& placement)
+        {
+            if (pending.isGang && !placement.empty()) {
+                start(pending, pending.taskIndexes, placement);
+                return pending.taskIndexes.clear();
+            }
+            auto count = std::min(placement.size(), startsLeft());
+            for (std::size_t n = 0; n < count; ++n)
+                start(pending, { pending.taskIndexes[n] }, { placement[n] });
+            pending.taskIndexes.erase(
+                pending.taskIndexes.begin(), pending.taskIndexes.begin() + static_cast<std::ptrdiff_t>(count));
+        }
+
         std::size_t startsLeft() const
         {
             auto limit = fleet_.limits.maxStartsUnderWay;
-            return limit - std::min(limit, startsUnderWay_);
+            return limit - std::min(limit, headroom_.startsUnderWay);
         }
 
         static Demand demandOf(const PendingStep& pending, std::size_t count, const RackConstraint& constraint)
@@ -320,10 +324,10 @@
         }
 
         //! With a limit per worker, or tickets, a search without a result is only valid for its step.
-        static void noteUnplaceable(const PendingStep& pending, Demand demand, std::set<Demand>& unplaceable)
+        void noteUnplaceable(const PendingStep& pending, Demand demand, HeadroomKind kind)
         {
             if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers)
-                unplaceable.insert(std::move(demand));
+                unplaceable_[kind].insert(std::move(demand));
         }
 
         //! As findWorkersFor, but skips demands that could not be placed earlier in this round.
@@ -331,68 +335,63 @@
             const PendingStep& pending, std::size_t count, HeadroomKind kind, const RackConstraint& constraint)
         {
             auto demand = demandOf(pending, count, constraint);
-            auto& unplaceable = kind == HeadroomKind::Free ? unplaceableNow_ : unplaceableAfterStops_;
-            if (unplaceable.contains(demand))
+            if (unplaceable_[kind].contains(demand))
                 return std::nullopt;
             ++fleet_.placementSearches;
-            auto placement = findWorkersFor(pending, headrooms_, count, kind, constraint.needsOneRack, constraint.rack);
+            auto placement
+                = findWorkersFor(pending, headroom_.workers, count, kind, constraint.needsOneRack, constraint.rack);
             if (!placement)
-                noteUnplaceable(pending, std::move(demand), unplaceable);
+                noteUnplaceable(pending, std::move(demand), kind);
             return placement;
         }
 
         //! True if running stops or new preemptions free enough capacity for all waiting tasks, which is then reserved.
         bool freeUpCapacity(const PendingStep& pending, const RackConstraint& constraint)
         {
+            if (keepHeldRoom(fleet_, pending, headroom_.workers))
+                return true;
             // Work that can no longer meet its objective preempts nothing and reserves no capacity.
             if (!isUrgent(pending) && pending.tier >= lateTier)
                 return false;
-            if (auto placement
-                = findPlacement(pending, pending.taskIndexes.size(), HeadroomKind::AfterStops, constraint)) {
+            auto kind = freedWithoutStop(fleet_.limits, pending, at_);
+            if (kind == HeadroomKind::AfterEnds)
+                collectEndingRuns();
+            if (auto placement = findPlacement(pending, pending.taskIndexes.size(), kind, constraint)) {
                 reserve(pending, *placement);
                 return true;
             }
+            if (areStopsCostly_ && !pending.isWithinGuarantee && gainOf(fleet_, pending) <= 0)
+                return false;
+            return preempt(pending, constraint, kind);
+        }
+
+        bool preempt(const PendingStep& pending, const RackConstraint& constraint, HeadroomKind kind)
+        {
             if (++planCount_ > maxPlansPerRound)
                 return false;
             ++fleet_.preemptionPlans;
             if (!victimTable_)
-                victimTable_ = findVictims(fleet_, headrooms_, at_);
-            auto plan
-                = planPreemption(*victimTable_, pending, headrooms_, constraint.needsOneRack, constraint.rack, at_);
-            if (!plan)
+                victimTable_ = findVictims(fleet_, headroom_.workers, at_);
+            auto plan = planPreemption(
+                *victimTable_, pending, headroom_.workers, constraint.needsOneRack, constraint.rack, at_, kind);
+            if (!plan || !isWorthwhile(fleet_, *victimTable_, *plan, pending))
                 return false;
-            for (auto number : plan->victims)
-                stopVictim(victimTable_->victims[number], pending);
-            unplaceableAfterStops_.clear();
+            stopVictims(fleet_, *victimTable_, *plan, pending, headroom_.workers, at_);
+            unplaceable_[HeadroomKind::AfterStops].clear();
+            unplaceable_[HeadroomKind::AfterEnds].clear();
             reserve(pending, plan->placement);
+            if (areStopsCostly_)
+                holdRoom(fleet_, pending, plan->placement, headroom_.workers, at_);
             return true;
         }
 
-        void stopVictim(Victim& victim, const PendingStep& pending)
-        {
-            auto* job = findJob(fleet_, victim.task.job);
-            ++fleet_.preemptedRuns;
-            victim.isStopped = true;
-            for (const auto& [index, capacity] : victim.freed)
-                headrooms_[index].afterStops += capacity;
-            Line("preempted")
-                .with("job", victim.task.job)
-                .with("task", toString(victim.task))
-                .with("priority", job->policy.priority)
-                .with("saves", victim.savesCheckpoints)
-                .with("gang", stepOf(*job, victim.task).isGang)
-                .with("for", pending.job->spec.id)
-                .with("for_tier", pending.tier);
-            stopTaskRuns(fleet_, *job, victim.task, at_, "preempted");
-        }
-
         void reserve(const PendingStep& pending, const Placement& placement)
         {
             auto need = reservedCapacity(pending.spec());
             for (auto place : placement) {
-                headrooms_[place].free -= need;
-                headrooms_[place].afterStops -= need;
-                addColocatedTask(headrooms_[place], pending.spec());
+                headroom_.workers[place].free -= need;
+                headroom_.workers[place].afterStops -= need;
+                addColocatedTask(headroom_.workers[place], pending.spec());
             }
         }
 
@@ -403,11 +402,11 @@
             auto number = nextRunNumber(fleet_, *pending.job, pending.task(taskIndexes.front()));
             auto expected = runTimeOf(fleet_, *pending.job, pending.spec());
             for (std::size_t n = 0; n < taskIndexes.size(); ++n) {
-                auto& worker = *headrooms_[placement[n]].worker;
+                auto& worker = *headroom_.workers[placement[n]].worker;
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
                 markDue(fleet_, worker);
-                ++startsUnderWay_;
+                ++headroom_.startsUnderWay;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
                     .with("job", id.job)
@@ -425,14 +424,15 @@
         Fleet& fleet_;
         std::int64_t unixMs_;
         Instant at_;
+        bool areStopsCostly_;
         bool areInheritedJobsBlocked_;
         std::set<TaskId> tasksWithOpenRun_; //!< not started before their earlier runs have ended
-        std::vector<WorkerHeadroom> headrooms_;
+        FleetHeadroom headroom_;
         std::vector<PendingStep> pendingSteps_;
-        double utilization_ = 0;
-        std::size_t startsUnderWay_ = 0;
-        std::set<Demand> unplaceableNow_;
-        std::set<Demand> unplaceableAfterStops_;
+        std::map<HeadroomKind, std::set<Demand>> unplaceable_;
+        int heldRoomTakenTo_ = -1; //!< the room held by steps of the tiers up to this one is taken out of the headrooms
+        bool areEndingRunsKnown_ = false;
+        bool isReserveTaken_ = false;
         int planCount_ = 0;
         std::optional<VictimTable> victimTable_; //!< made for the round's first plan
     };
--- a/src/agatevane/fleet/ranking.cpp
+++ b/src/agatevane/fleet/ranking.cpp
@@ -9,6 +9,13 @@
     //! A job that takes this many times its objective has no value any more.
     constexpr double lateFactor = 3;
 
+    Objective objectiveOfChain(const Job& job, std::int64_t chainMs)
+    {
+        auto due = job.policy.objectiveFactor * static_cast<double>(chainMs)
+            + static_cast<double>(job.policy.objectiveBase.count());
+        return { static_cast<std::int64_t>(due), static_cast<std::int64_t>(lateFactor * due) };
+    }
+
     //! Time until the rest of the job's work must start.
     struct Slack {
         std::int64_t dueMs = 0; //!< ... for the job to meet its objective
@@ -24,10 +31,9 @@
         bool isAnyDone = std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
             [](const Step& step) { return step.done == step.tasks.size(); });
         auto chain = learnedChainMs(fleet, job, fraction);
-        auto due = job.policy.objectiveFactor * static_cast<double>(chain)
-            + static_cast<double>(job.policy.objectiveBase.count());
+        auto objective = objectiveOfChain(job, chain);
         auto spentMs = ageMs + (isAnyDone ? learnedChainMs(fleet, job, fraction, &occurrence) : chain);
-        return { static_cast<std::int64_t>(due) - spentMs, static_cast<std::int64_t>(lateFactor * due) - spentMs };
+        return { objective.dueMs - spentMs, objective.lateMs - spentMs };
     }
 
     //! Work that has lost its value goes last, so that it must have lost it whether it is long or short: a longer job
@@ -43,11 +49,18 @@
 
 } // namespace
 
+Objective objectiveOf(const Fleet& fleet, const Job& job, double fraction)
+{
+    return objectiveOfChain(job, learnedChainMs(fleet, job, fraction));
+}
+
 void rank(const Fleet& fleet, PendingStep& pending, std::int64_t ageMs)
 {
     const auto& job = *pending.job;
     auto slack = slackOf(fleet, pending, medianFraction, ageMs);
     pending.isWithinGuarantee = job.policy.priority == 0 && fleet.tenantsWithinGuarantee.contains(job.spec.tenant);
+    pending.dueSlackMs = slack.dueMs;
+    pending.lateSlackMs = slack.lateMs;
     pending.slackMs = slack.dueMs >= 0 ? slack.dueMs : slack.lateMs;
     if (pending.isWithinGuarantee)
         pending.tier = guaranteedTier;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -7,6 +7,8 @@
 #include "agatevane/fleet/learned_run_times.h"
 #include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
+#include "agatevane/fleet/room_holds.h"
+#include "agatevane/fleet/urgent_reserve.h"
 #include "agatevane/fleet/violation.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
@@ -56,6 +58,7 @@
     std::vector<Task> tasks;
     std::uint32_t done = 0; //!< number of tasks that are done
     std::uint32_t active = 0; //!< number of tasks that have a run
+    int stopsForOthers = 0; //!< how often this owner has stopped tasks of the step for more urgent work
 };
 
 struct Occurrence {
@@ -253,16 +256,6 @@
     JobPhase phase = JobPhase::Open;
 };
 
-//! A step of one occurrence of a job.
-struct StepId {
-    JobId job;
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-
-    // clang-tidy 14 takes the literal zero of a rewritten comparison for a null pointer.
-    auto operator<=>(const StepId&) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 //! Permission of the advice service to run the tasks of one step on one incarnation of a worker.
 struct WorkerTicket {
     std::string value;
@@ -309,6 +302,8 @@
     Denials denials;
     LearnedRunTimes runTimes;
     Evacuations evacuations;
+    RoomHolds roomHolds;
+    UrgentReserve urgentReserve;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
@@ -320,6 +315,8 @@
     int adviceRequestsInFlight = 0;
     std::uint64_t startsOrdered = 0;
     std::uint64_t preemptedRuns = 0;
+    std::map<std::string, std::uint64_t, std::less<>> stopsByCause; //!< runs that were ordered to stop
+    double preemptedCoreSeconds = 0; //!< core-seconds lost by stops for more urgent work
     std::uint64_t fillerSlowdowns = 0; //!< how often the pace of a worker's fillers was lowered
     std::uint64_t workerVisits = 0; //!< workers that rounds of decisions have looked at
     std::uint64_t placementSearches = 0; //!< searches over all workers; they dominate the CPU time of a round
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -40,6 +40,23 @@
             .set(static_cast<double>(runs));
     }
 
+    void setPreemptionMetrics(metrics::Registry& registry, const fleet::Fleet& fleet)
+    {
+        for (const auto& [cause, stops] : fleet.stopsByCause) {
+            registry
+                .gauge("agatevane_run_stops", "Runs ordered to stop in this tenure, by cause", { { "cause", cause } })
+                .set(static_cast<double>(stops));
+        }
+        registry
+            .gauge("agatevane_preemption_lost_core_seconds",
+                "Core-seconds lost by stops for more urgent work in this tenure")
+            .set(fleet.preemptedCoreSeconds);
+        registry.gauge("agatevane_urgent_reserve_accelerators", "Free accelerators that are kept for urgent work")
+            .set(static_cast<double>(fleet.urgentReserve.reservedAccelerators));
+        registry.gauge("agatevane_room_holds", "Steps for which freed capacity is held")
+            .set(static_cast<double>(fleet.roomHolds.byStep.size()));
+    }
+
 } // namespace
 
 void Node::handleOperator(const event_http::Request& request, const event_http::Respond& respond)
@@ -185,6 +202,7 @@
             .set(static_cast<double>(fleet.startsOrdered));
         registry.gauge("agatevane_preemptions", "Tasks or gangs stopped for more urgent work in this tenure")
             .set(static_cast<double>(fleet.preemptedRuns));
+        setPreemptionMetrics(registry, fleet);
         registry
             .gauge("agatevane_rounds_deferred",
                 "Rounds in this tenure that left work waiting because enough starts were under way")
