Tell unreliable workers from failing jobs, and place work elsewhere

Cause: some workers fail all that they start while their health probe is good, or go down and up every second or two. They look idle, so that waiting work goes there; a gang loses all its members with the one that is there, and a retry may go to the worker on which the task has just failed. A failed run alone does not tell a bad worker from a bad job. Change: fleet/worker_history keeps decaying numbers of successes and faults of each worker. Failures of a step count the less the more workers have failed it, and not at all from three workers on if nobody has done it. Suspects are held back (a quarter of a service at most), then get one short task at a time, then are trusted again. Gangs and retries avoid them unless the other workers could not hold them; retries also avoid workers on which the step's waiting tasks have failed. The rule of two failures in a row stays, but failures of such jobs no longer count for it. All of it only where areStopsCostly() holds.

--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -27,6 +27,7 @@
     expireRuns(fleet, due, at);
     abandonUnconfirmedStarts(fleet, due, at);
     stopDepartingRuns(fleet, due, at);
+    reviewStandings(fleet, at);
     if (fleet.isPlacementDue)
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.dueAdviceRequests, {});
--- a/src/agatevane/fleet/due_workers.cpp
+++ b/src/agatevane/fleet/due_workers.cpp
@@ -83,6 +83,7 @@
 void removeWorker(Fleet& fleet, const Worker& worker)
 {
     fleet.dueWorkers.erase({ worker.dueAt, worker.id });
+    forgetWorker(fleet, worker.id);
     fleet.workers.erase(fleet.workers.find(worker.id));
 }
 
--- a/src/agatevane/fleet/incarnations.cpp
+++ b/src/agatevane/fleet/incarnations.cpp
@@ -105,6 +105,7 @@
         .with("lifetime", incarnation)
         .with("runs", worker.runs.size())
         .with("unanswered_starts", worker.unansweredStarts.size());
+    noteRestart(fleet, worker);
     auto latestStart = latestStartOf(worker, at);
     carryOverRuns(fleet, worker, at);
     if (!worker.runs.empty())
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -127,8 +127,8 @@
 
     void recordFailure(Fleet& fleet, Job& job, Worker& worker, const RunKey& key, std::int64_t unixMs, Instant at)
     {
-        ++worker.failuresInRow;
-        if (worker.failuresInRow >= failureLimit)
+        // Runs of a job that fails everywhere hold back no workers.
+        if (noteFailure(fleet, worker, key.first, at) && ++worker.failuresInRow >= failureLimit)
             worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterFailures);
         auto& task = sharedTask(job, key.first);
         task.failedOn.push_back(worker.id);
@@ -291,8 +291,10 @@
     const auto& id = key.first;
     auto* job = findJob(fleet, id.job);
     auto* task = findTask(fleet, id);
-    if (kind == EndKind::Done)
+    if (kind == EndKind::Done) {
         worker.failuresInRow = 0;
+        noteSuccess(fleet, worker, id, at);
+    }
     if (!task)
         return sequenceOfUnknownTask(fleet, id.job);
     // The change after which the task needs no further run may not be durable yet.
--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/placement.h"
 
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/worker_choice.h"
 #include <algorithm>
 #include <limits>
 
@@ -13,23 +14,9 @@
         std::size_t fits = 0;
         Capacity available;
         std::int64_t interference = 0; //!< expected interference with the tasks on the worker; lower is better
+        Standing standing = Standing::Trusted;
     };
 
-    std::size_t countFittingTasks(const Capacity& headroom, const Capacity& need, std::size_t most)
-    {
-        auto fits = static_cast<std::int64_t>(most);
-        auto bound = [&fits](std::int64_t have, std::int64_t each) {
-            if (each > 0)
-                fits = std::min(fits, have < 0 ? 0 : have / each);
-            else if (have < 0 && each < 0)
-                fits = 0;
-        };
-        bound(headroom.milliCores, need.milliCores);
-        bound(headroom.memoryMiB, need.memoryMiB);
-        bound(headroom.accelerators, need.accelerators);
-        return static_cast<std::size_t>(fits);
-    }
-
     //! Expected interference between fillers and tasks that serve users. Other tasks neither cause nor suffer any.
     std::int64_t interferenceOf(const StepSpec& step, const WorkerHeadroom& headroom)
     {
@@ -39,9 +26,12 @@
         return isServing(step) ? headroom.servingTasks + (headroom.fillerMilliCores > 0 ? 1 : 0) : 0;
     }
 
-    //! Sorts by interference, then the fullest workers first, so that entire workers stay free for large tasks.
+    //! Sorts suspects last, then by interference, then the fullest workers first, so that entire workers stay free for
+    //! large tasks.
     bool isFuller(const Candidate& a, const Candidate& b)
     {
+        if (a.standing != b.standing)
+            return a.standing < b.standing;
         if (a.interference != b.interference)
             return a.interference < b.interference;
         if (a.available.accelerators != b.available.accelerators)
@@ -51,25 +41,50 @@
         return a.index < b.index;
     }
 
-    std::vector<Candidate> candidatesOf(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
-        std::size_t count, HeadroomKind kind, const std::string& rack)
+    //! Whether workers are candidates that the step avoids.
+    enum class Avoided { LeftOut, Included };
+
+    std::vector<Candidate> findCandidates(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
+        std::size_t count, HeadroomKind kind, const std::string& rack, Avoided avoided)
     {
         auto need = reservedCapacity(pending.spec());
         std::vector<Candidate> candidates;
         for (std::size_t index = 0; index < headrooms.size(); ++index) {
             const auto& headroom = headrooms[index];
-            if ((!rack.empty() && headroom.worker->rack != rack) || !isAllowed(pending, *headroom.worker))
+            const auto& worker = *headroom.worker;
+            if ((!rack.empty() && worker.rack != rack) || !isAllowed(pending, worker))
                 continue;
             const auto& available = kind == HeadroomKind::Free ? headroom.free : headroom.afterStops;
-            auto fits
-                = countFittingTasks(available, need, std::min(count, remainingTasksOn(pending, *headroom.worker)));
+            auto most = std::min(count, remainingTasksOn(pending, worker));
+            if (avoided == Avoided::LeftOut)
+                most = std::min(most, mostTasksFor(pending, worker));
+            auto fits = countFittingTasks(available, need, most);
             if (fits > 0)
-                candidates.push_back({ index, fits, available, interferenceOf(pending.spec(), headroom) });
+                candidates.push_back(
+                    { index, fits, available, interferenceOf(pending.spec(), headroom), worker.standing });
         }
         std::sort(candidates.begin(), candidates.end(), isFuller);
         return candidates;
     }
 
+    bool isAnyAvoided(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms)
+    {
+        return std::any_of(headrooms.begin(), headrooms.end(),
+            [&pending](const WorkerHeadroom& headroom) { return isAvoided(pending, *headroom.worker); });
+    }
+
+    std::vector<Candidate> candidatesOf(const PendingStep& pending, const std::vector<WorkerHeadroom>& headrooms,
+        std::size_t count, HeadroomKind kind, const std::string& rack)
+    {
+        auto candidates = findCandidates(pending, headrooms, count, kind, rack, Avoided::LeftOut);
+        std::size_t found = 0;
+        for (const auto& candidate : candidates)
+            found += candidate.fits;
+        if (found < count && isAnyAvoided(pending, headrooms) && mayUseAvoided(pending, headrooms, count, found, rack))
+            return findCandidates(pending, headrooms, count, kind, rack, Avoided::Included);
+        return candidates;
+    }
+
     //! As many of `count` tasks as fit.
     Placement assignSomeInOrder(const std::vector<Candidate>& candidates, std::size_t count)
     {
@@ -114,6 +129,21 @@
 
 } // namespace
 
+std::size_t countFittingTasks(const Capacity& headroom, const Capacity& need, std::size_t most)
+{
+    auto fits = static_cast<std::int64_t>(most);
+    auto bound = [&fits](std::int64_t have, std::int64_t each) {
+        if (each > 0)
+            fits = std::min(fits, have < 0 ? 0 : have / each);
+        else if (have < 0 && each < 0)
+            fits = 0;
+    };
+    bound(headroom.milliCores, need.milliCores);
+    bound(headroom.memoryMiB, need.memoryMiB);
+    bound(headroom.accelerators, need.accelerators);
+    return static_cast<std::size_t>(fits);
+}
+
 double coreEquivalents(const Capacity& capacity)
 {
     constexpr double milliPerCore = 1000;
@@ -169,8 +199,12 @@
     std::size_t count, HeadroomKind kind, bool needsOneRack, const std::string& rack)
 {
     auto candidates = candidatesOf(pending, headrooms, count, kind, rack);
-    if (needsOneRack && rack.empty())
-        return assignOnOneRack(candidates, headrooms, count);
+    if (needsOneRack && rack.empty()) {
+        auto suspects = std::find_if(candidates.begin(), candidates.end(),
+            [](const Candidate& candidate) { return candidate.standing != Standing::Trusted; });
+        auto placement = assignOnOneRack({ candidates.begin(), suspects }, headrooms, count);
+        return placement || suspects == candidates.end() ? placement : assignOnOneRack(candidates, headrooms, count);
+    }
     return assignInOrder(candidates, count);
 }
 
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -28,6 +28,8 @@
     const std::set<WorkerId>* allowedWorkers = nullptr; //!< workers with a valid ticket; null: no ticket is needed
     //! Time until the step must start for its job to meet the objective or, once it can't, to still have some value.
     std::int64_t slackMs = 0;
+    std::set<WorkerId> failedOn; //!< workers on which waiting tasks have failed, see noteFailedWorkers()
+    bool hasOwnChoice = false; //!< a search without a result says nothing of other steps with the same needs
 
     const StepSpec& spec() const { return job->spec.steps[step]; }
     Step& state() const { return job->occurrences[occurrence].steps[step]; }
@@ -53,6 +55,8 @@
 bool isOfKind(const Worker& worker, const Job& job, const StepSpec& step);
 //! True if the worker is of the step's kind and, where needed, has a ticket for it.
 bool isAllowed(const PendingStep& pending, const Worker& worker);
+//! How many tasks, up to `most`, fit into a capacity.
+std::size_t countFittingTasks(const Capacity& headroom, const Capacity& need, std::size_t most);
 //! How many more tasks of the step may run on the worker under `maxPerWorker`.
 std::size_t remainingTasksOn(const PendingStep& pending, const Worker& worker);
 
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -8,6 +8,7 @@
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/worker_choice.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
 #include <set>
@@ -206,6 +207,7 @@
             if (pending.taskIndexes.empty())
                 return;
             rank(fleet_, pending, ageMs);
+            noteFailedWorkers(fleet_, pending);
             pendingSteps_.push_back(std::move(pending));
         }
 
@@ -319,7 +321,7 @@
         //! With a limit per worker, or tickets, a search without a result is only valid for its step.
         static void noteUnplaceable(const PendingStep& pending, Demand demand, std::set<Demand>& unplaceable)
         {
-            if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers)
+            if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers && !pending.hasOwnChoice)
                 unplaceable.insert(std::move(demand));
         }
 
@@ -403,6 +405,7 @@
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
                 markDue(fleet_, worker);
+                noteStart(fleet_, worker);
                 ++startsUnderWay_;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
--- a/src/agatevane/fleet/preemption.cpp
+++ b/src/agatevane/fleet/preemption.cpp
@@ -1,6 +1,7 @@
 #include "agatevane/fleet/preemption.h"
 
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/worker_choice.h"
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -148,6 +149,7 @@
             , rack_(rack)
             , at_(at)
             , need_(reservedCapacity(pending.spec()))
+            , mayUseAvoided_(mayUseAvoided(pending, headrooms, pending.taskIndexes.size(), 0, rack))
             , isChosen_(table.victims.size(), false)
             , placedCounts_(headrooms.size(), 0)
         {
@@ -197,6 +199,7 @@
         {
             const auto& worker = *headrooms_[index].worker;
             if ((!rack_.empty() && worker.rack != rack_) || !isAllowed(pending_, worker)
+                || (!mayUseAvoided_ && isAvoided(pending_, worker))
                 || remainingTasksOn(pending_, worker) <= placedCounts_[index])
                 return impossible;
             double loss = 0;
@@ -231,6 +234,7 @@
         const std::string& rack_;
         Instant at_;
         Capacity need_;
+        bool mayUseAvoided_;
         std::vector<bool> isChosen_; //!< by number of the victim
         std::vector<std::size_t> placedCounts_; //!< the following are by index of the headroom
         std::vector<Capacity> available_;
--- a/src/agatevane/fleet/runs.cpp
+++ b/src/agatevane/fleet/runs.cpp
@@ -254,6 +254,7 @@
         .with("run", key.second)
         .with("worker", worker.id)
         .with("reason", reason);
+    noteFault(fleet, worker, at);
     removeRun(fleet, worker, key);
     if (auto* job = findJob(fleet, key.first.job); job && findTask(fleet, key.first) && stepOf(*job, key.first).isGang)
         stopTaskRuns(fleet, *job, key.first, at, "member_lost");
@@ -322,6 +323,8 @@
             .with("worker", workerId)
             .with("orders_sent", run.ordersSent)
             .with("outcome", nameOf(outcome));
+    if (outcome == OrderOutcome::NotSent || outcome == OrderOutcome::Unhealthy)
+        noteFault(fleet, *worker, at);
     switch (outcome) {
     case OrderOutcome::Done:
         run.state = RunState::Running;
@@ -393,6 +396,8 @@
         for (auto& [key, run] : worker->runs) {
             if (run.state != RunState::Ordered || at - run.orderedAt <= startTimeout)
                 continue;
+            if (run.ordersSent > 0)
+                noteFault(fleet, *worker, at);
             if (auto* job = findJob(fleet, key.first.job))
                 stopTaskRuns(fleet, *job, key.first, at, "start_not_confirmed");
             requestStop(run, at);
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -6,6 +6,7 @@
 #include "agatevane/fleet/limits.h"
 #include "agatevane/fleet/model.h"
 #include "agatevane/fleet/violation.h"
+#include "agatevane/fleet/worker_history.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
 #include <limits>
@@ -212,6 +213,7 @@
     std::map<RunKey, Instant> unansweredStarts; //!< until its instant, also a later incarnation may carry out the start
     bool awaitsUpkeep = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
+    Standing standing = Standing::Trusted; //!< see reviewStandings()
 
     std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last computed
     Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
@@ -299,6 +301,7 @@
     std::map<std::string, std::uint32_t> waitingJobCounts;
 
     Denials denials;
+    WorkerHistory workerHistory;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -155,6 +155,13 @@
             .set(static_cast<double>(fleet.workerVisits));
         registry.gauge("agatevane_fillers_slowed", "Times that the fillers of a worker were slowed in this tenure")
             .set(static_cast<double>(fleet.fillerSlowdowns));
+        const auto& history = fleet.workerHistory;
+        registry.gauge("agatevane_workers_suspected", "Workers whose recent runs failed by their fault")
+            .set(static_cast<double>(history.suspects.size()));
+        registry.gauge("agatevane_workers_held_back", "Suspected workers that get no work while others could hold it")
+            .set(static_cast<double>(history.heldBackWorkers));
+        registry.gauge("agatevane_starts_on_suspects", "Starts ordered on suspected workers in this tenure")
+            .set(static_cast<double>(history.startsOnSuspects));
     }
     return { statusOk, { { "content-type", metrics::contentType } }, registry.render() };
 }
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -6,6 +6,7 @@
 #include "agatevane/fleet/waiting.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace agatevane::node {
@@ -16,6 +17,7 @@
 
     //! Name of the row that sums up all data centres on the page of the fleet.
     constexpr const char* allDataCentres = "all";
+    constexpr double wholePercent = 100;
 
     std::string stateOf(const fleet::Job& job)
     {
@@ -232,6 +234,8 @@
                 { "milliCores", worker.capacity.milliCores }, { "milliCoresUsed", worker.used.milliCores },
                 { "runs", worker.runs.size() }, { "answeredMsAgo", elapsed(worker.lastAnswerAt, view.at).count() },
                 { "missedLooks", worker.missedPolls }, { "failuresInRow", worker.failuresInRow },
+                { "standing", nameOf(worker.standing) },
+                { "faultPercent", std::lround(wholePercent * fleet::faultShare(view.fleet, id, view.at)) },
                 { "fillersPercent", worker.fillerPace.percent } });
         }
         return { { "knownWorkers", view.fleet.workers.size() }, { "workers", std::move(rows) } };
--- a/tests/node/operator_pages_tests.cpp
+++ b/tests/node/operator_pages_tests.cpp
@@ -81,5 +81,6 @@
     BOOST_CHECK_EQUAL(tenant.at("used"), 1);
     BOOST_CHECK_EQUAL(tenant.at("guaranteed"), 4);
     BOOST_CHECK_EQUAL(page("/v1/workers").at("workers").size(), 2);
+    BOOST_CHECK_EQUAL(page("/v1/workers").at("workers")[0].at("standing"), "trusted");
     BOOST_CHECK(page("/v1/waves").at("waves").empty());
 }
