Learn the speed of workers and give the faster of equal ones to urgent work

Cause: a third of the workers of one deployment is 1.3 times as fast as the others, and declared times are wrong by a factor of 2.5 in either direction, so that they don't show it. Change: fleet/worker_speed compares the durations of runs with an expected one. Between workers of the same standing, interference and free capacity, urgent steps take the fastest and others the slowest. Result: among durations that scatter from 0.4 to 2.5 times the declared one, with stragglers and gangs beside, a worker that is 1.3 times as fast shows a speed more than 10 % above the others after 70 runs, and two equal ones stay within 10 % of each other (worker_speed_tests). Where stops are cheap, nothing is learned.

--- a/src/agatevane/fleet/placement.cpp
+++ b/src/agatevane/fleet/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/fleet/runs.h"
 #include "agatevane/fleet/worker_choice.h"
+#include "agatevane/fleet/worker_speed.h"
 #include <algorithm>
 #include <limits>
 
@@ -15,6 +16,7 @@
         Capacity available;
         std::int64_t interference = 0; //!< expected interference with the tasks on the worker; lower is better
         Standing standing = Standing::Trusted;
+        int speedRank = 0; //!< higher is better
     };
 
     //! Expected interference between fillers and tasks that serve users. Other tasks neither cause nor suffer any.
@@ -38,6 +40,8 @@
             return a.available.accelerators < b.available.accelerators;
         if (a.available.milliCores != b.available.milliCores)
             return a.available.milliCores < b.available.milliCores;
+        if (a.speedRank != b.speedRank)
+            return a.speedRank > b.speedRank;
         return a.index < b.index;
     }
 
@@ -60,8 +64,8 @@
                 most = std::min(most, mostTasksFor(pending, worker));
             auto fits = countFittingTasks(available, need, most);
             if (fits > 0)
-                candidates.push_back(
-                    { index, fits, available, interferenceOf(pending.spec(), headroom), worker.standing });
+                candidates.push_back({ index, fits, available, interferenceOf(pending.spec(), headroom),
+                    worker.standing, speedRank(worker, pending.job->policy.priority) });
         }
         std::sort(candidates.begin(), candidates.end(), isFuller);
         return candidates;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -214,6 +214,7 @@
     bool awaitsUpkeep = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
     Standing standing = Standing::Trusted; //!< see reviewStandings()
+    double speed = 1; //!< expected over actual duration of its runs, see worker_speed.h
 
     std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last computed
     Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
--- a/src/agatevane/fleet/worker_history.cpp
+++ b/src/agatevane/fleet/worker_history.cpp
@@ -243,6 +243,7 @@
 void forgetWorker(Fleet& fleet, const WorkerId& id)
 {
     fleet.workerHistory.ends.erase(id);
+    fleet.workerHistory.speeds.erase(id);
     fleet.workerHistory.suspects.erase(id);
 }
 
--- a/src/agatevane/fleet/worker_history.h
+++ b/src/agatevane/fleet/worker_history.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-//! How reliable workers have lately been, from the ends of their runs. A worker that fails what it starts
+//! How reliable and how fast workers have lately been, from the ends of their runs. A worker that fails what it starts
 //! looks idle and would attract waiting work, while its health probe may be good. The history is kept only where stops
 //! are costly, see areStopsCostly(); elsewhere every worker stays trusted.
 namespace agatevane::fleet {
@@ -67,11 +67,26 @@
 //! Workers that are kept for one step. By then, the failures say little of any of them.
 constexpr std::size_t maxFailuresOfStep = 16;
 
+//! Durations of a worker's recent runs, compared with what was expected.
+struct SpeedEstimate {
+    double logSum = 0; //!< sum of the logarithms of expected over actual duration, each less the more have followed
+    double samples = 0; //!< number of durations in `logSum`, counted in the same way
+    std::vector<std::string> labels; //!< labels of the worker at that time
+};
+
+//! Median of the ratio of actual to declared duration over a queue's recent runs.
+struct DurationRatio {
+    double logMedian = 0;
+    std::uint32_t samples = 0; //!< at most a hundred are counted
+};
+
 //! What an owner has learned of its workers. A new owner begins without it.
 struct WorkerHistory {
     std::map<WorkerId, EndCounts> ends; //!< of workers in `Fleet::workers`
     std::set<WorkerId> suspects; //!< workers with `EndCounts::isSuspect`
     std::map<TaskId, StepFailures> stepFailures; //!< by the first task of the step
+    std::map<WorkerId, SpeedEstimate> speeds; //!< of workers in `Fleet::workers`
+    std::map<std::string, DurationRatio> durationRatios; //!< by queue of the desired state
     Instant nextReviewAt; //!< see reviewStandings()
     std::size_t heldBackWorkers = 0;
     std::size_t workersOnProbation = 0;
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -8,6 +8,7 @@
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/pacing.h"
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/worker_speed.h"
 #include <algorithm>
 #include <utility>
 
@@ -50,6 +51,7 @@
                 continue;
             }
             logEndOfOtherRun(fleet, worker, end);
+            noteDuration(fleet, worker, end.key, end.kind, at);
             removeRun(fleet, worker, end.key);
             if (auto* job = findJob(fleet, end.key.first.job); job && findTask(fleet, end.key.first))
                 markStarted(fleet, *job);
--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -57,7 +57,8 @@
             { { "WORKER", "id" }, { "SERVICE", "service" }, { "DATA CENTRE", "dataCentre" }, { "RACK", "rack" },
                 { "STATE", "state" }, { "ACCELERATORS", "accelerators" }, { "USED", "acceleratorsUsed" },
                 { "RUNS", "runs" }, { "ANSWERED MS AGO", "answeredMsAgo" }, { "MISSED", "missedLooks" },
-                { "STANDING", "standing" }, { "FAULTS %", "faultPercent" }, { "FILLERS %", "fillersPercent" } });
+                { "STANDING", "standing" }, { "FAULTS %", "faultPercent" }, { "SPEED %", "speedPercent" },
+                { "FILLERS %", "fillersPercent" } });
     }
     return answer.exitCode;
 }
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -236,6 +236,7 @@
                 { "missedLooks", worker.missedPolls }, { "failuresInRow", worker.failuresInRow },
                 { "standing", nameOf(worker.standing) },
                 { "faultPercent", std::lround(wholePercent * fleet::faultShare(view.fleet, id, view.at)) },
+                { "speedPercent", std::lround(wholePercent * worker.speed) },
                 { "fillersPercent", worker.fillerPace.percent } });
         }
         return { { "knownWorkers", view.fleet.workers.size() }, { "workers", std::move(rows) } };
