Show which share of the free accelerators the widest waiting step could use

Cause: the free accelerators of the fleet look sufficient while work waits, because they are scattered over many workers. Change: the metric agatevane_usable_free_share, for the waiting step whose tasks need the most accelerators each. It is worked out when the metrics are read.

--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -1,5 +1,6 @@
 //! The part of Node that serves metrics and operator pages at the metrics address.
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/free_share.h"
 #include "agatevane/json/reader.h"
 #include "node/node.h"
 #include "node/operator_pages.h"
@@ -162,6 +163,10 @@
             .set(static_cast<double>(history.heldBackWorkers));
         registry.gauge("agatevane_starts_on_suspects", "Starts ordered on suspected workers in this tenure")
             .set(static_cast<double>(history.startsOnSuspects));
+        registry
+            .gauge("agatevane_usable_free_share",
+                "Share of the free accelerators that the waiting step with the largest tasks could use")
+            .set(fleet::usableFreeShare(fleet, unixMillis(), at));
     }
     return { statusOk, { { "content-type", metrics::contentType } }, registry.render() };
 }
