--- a/src/agatevane/fleet/dispatch.cpp
+++ b/src/agatevane/fleet/dispatch.cpp
@@ -29,6 +29,7 @@
     abandonUnconfirmedStarts(fleet, due, at);
     withdrawEvacuatedStarts(fleet, due, at);
     stopDepartingRuns(fleet, due, at);
+    reviewStandings(fleet, at);
     if (fleet.isPlacementDue && !areStartsHeld(fleet, at))
         place(fleet, unixMs, at);
     orders.advice = std::exchange(fleet.dueAdviceRequests, {});
--- a/src/agatevane/fleet/placement.h
+++ b/src/agatevane/fleet/placement.h
@@ -21,6 +21,8 @@
     std::int64_t slackMs = 0;
     std::int64_t dueSlackMs = 0; //!< time until the step must start for its job to meet the objective
     std::int64_t lateSlackMs = 0; //!< time until the step must start for its job to have any value
+    std::set<WorkerId> failedOn; //!< workers on which waiting tasks have failed, see noteFailedWorkers()
+    bool hasOwnChoice = false; //!< a search without a result says nothing of other steps with the same needs
 
     const StepSpec& spec() const { return job->spec.steps[step]; }
     Step& state() const { return job->occurrences[occurrence].steps[step]; }
@@ -52,6 +54,8 @@
 bool isOfKind(const Worker& worker, const Job& job, const StepSpec& step);
 //! True if the worker is of the step's kind and, where needed, has a ticket for it.
 bool isAllowed(const PendingStep& pending, const Worker& worker);
+//! How many tasks, up to `most`, fit into a capacity.
+std::size_t countFittingTasks(const Capacity& headroom, const Capacity& need, std::size_t most);
 //! How many more tasks of the step may run on the worker under `maxPerWorker`.
 std::size_t remainingTasksOn(const PendingStep& pending, const Worker& worker);
 
--- a/src/agatevane/fleet/placement_round.cpp
+++ b/src/agatevane/fleet/placement_round.cpp
@@ -3,12 +3,14 @@
 
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
+#include "agatevane/fleet/demand.h"
 #include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/guarantees.h"
 #include "agatevane/fleet/leases.h"
 #include "agatevane/fleet/preemption.h"
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/worker_choice.h"
 #include "agatevane/fleet/workers.h"
 #include <algorithm>
 #include <cmath>
@@ -40,24 +42,6 @@
     //! first.
     constexpr int maxPlansPerRound = 6;
 
-    //! What determines whether tasks can be placed. As long as a round only uses up capacity, a demand that could not
-    //! be placed once can't be placed later in the round.
-    struct Demand {
-        std::string service;
-        std::string label;
-        std::string rack;
-        bool needsOneRack = false;
-        Capacity need;
-        std::size_t count = 0;
-
-        auto key() const
-        {
-            return std::tie(
-                service, label, rack, needsOneRack, need.milliCores, need.memoryMiB, need.accelerators, count);
-        }
-        bool operator<(const Demand& other) const { return key() < other.key(); }
-    };
-
     class PlacementRound {
     public:
         PlacementRound(Fleet& fleet, std::int64_t unixMs, Instant at)
@@ -196,6 +180,7 @@
             if (pending.taskIndexes.empty())
                 return;
             rank(fleet_, pending, ageMs);
+            noteFailedWorkers(fleet_, pending);
             pendingSteps_.push_back(std::move(pending));
         }
 
@@ -326,7 +311,8 @@
         //! With a limit per worker, or tickets, a search without a result is only valid for its step.
         void noteUnplaceable(const PendingStep& pending, Demand demand, HeadroomKind kind)
         {
-            if (pending.spec().maxPerWorker == 0 && !pending.allowedWorkers)
+            bool hasOwnChoice = pending.spec().maxPerWorker != 0 || pending.allowedWorkers || pending.hasOwnChoice;
+            if (!hasOwnChoice)
                 unplaceable_[kind].insert(std::move(demand));
         }
 
@@ -406,6 +392,7 @@
                 auto id = pending.task(taskIndexes[n]);
                 orderRun(*pending.job, id, number, worker, at_);
                 markDue(fleet_, worker);
+                noteStart(fleet_, worker);
                 ++headroom_.startsUnderWay;
                 ++fleet_.startsOrdered;
                 Line("start_ordered")
--- a/src/agatevane/fleet/preemption.cpp
+++ b/src/agatevane/fleet/preemption.cpp
@@ -5,6 +5,7 @@
 #include "agatevane/fleet/ranking.h"
 #include "agatevane/fleet/remaining_time.h"
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/worker_choice.h"
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -225,6 +226,7 @@
             , at_(at)
             , kind_(kind)
             , need_(reservedCapacity(pending.spec()))
+            , mayUseAvoided_(mayUseAvoided(pending, headrooms, pending.taskIndexes.size(), 0, rack))
             , isChosen_(table.victims.size(), false)
             , placedCounts_(headrooms.size(), 0)
         {
@@ -274,6 +276,7 @@
         {
             const auto& worker = *headrooms_[index].worker;
             if ((!rack_.empty() && worker.rack != rack_) || !isAllowed(pending_, worker)
+                || (!mayUseAvoided_ && isAvoided(pending_, worker))
                 || remainingTasksOn(pending_, worker) <= placedCounts_[index])
                 return impossible;
             double loss = 0;
@@ -309,6 +312,7 @@
         Instant at_;
         HeadroomKind kind_;
         Capacity need_;
+        bool mayUseAvoided_;
         std::vector<bool> isChosen_; //!< by number of the victim
         std::vector<std::size_t> placedCounts_; //!< the following are by index of the headroom
         std::vector<Capacity> available_;
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -10,6 +10,7 @@
 #include "agatevane/fleet/room_holds.h"
 #include "agatevane/fleet/urgent_reserve.h"
 #include "agatevane/fleet/violation.h"
+#include "agatevane/fleet/worker_history.h"
 #include "agatevane/net/rpc.h"
 #include <deque>
 #include <limits>
@@ -223,6 +224,8 @@
     Instant coldUntil; //!< by its entry, the worker is cold until then; Instant {}: it is warm
     bool awaitsUpkeep = false; //!< the worker gets no new work because its machine is about to go down
     FillerPace fillerPace;
+    Standing standing = Standing::Trusted; //!< see reviewStandings()
+    double speed = 1; //!< expected over actual duration of its runs, see worker_speed.h
 
     std::optional<WorkerLoad> load; //!< see loadOf(); nothing: the worker has changed since it was last computed
     Instant dueAt = Instant::max(); //!< see due_workers.h; Instant::max(): only a change makes the worker due
@@ -304,6 +307,7 @@
     Evacuations evacuations;
     RoomHolds roomHolds;
     UrgentReserve urgentReserve;
+    WorkerHistory workerHistory;
     std::deque<PendingWrite> writes;
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -1,6 +1,7 @@
 //! The part of Node that serves metrics and operator pages at the metrics address.
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/evacuation.h"
+#include "agatevane/fleet/free_share.h"
 #include "agatevane/json/reader.h"
 #include "node/node.h"
 #include "node/operator_pages.h"
@@ -211,6 +212,17 @@
             .set(static_cast<double>(fleet.workerVisits));
         registry.gauge("agatevane_fillers_slowed", "Times that the fillers of a worker were slowed in this tenure")
             .set(static_cast<double>(fleet.fillerSlowdowns));
+        const auto& history = fleet.workerHistory;
+        registry.gauge("agatevane_workers_suspected", "Workers whose recent runs failed by their fault")
+            .set(static_cast<double>(history.suspects.size()));
+        registry.gauge("agatevane_workers_held_back", "Suspected workers that get no work while others could hold it")
+            .set(static_cast<double>(history.heldBackWorkers));
+        registry.gauge("agatevane_starts_on_suspects", "Starts ordered on suspected workers in this tenure")
+            .set(static_cast<double>(history.startsOnSuspects));
+        registry
+            .gauge("agatevane_usable_free_share",
+                "Share of the free accelerators that the waiting step with the largest tasks could use")
+            .set(fleet::usableFreeShare(fleet, unixMillis(), at));
     }
     return { statusOk, { { "content-type", metrics::contentType } }, registry.render() };
 }
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -18,6 +18,7 @@
 
     //! Name of the row that sums up all data centres on the page of the fleet.
     constexpr const char* allDataCentres = "all";
+    constexpr double wholePercent = 100;
 
     std::string stateOf(const fleet::Job& job)
     {
@@ -240,6 +241,9 @@
                 { "milliCores", worker.capacity.milliCores }, { "milliCoresUsed", worker.used.milliCores },
                 { "runs", worker.runs.size() }, { "answeredMsAgo", elapsed(worker.lastAnswerAt, view.at).count() },
                 { "missedLooks", worker.missedPolls }, { "failuresInRow", worker.failuresInRow },
+                { "standing", nameOf(worker.standing) },
+                { "faultPercent", std::lround(wholePercent * fleet::faultShare(view.fleet, id, view.at)) },
+                { "speedPercent", std::lround(wholePercent * worker.speed) },
                 { "fillersPercent", worker.fillerPace.percent } });
         }
         return { { "knownWorkers", view.fleet.workers.size() }, { "workers", std::move(rows) } };
