Ask the store again at once when it is back

Cause: after an outage of 4.2 s the owner began to start work 1.1 s later than before the evacuations: a watch of them that was sent into the outage still waited for its answer; and commits, whose timeouts had doubled to 1 s, were sent up to 0.3 s later. Change: once the ownership is confirmed again, the requests to evacuate are listed anew. Of the attempts without an answer, three of four wait for half of the longest time.

--- a/src/node/evacuation_feed.h
+++ b/src/node/evacuation_feed.h
@@ -18,6 +18,9 @@
     //! Takes over what a new owner has read, and follows what comes after it. `askedAt`: when the reading began.
     void start(const kv::ReadResult& listed, Instant askedAt);
     void stop();
+    //! The store answers again after a time in which the ownership was not confirmed: asks at once, since a watch that
+    //! was sent before may still wait for its answer.
+    void refresh() { follower_.listAgain(); }
     //! Renews the time until which the requests are known. Called before each round of decisions.
     void update(Instant at);
     const PrefixFollower& follower() const { return follower_; }
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -131,6 +131,8 @@
     fleet_.leasesEndBy = environment_.ownershipEndsBy();
     fleet_.confirmedUntil = environment_.ownershipConfirmedUntil();
     isStartingRuns_ = fleet::isOwnershipConfirmed(fleet_, at);
+    if (isStartingRuns_ && !wasConfirmed && evacuationFeed_)
+        evacuationFeed_->refresh();
     if (isStartingRuns_ != wasConfirmed)
         Line(isStartingRuns_ ? "starts_resumed" : "starts_held")
             .with("tenure", fleet_.tenure)
--- a/src/node/prefix_follower.cpp
+++ b/src/node/prefix_follower.cpp
@@ -49,6 +49,12 @@
     watch();
 }
 
+void PrefixFollower::listAgain()
+{
+    stop();
+    list();
+}
+
 void PrefixFollower::stop()
 {
     listing_.stop();
--- a/src/node/prefix_follower.h
+++ b/src/node/prefix_follower.h
@@ -30,6 +30,8 @@
     void start();
     //! Begins with a watch for changes after `revision`, which a reading that began at `askedAt` has returned.
     void startAfter(kv::Revision revision, Instant askedAt = bootNow());
+    //! Gives up the call that is under way and lists the keys at once: for when the store is known to answer again.
+    void listAgain();
     void stop();
 
     //! Logs when the store's answers stay away for longer than a listing and a watch take, and when they come again.
--- a/src/node/response_times.cpp
+++ b/src/node/response_times.cpp
@@ -15,6 +15,9 @@
     //! No answer counts as lost sooner: the event loop of a small VM may be this late.
     constexpr Millis shortestTimeout { 150 };
     constexpr int maxDoublings = 6;
+    //! Every fourth attempt without an answer waits for the longest time, in case that the other side is slow. The
+    //! others wait half as long, so that it is heard sooner when it is back.
+    constexpr int longAttemptInterval = 4;
 
 } // namespace
 
@@ -32,7 +35,7 @@
 
 void addTimeout(ResponseTimes& times)
 {
-    times.timeoutsInRow = std::min(times.timeoutsInRow + 1, maxDoublings);
+    ++times.timeoutsInRow;
 }
 
 Millis responseTimeout(const ResponseTimes& times, Millis longest)
@@ -40,7 +43,10 @@
     if (!times.hasSample)
         return longest;
     Millis expected(static_cast<std::int64_t>(std::ceil(times.smoothedMs + deviationFactor * times.deviationMs)));
-    return std::min(std::max(expected, shortestTimeout) * (1 << times.timeoutsInRow), longest);
+    if (times.timeoutsInRow % longAttemptInterval == longAttemptInterval - 1)
+        return longest;
+    auto doubled = std::max(expected, shortestTimeout) * (1 << std::min(times.timeoutsInRow, maxDoublings));
+    return std::min({ doubled, std::max(longest / 2, expected), longest });
 }
 
 } // namespace agatevane::node
--- a/src/node/response_times.h
+++ b/src/node/response_times.h
@@ -17,7 +17,7 @@
 void addResponse(ResponseTimes& times, Millis took);
 void addTimeout(ResponseTimes& times);
 
-//! Time after which an answer counts as lost; doubles with each timeout in a row. `longest` without a sample, and at
+//! Time after which an answer counts as lost; doubles with the timeouts in a row. `longest` without a sample, and at
 //! most.
 Millis responseTimeout(const ResponseTimes& times, Millis longest);
 
--- a/tests/node/evacuation_feed_tests.cpp
+++ b/tests/node/evacuation_feed_tests.cpp
@@ -92,6 +92,19 @@
     BOOST_CHECK(startsWithin(Millis(3000)));
 }
 
+// Guards against starts that wait for a watch which was sent into an outage, although the store answers again.
+BOOST_AUTO_TEST_CASE(Requests_are_read_at_once_when_the_ownership_is_confirmed_again, *boost::unit_test::label("node"))
+{
+    elect(2);
+    store.silenceWatches("evacuations/");
+    waitUntil(bound, [] { return false; });
+    isOwnershipConfirmed = false;
+    waitUntil(Millis(300), [] { return false; });
+    isOwnershipConfirmed = true;
+    submitJob("00000000000000e5");
+    BOOST_CHECK(startsWithin(Millis(500)));
+}
+
 // Guards against data centres that stay evacuated because the change that took them back is no longer in the store's
 // history.
 BOOST_AUTO_TEST_CASE(What_a_new_listing_lacks_is_taken_back, *boost::unit_test::label("node"))
