--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -16,6 +16,7 @@
 constexpr int couldNotRun = 2;
 
 constexpr std::int64_t ackTimeoutMs = 4000;
+constexpr int killsPerMachine = 3; //!< of the rule on processes that end
 constexpr std::int64_t finishMs = 14'000; //!< `finish_s`
 
 struct CaseOptions {
@@ -28,6 +29,8 @@
 int manyScheduledJobs(const CaseOptions& options);
 //! As above, but due at once: the time that the owner needs for a round of decisions.
 int manyDueJobs(const CaseOptions& options);
+//! Bodies of legal size, many at once: the memory of requests that are being handled.
+int crowd(const CaseOptions& options);
 //! Bodies far over the limit of the desired state: values that the store refuses.
 int largeBodies(const CaseOptions& options);
 //! One job whose progress does not fit into a value of the store.
--- a/review/rig-3/deployment.cpp
+++ b/review/rig-3/deployment.cpp
@@ -233,11 +233,11 @@
     return count;
 }
 
-int Deployment::machinesWithMemoryKill()
+int Deployment::machinesWithMemoryKills(int atLeast)
 {
     std::lock_guard lock(mutex_);
-    return static_cast<int>(
-        std::count_if(nodes_.begin(), nodes_.end(), [](const Node& node) { return node.memoryKills > 0; }));
+    return static_cast<int>(std::count_if(
+        nodes_.begin(), nodes_.end(), [atLeast](const Node& node) { return node.memoryKills >= atLeast; }));
 }
 
 int Deployment::ownEnds()
--- a/review/rig-3/deployment.h
+++ b/review/rig-3/deployment.h
@@ -35,7 +35,7 @@
         const std::string& method, const std::string& target, const std::string& body, int attempts);
     //! How often nodes were killed for holding more memory than their machine has, and on how many machines.
     int memoryKills();
-    int machinesWithMemoryKill();
+    int machinesWithMemoryKills(int atLeast);
     //! Nodes that ended without being killed by this program.
     int ownEnds();
     std::size_t mostMemoryMb();
--- a/review/rig-3/scheduled_jobs.cpp
+++ b/review/rig-3/scheduled_jobs.cpp
@@ -101,7 +101,7 @@
         auto lost = askForOrdinaryJobs(setting);
         setting.record.say("most memory of a node: " + std::to_string(setting.nodes->mostMemoryMb())
             + " MB; kills for it: " + std::to_string(setting.nodes->memoryKills()) + " on "
-            + std::to_string(setting.nodes->machinesWithMemoryKill())
+            + std::to_string(setting.nodes->machinesWithMemoryKills(1))
             + " machines; other ends: " + std::to_string(setting.nodes->ownEnds())
             + "; highest fencing token: " + std::to_string(setting.platform.highestFencingToken())
             + "; orders with a lower one than the worker has seen: " + std::to_string(setting.platform.fencedOrders()));
