--- a/review/rig-3/scheduled_jobs.cpp
+++ b/review/rig-3/scheduled_jobs.cpp
@@ -121,7 +121,8 @@
 
 int manyDueJobs(const CaseOptions& options)
 {
-    Flood flood { 22, 0, 1, { { "count", 1 }, { "gpu", 8 }, { "estimatedMs", 1000 }, { "antiAffinity", 1 } } };
+    Flood flood { 22, 0, 1,
+        { { "count", 1 }, { "gpu", 8 }, { "estimatedMs", 1000 }, { "antiAffinity", 1 }, { "affinity", "r1-0" } } };
     constexpr int workers = 48;
     constexpr int ordinaryDuring = 1;
     return run(options, flood, workers, ordinaryDuring);
