--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -29,6 +29,8 @@
 int manyScheduledJobs(const CaseOptions& options);
 //! As above, but due at once: the time that the owner needs for a round of decisions.
 int manyDueJobs(const CaseOptions& options);
+//! An entry of another writer under the id of a worker: the runs of that worker.
+int foreignEntry(const CaseOptions& options);
 //! Bodies of legal size, many at once: the memory of requests that are being handled.
 int crowd(const CaseOptions& options);
 //! Bodies far over the limit of the desired state: values that the store refuses.
--- a/review/rig-3/main.cpp
+++ b/review/rig-3/main.cpp
@@ -130,8 +130,8 @@
 int main(int argc, char** argv)
 {
     const std::map<std::string, int (*)(const CaseOptions&)> cases { { "many-scheduled-jobs", manyScheduledJobs },
-        { "many-due-jobs", manyDueJobs }, { "crowd", crowd }, { "large-bodies", largeBodies },
-        { "large-job", largeJob } };
+        { "many-due-jobs", manyDueJobs }, { "foreign-entry", foreignEntry }, { "crowd", crowd },
+        { "large-bodies", largeBodies }, { "large-job", largeJob } };
     constexpr int argumentCount = 5;
     if (argc != argumentCount || !cases.contains(argv[1])) {
         std::cerr << "usage: review-rig-3 CASE COMMAND RECORD TROUBLE(0|1)\n";
--- a/review/rig-3/platform.cpp
+++ b/review/rig-3/platform.cpp
@@ -11,6 +11,7 @@
 } // namespace
 
 Platform::Platform(const std::vector<std::string>& kinds, Record& record, IsRecorded isRecorded)
+    : record_(record)
 {
     storePort_ = server_.listen(
         [this](const Request& request, const Server::Respond& respond) { store_.handle(request, respond); });
@@ -20,7 +21,7 @@
         options.service = "visitdesk";
         options.kind = kinds[index];
         options.rack = "r1-" + std::to_string(index / workersPerRack);
-        auto& worker = *workers_.emplace_back(std::make_unique<Worker>(options, store_, record, isRecorded));
+        auto& worker = *workers_.emplace_back(std::make_unique<Worker>(options, store_, record, isRecorded, runTimes_));
         worker.setPort(server_.listen(
             [&worker](const Request& request, const Server::Respond& respond) { worker.handle(request, respond); }));
     }
@@ -42,6 +43,37 @@
     store_.put("op/config", state.dump());
 }
 
+void Platform::writeForeignEntry()
+{
+    std::lock_guard lock(server_.mutex());
+    auto busiest = std::max_element(workers_.begin(), workers_.end(),
+        [](const auto& a, const auto& b) { return a->runningCount() < b->runningCount(); });
+    Json entry { { "service", "another-service" }, { "address", "127.0.0.1:9" }, { "zone", "zone-a" },
+        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldRemainingMs", 0 },
+        { "capacity", { { "cpu", 16000 }, { "taskMemoryMb", 32768 }, { "gpu", 0 } } }, { "labels", { "z", "r9-9" } },
+        { "clockMs", 1 }, { "sequence", 1 }, { "born", unixMs() } };
+    store_.put("servers/" + (*busiest)->id(), entry.dump());
+    record_.say("another writer has written servers/" + (*busiest)->id() + ", which has "
+        + std::to_string((*busiest)->runningCount()) + " runs: " + entry.dump());
+}
+
+std::vector<std::string> Platform::tasksRunTwiceAtOnce()
+{
+    std::lock_guard lock(server_.mutex());
+    std::vector<std::string> tasks;
+    for (const auto& [task, runs] : runTimes_) {
+        bool doOverlap = false;
+        for (std::size_t one = 0; one < runs.size(); ++one) {
+            for (std::size_t other = one + 1; other < runs.size(); ++other)
+                doOverlap
+                    = doOverlap || (runs[one].beganMs < runs[other].endedMs && runs[other].beganMs < runs[one].endedMs);
+        }
+        if (doOverlap)
+            tasks.push_back(task);
+    }
+    return tasks;
+}
+
 std::size_t Platform::endsNotAcknowledged()
 {
     std::lock_guard lock(server_.mutex());
--- a/review/rig-3/platform.h
+++ b/review/rig-3/platform.h
@@ -21,6 +21,12 @@
     //! Writes the operator's desired state.
     void putDesiredState(const Json& state);
 
+    //! Writes an entry with a service that the desired state doesn't name under the id of the worker with the most
+    //! runs, as another writer may.
+    void writeForeignEntry();
+    //! Recorded subtasks of which two runs went on at the same time.
+    std::vector<std::string> tasksRunTwiceAtOnce();
+
     std::size_t endsNotAcknowledged();
     std::int64_t startCount();
     std::int64_t endCount();
@@ -34,6 +40,8 @@
     std::int64_t msSinceCommit();
 
 private:
+    Record& record_;
+    RunTimes runTimes_;
     Store store_;
     std::vector<std::unique_ptr<Worker>> workers_;
     Server server_;
--- a/review/rig-3/workers.cpp
+++ b/review/rig-3/workers.cpp
@@ -47,11 +47,12 @@
 
 } // namespace
 
-Worker::Worker(const Options& options, Store& store, Record& record, IsRecorded isRecorded)
+Worker::Worker(const Options& options, Store& store, Record& record, IsRecorded isRecorded, RunTimes& runTimes)
     : options_(options)
     , store_(store)
     , record_(record)
     , isRecorded_(std::move(isRecorded))
+    , runTimes_(runTimes)
     , born_(unixMs())
     , startMs_(steadyMs())
 {
@@ -137,6 +138,7 @@
     ++startCount_;
     if (isRecorded_(key.first)) {
         ++activities_[jobOf(key.first)].running;
+        runTimes_[key.first].push_back({ options_.id, key.second, steadyMs() });
         record_.note("run " + key.first + " " + std::to_string(key.second) + " begins on " + options_.id);
     }
     respond(200, answer().dump());
@@ -206,6 +208,10 @@
     --activity.running;
     activity.done += how == "done" ? 1 : 0;
     activity.lastEndMs = steadyMs();
+    for (auto& run : runTimes_[key.first]) {
+        if (run.worker == options_.id && run.number == key.second)
+            run.endedMs = steadyMs();
+    }
     record_.note("run " + key.first + " " + std::to_string(key.second) + " ends " + how + " on " + options_.id);
 }
 
--- a/review/rig-3/workers.h
+++ b/review/rig-3/workers.h
@@ -5,6 +5,7 @@
 #include "store.h"
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -17,6 +18,15 @@
 //! Which runs of a worker are written to the record one by one.
 using IsRecorded = std::function<bool(const std::string& task)>;
 
+//! When the runs of each recorded subtask went on, on all workers.
+struct RunTime {
+    std::string worker;
+    std::int64_t number = 0;
+    std::int64_t beganMs = 0;
+    std::int64_t endedMs = std::numeric_limits<std::int64_t>::max(); //!< the largest value: it goes on
+};
+using RunTimes = std::map<std::string, std::vector<RunTime>>;
+
 //! A worker, as PROTOCOL.md describes it under "Running subtasks". What a subtask does is read from its specification:
 //! "ms=N" is its duration, "saves=N" the length of its checkpoint, which it makes after two seconds of work. Each
 //! subtask that runs to its end is `done`. All members are called with the server's mutex held.
@@ -32,7 +42,7 @@
         int gpu = 8;
     };
 
-    Worker(const Options& options, Store& store, Record& record, IsRecorded isRecorded);
+    Worker(const Options& options, Store& store, Record& record, IsRecorded isRecorded, RunTimes& runTimes);
 
     void setPort(int port) { port_ = port; }
     const std::string& id() const { return options_.id; }
@@ -87,6 +97,7 @@
     Store& store_;
     Record& record_;
     IsRecorded isRecorded_;
+    RunTimes& runTimes_;
     int port_ = 0;
     std::int64_t born_;
     std::int64_t startMs_;
