--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -4,6 +4,7 @@
 #include "platform.h"
 #include "record.h"
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,6 +59,7 @@
     Platform platform;
     std::unique_ptr<Deployment> nodes;
     std::vector<std::string> ordinaryJobs;
+    std::map<std::string, int> stepsOf; //!< of the ordinary jobs
 };
 
 //! The target of a job, and its ID.
--- a/review/rig-3/main.cpp
+++ b/review/rig-3/main.cpp
@@ -89,6 +89,7 @@
     if (answer.status != 200)
         return false;
     ordinaryJobs.push_back(id);
+    stepsOf[id] = steps;
     return true;
 }
 
--- a/review/rig-3/scheduled_jobs.cpp
+++ b/review/rig-3/scheduled_jobs.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
+#include <set>
 #include <thread>
 
 namespace rig {
@@ -75,6 +77,34 @@
         return unanswered;
     }
 
+    //! Ordinary jobs that have a subtask to run and nothing running for over 3 s, while under half of the workers have
+    //! anything to do. Each subtask of the flood takes a whole worker.
+    int countIdleOrdinaryJobs(Setting& setting, std::size_t workers)
+    {
+        constexpr std::int64_t idleMs = 3500;
+        constexpr std::int64_t sampleMs = 50;
+        std::map<std::string, int> doneBefore;
+        for (const auto& id : setting.ordinaryJobs)
+            doneBefore[id] = setting.platform.activityOf(id).done;
+        std::set<std::string> active;
+        std::size_t mostRunning = 0;
+        auto endMs = steadyMs() + idleMs;
+        while (steadyMs() < endMs) {
+            mostRunning = std::max(mostRunning, setting.platform.runningCount());
+            for (const auto& id : setting.ordinaryJobs) {
+                auto activity = setting.platform.activityOf(id);
+                if (activity.running > 0 || activity.done != doneBefore[id] || activity.done >= setting.stepsOf[id])
+                    active.insert(id);
+            }
+            sleepMs(sampleMs);
+        }
+        auto idle = setting.ordinaryJobs.size() - active.size();
+        setting.record.say(std::to_string(idle) + " ordinary jobs have nothing running for " + std::to_string(idleMs)
+            + " ms; subtasks that run at most meanwhile: " + std::to_string(mostRunning) + " on "
+            + std::to_string(workers) + " workers");
+        return 2 * mostRunning < workers ? static_cast<int>(idle) : 0;
+    }
+
     int run(const CaseOptions& options, const Flood& flood, int workers, int ordinaryDuring)
     {
         Setting setting(options, std::vector<std::string>(static_cast<std::size_t>(workers), "a"));
@@ -98,7 +128,8 @@
             sender.join();
         setting.record.say("the end of the traffic");
         sleepMs(finishMs);
-        auto lost = askForOrdinaryJobs(setting);
+        auto lost = countIdleOrdinaryJobs(setting, static_cast<std::size_t>(workers));
+        lost += askForOrdinaryJobs(setting);
         setting.record.say("most memory of a node: " + std::to_string(setting.nodes->mostMemoryMb())
             + " MB; kills for it: " + std::to_string(setting.nodes->memoryKills()) + " on "
             + std::to_string(setting.nodes->machinesWithMemoryKills(1))
