--- a/review/rig-3/deployment.cpp
+++ b/review/rig-3/deployment.cpp
@@ -34,11 +34,12 @@
 
     std::string settingsOf(int index, const std::vector<int>& ports, const std::string& seeds, int storePort)
     {
-        auto at
-            = [&ports](int offset) { return "127.0.0.1:" + std::to_string(ports[static_cast<std::size_t>(offset)]); };
+        auto at = [&ports](int offset) {
+            return ownAddress() + ":" + std::to_string(ports[static_cast<std::size_t>(offset)]);
+        };
         std::ostringstream text;
         text << "nodeName=frontend-" << index << "\nrole=node\nmachineClass=frontend\nserves=frontend,control\n"
-             << "ipAddress=127.0.0.1\nzone=zone-a\nregion=region-a\nzones.zone-a=region-a\n"
+             << "ipAddress=" << ownAddress() << "\nzone=zone-a\nregion=region-a\nzones.zone-a=region-a\n"
              << "listenAddresses.frontendAddress=" << at(0) << "\nlistenAddresses.ready=" << at(1)
              << "\nlistenAddresses.control=" << at(2) << "\ninternalPortRange=" << ports[3] << ","
              << ports[3] + internalPorts - 1 << "\nseedNodes=" << seeds
@@ -50,7 +51,7 @@
              << "bounds.configApplyMs=2500\nbounds.holdMaxMs=6000\nbounds.stopMs=200\nbounds.gangMs=3000\n"
              << "bounds.cancel_ms=3000\nbounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\n"
              << "bounds.status_s=120\nbounds.farFactor=3\nbounds.checkpointIntervalS=2\nbounds.restoreMs=250\n"
-             << "bounds.reclaimMs=2700\norders=invocation\nplatform.address=127.0.0.1:" << storePort
+             << "bounds.reclaimMs=2700\norders=invocation\nplatform.address=" << ownAddress() << ":" << storePort
              << "\nplatform.form=kv\nplatform.writesPerS=400\nplatform.readsPerS=2000\nplatform.historyS=20\n"
              << "platform.valueBytes=1048576\nplatform.ttlMinMs=1000\n";
         return text.str();
@@ -74,10 +75,12 @@
     folder_ = ::mkdtemp(pattern.data());
     std::vector<std::vector<int>> ports;
     std::string seeds;
+    constexpr int portsPerNode = 3 + internalPorts;
+    auto firstOfAll = freePorts(nodes * portsPerNode);
     for (int index = 0; index < nodes; ++index) {
-        auto first = freePorts(3 + internalPorts);
+        auto first = firstOfAll + index * portsPerNode;
         ports.push_back({ first, first + 1, first + 2, first + 3 });
-        seeds += (seeds.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(first + 2);
+        seeds += (seeds.empty() ? "" : ",") + ownAddress() + ":" + std::to_string(first + 2);
     }
     for (int index = 0; index < nodes; ++index) {
         Node node;
--- a/review/rig-3/http.cpp
+++ b/review/rig-3/http.cpp
@@ -62,7 +62,7 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::inet_pton(AF_INET, ownAddress().c_str(), &address.sin_addr);
         return address;
     }
 
@@ -126,6 +126,14 @@
 
 } // namespace
 
+const std::string& ownAddress()
+{
+    constexpr int hosts = 250;
+    static const std::string address
+        = "127." + std::to_string(1 + ::getpid() / hosts % hosts) + "." + std::to_string(1 + ::getpid() % hosts) + ".1";
+    return address;
+}
+
 std::int64_t steadyMs()
 {
     using namespace std::chrono;
--- a/review/rig-3/http.h
+++ b/review/rig-3/http.h
@@ -13,6 +13,8 @@
 //! A small HTTP/1.1 server with one thread, and blocking calls for clients.
 namespace rig {
 
+//! A loopback address of this process's own, so that runs beside each other don't take each other's ports.
+const std::string& ownAddress();
 //! Milliseconds of the machine's steady clock.
 std::int64_t steadyMs();
 std::int64_t unixMs();
@@ -42,7 +44,7 @@
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
 
-    //! Listens at a free port of 127.0.0.1, which is returned. Only before start().
+    //! Listens at a free port of ownAddress(), which is returned. Only before start().
     int listen(Handler handler);
     //! `tick` is called every few milliseconds. Handlers and `tick` run on one thread and hold mutex().
     void start(std::function<void()> tick);
@@ -73,7 +75,7 @@
 Response call(int port, const std::string& method, const std::string& target, const Headers& headers,
     const std::string& body, std::int64_t timeoutMs);
 
-//! A port of 127.0.0.1 that is free, and so are the next `count` - 1.
+//! A port of ownAddress() that is free, and so are the next `count` - 1.
 int freePorts(int count);
 
 } // namespace rig
--- a/review/rig-3/workers.cpp
+++ b/review/rig-3/workers.cpp
@@ -254,7 +254,7 @@
 void Worker::writeEntry()
 {
     nextEntryMs_ = steadyMs() + heartbeatMs;
-    Json entry { { "service", options_.service }, { "address", "127.0.0.1:" + std::to_string(port_) },
+    Json entry { { "service", options_.service }, { "address", ownAddress() + ":" + std::to_string(port_) },
         { "zone", "zone-a" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldRemainingMs", 0 },
         { "capacity", { { "cpu", options_.cpu }, { "taskMemoryMb", options_.memoryMb }, { "gpu", options_.gpu } } },
         { "labels", { options_.kind, options_.rack } }, { "clockMs", clockMs() }, { "sequence", ++sequence_ },
