--- a/src/agatevane/fleet/denials.cpp
+++ b/src/agatevane/fleet/denials.cpp
@@ -51,7 +51,7 @@
     record.changedAt = at;
     if (record.queuedSequence == 0) {
         record.queuedSequence = ++fleet.lastSequence;
-        fleet.writes.push_back({ record.queuedSequence, denials.openRecord, Mutation::Deny });
+        fleet.writes.push_back({ record.queuedSequence, denials.openRecord, Mutation::Deny, at, {}, false, {} });
     }
     return record.queuedSequence;
 }
@@ -96,7 +96,7 @@
         const auto& [key, record] = each;
         if (at - record.changedAt < recordRetention)
             return false;
-        fleet.writes.push_back({ ++fleet.lastSequence, key, Mutation::ForgetDenials });
+        fleet.writes.push_back({ ++fleet.lastSequence, key, Mutation::ForgetDenials, at, {}, false, {} });
         denials.storedJobs -= record.jobs.size();
         return true;
     });
--- a/src/agatevane/fleet/jobs.cpp
+++ b/src/agatevane/fleet/jobs.cpp
@@ -3,9 +3,11 @@
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/advice.h"
 #include "agatevane/fleet/decision_log.h"
+#include "agatevane/fleet/progress_parts.h"
 #include "agatevane/fleet/queue_record.h"
 #include "agatevane/fleet/record.h"
 #include "agatevane/fleet/runs.h"
+#include "agatevane/fleet/task_record.h"
 #include <algorithm>
 #include <utility>
 
@@ -40,7 +42,7 @@
         job.endedAt = at;
         removeAdvice(fleet, job.spec.id);
         fleet.openJobs.erase(job.spec.id);
-        job.phaseSequence = queueWrite(fleet, job.spec.id, Mutation::Progress);
+        job.phaseSequence = queueWrite(fleet, job.spec.id, Mutation::Progress, at);
         fleet.phaseChanges.insert({ job.phaseSequence, { job.spec.id, phase } });
         // If the job is completed, the other members of its gangs have ended too, even if that is not reported yet.
         if (phase != JobPhase::Completed)
@@ -65,11 +67,15 @@
         return isKept ? neverCommitted : 0;
     }
 
-    void markDone(Step& step, Task& task)
+    void markDone(Job& job, const TaskId& id)
     {
+        auto& step = job.occurrences[id.occurrence].steps[id.step];
+        auto& task = step.tasks[id.index];
         if (std::exchange(task.isDone, true))
             return;
+        task.checkpoint = {};
         ++step.done;
+        noteTaskChanged(job, id);
     }
 
     //! Stops the runs of a task that is done, or of the members of its gang, except those with the number of the run
@@ -91,10 +97,10 @@
         auto& occurrence = job.occurrences[id.occurrence];
         auto& step = occurrence.steps[id.step];
         if (stepOf(job, id).isGang) {
-            for (auto& task : step.tasks)
-                markDone(step, task);
+            for (std::uint32_t index = 0; index < step.tasks.size(); ++index)
+                markDone(job, { id.job, id.occurrence, id.step, index });
         } else {
-            markDone(step, step.tasks[id.index]);
+            markDone(job, id);
         }
         if (step.done == step.tasks.size())
             ++occurrence.stepsDone;
@@ -114,11 +120,20 @@
         return stored != fleet.storedQueues.end() ? stored->second : unknownQueue(queue);
     }
 
+    //! The parts of an ended job are not read any more. They are removed while the job is known, so that a later job
+    //! with the same id can't find them.
+    void queueRemovalOfParts(Fleet& fleet, Job& job, Instant at)
+    {
+        if (!hasEnded(job.durablePhase) || job.parts.stored.empty() || std::exchange(job.parts.isRemovalQueued, true))
+            return;
+        queueWrite(fleet, job.spec.id, Mutation::RemoveParts, at);
+    }
+
     //! The machine that noted the job's end may have a clock that is hours ahead or behind, so that this owner keeps
     //! the job for the documented time by its own clock, too. Twice that time allows for an end that is stored late.
     bool mayPrune(const Job& job, Millis retention, std::int64_t unixMs, Instant at)
     {
-        if (!hasEnded(job.durablePhase))
+        if (!hasEnded(job.durablePhase) || !job.parts.stored.empty())
             return false;
         auto keptHere = elapsed(job.endedAt, at);
         auto sinceEnd = std::max(keptHere, Millis(unixMs - job.endedUnixMs));
@@ -131,14 +146,12 @@
         if (noteFailure(fleet, worker, key.first, at) && ++worker.failuresInRow >= failureLimit)
             worker.avoidUntil = std::max(worker.avoidUntil, at + avoidAfterFailures);
         auto& task = sharedTask(job, key.first);
-        task.failedOn.push_back(worker.id);
-        auto& failed = task.failedRuns;
-        if (std::find(failed.begin(), failed.end(), key.second) == failed.end())
-            failed.push_back(key.second);
-        if (stepOf(job, key.first).isContinuous || static_cast<int>(failed.size()) < job.policy.maxAttempts)
+        noteFailedRun(task, key.second);
+        noteFailedWorker(task, worker.id);
+        if (stepOf(job, key.first).isContinuous || static_cast<std::int64_t>(task.failures) < job.policy.maxAttempts)
             return;
         endJob(fleet, job, JobPhase::Failed, unixMs, at);
-        Line("job_failed").with("job", key.first.job).with("attempts", failed.size());
+        Line("job_failed").with("job", key.first.job).with("attempts", task.failures);
     }
 
 } // namespace
@@ -157,10 +170,14 @@
     return const_cast<Task*>(findTask(std::as_const(fleet), id));
 }
 
+TaskId sharedTaskId(const Job& job, const TaskId& id)
+{
+    return { id.job, id.occurrence, id.step, stepOf(job, id).isGang ? 0 : id.index };
+}
+
 const Task& sharedTask(const Job& job, const TaskId& id)
 {
-    auto index = stepOf(job, id).isGang ? 0 : id.index;
-    return job.occurrences[id.occurrence].steps[id.step].tasks[index];
+    return job.occurrences[id.occurrence].steps[id.step].tasks[sharedTaskId(job, id).index];
 }
 
 Task& sharedTask(Job& job, const TaskId& id)
@@ -190,19 +207,24 @@
     return const_cast<Worker*>(findWorker(std::as_const(fleet), id));
 }
 
-CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation)
+CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation, Instant at)
 {
     if (mutation == Mutation::Progress) {
         if (auto queued = fleet.queuedProgress.find(job); queued != fleet.queuedProgress.end())
             return queued->second;
         fleet.queuedProgress.emplace(job, fleet.lastSequence + 1);
     }
-    fleet.writes.push_back({ ++fleet.lastSequence, job, mutation });
+    fleet.writes.push_back({ ++fleet.lastSequence, job, mutation, at, {}, false, {} });
     if (auto* known = findJob(fleet, job))
         known->lastSequence = fleet.lastSequence;
     return fleet.lastSequence;
 }
 
+bool isCommitted(const Fleet& fleet, CommitSequence sequence)
+{
+    return sequence <= fleet.committedSequence && !fleet.overtakenWrites.contains(sequence);
+}
+
 CommitSequence submit(Fleet& fleet, JobSpec spec, const desired_state::Queue& queue, std::int64_t unixMs, Instant at)
 {
     if (auto* known = findJob(fleet, spec.id))
@@ -211,7 +233,7 @@
     auto job = makeJob(std::move(spec), unixMs);
     job.policy = queue;
     job.acceptedAt = at;
-    job.phaseSequence = queueWrite(fleet, id, Mutation::Accept);
+    job.phaseSequence = queueWrite(fleet, id, Mutation::Accept, at);
     auto sequence = job.phaseSequence;
     fleet.phaseChanges.insert({ sequence, { id, JobPhase::Open } });
     fleet.jobs.emplace(id, std::move(job));
@@ -228,6 +250,7 @@
     if (queued == fleet.writes.end())
         return false;
     fleet.phaseChanges.erase(queued->sequence);
+    fleet.overtakenWrites.erase(queued->sequence);
     fleet.writes.erase(queued);
     fleet.jobs.erase(id);
     return true;
@@ -304,6 +327,8 @@
     task->highestRun = std::max(task->highestRun, key.second);
     if (!checkpoint.empty() && isNewest)
         sharedTask(*job, id).checkpoint = checkpoint;
+    noteTaskChanged(*job, id);
+    noteTaskChanged(*job, sharedTaskId(*job, id));
     if (kind == EndKind::Done && !stepOf(*job, id).isContinuous) {
         finishTask(fleet, *job, key, unixMs, at);
     } else if (kind == EndKind::Failed) {
@@ -311,33 +336,37 @@
     }
     if (kind != EndKind::Done && isNewest && !hasEnded(job->phase) && stepOf(*job, id).isGang)
         stopTaskRuns(fleet, *job, id, at, "member_ended");
-    return queueWrite(fleet, id.job, Mutation::Progress);
+    return queueWrite(fleet, id.job, Mutation::Progress, at);
 }
 
 void applyCommitted(Fleet& fleet, CommitSequence sequence)
 {
     fleet.committedSequence = std::max(fleet.committedSequence, sequence);
     auto end = fleet.phaseChanges.upper_bound(sequence);
-    for (auto change = fleet.phaseChanges.begin(); change != end; ++change) {
-        auto* job = findJob(fleet, change->second.job);
-        if (!job)
+    for (auto change = fleet.phaseChanges.begin(); change != end;) {
+        if (!isCommitted(fleet, change->first)) {
+            ++change;
             continue;
-        job->durablePhase = change->second.phase;
-        if (change->second.phase == JobPhase::Open && job->phase == JobPhase::Accepting)
+        }
+        auto* job = findJob(fleet, change->second.job);
+        if (job)
+            job->durablePhase = change->second.phase;
+        if (job && change->second.phase == JobPhase::Open && job->phase == JobPhase::Accepting)
             openJob(fleet, *job);
+        change = fleet.phaseChanges.erase(change);
     }
-    fleet.phaseChanges.erase(fleet.phaseChanges.begin(), end);
 }
 
 void pruneEnded(Fleet& fleet, std::int64_t unixMs, Instant at)
 {
     for (auto each = fleet.jobs.begin(); each != fleet.jobs.end();) {
         auto& job = each->second;
+        queueRemovalOfParts(fleet, job, at);
         if (!mayPrune(job, fleet.limits.statusRetention, unixMs, at)) {
             ++each;
             continue;
         }
-        queueWrite(fleet, job.spec.id, Mutation::Prune);
+        queueWrite(fleet, job.spec.id, Mutation::Prune, at);
         each = fleet.jobs.erase(each);
     }
 }
--- a/src/agatevane/fleet/jobs.h
+++ b/src/agatevane/fleet/jobs.h
@@ -55,7 +55,7 @@
 CommitSequence applyEnd(Fleet& fleet, Worker& worker, const RunKey& key, EndKind kind, const std::string& checkpoint,
     std::int64_t unixMs, Instant at);
 
-//! Records that all writes up to `sequence` are durable.
+//! Records that all writes up to `sequence` are durable, except those that were overtaken.
 void applyCommitted(Fleet& fleet, CommitSequence sequence);
 //! Removes ended jobs whose state no longer has to be available to callers.
 void pruneEnded(Fleet& fleet, std::int64_t unixMs, Instant at);
--- a/src/agatevane/fleet/limits.h
+++ b/src/agatevane/fleet/limits.h
@@ -25,6 +25,7 @@
     //! Starts whose answers may be awaited at a time. An owner that has more of them under way than it can handle in
     //! time would take their answers for lost, and order them again.
     std::size_t maxStartsUnderWay = 2000;
+    std::size_t maxValueBytes = 1024UL * 1024; //!< the store takes no longer value
     Millis startAnswerTimeout { 500 }; //!< a start that has no answer by then is no longer under way
     Millis earlierLeaseTimeout { 7000 }; //!< this long after a takeover, all leases that earlier owners gave have ended
 };
--- a/src/agatevane/fleet/record.cpp
+++ b/src/agatevane/fleet/record.cpp
@@ -1,5 +1,6 @@
 #include "agatevane/fleet/record.h"
 
+#include "agatevane/fleet/task_record.h"
 #include "agatevane/net/archive.h"
 #include <algorithm>
 
@@ -9,21 +10,11 @@
 
     //! First byte of each record. A build may write a new version only once all nodes run a build that reads it.
     constexpr std::uint8_t recordVersion = 1;
+    //! First byte of a progress record whose tasks are in parts. Builds that do not know them leave the job as it is.
+    constexpr std::uint8_t phaseVersion = 2;
     //! More tasks than any accepted job has.
     constexpr std::uint64_t maxTasks = 1U << 20U;
 
-    struct TaskRecord {
-        bool isDone = false;
-        std::vector<RunNumber> failedRuns;
-        RunNumber highestRun = 0;
-        std::string checkpoint;
-
-        template <typename Archive> void serialize(Archive& archive)
-        {
-            archive(isDone, failedRuns, highestRun, checkpoint);
-        }
-    };
-
     struct AcceptanceRecord {
         std::uint8_t version = recordVersion;
         std::int64_t acceptedUnixMs = 0;
@@ -45,6 +36,18 @@
         }
     };
 
+    struct PhaseRecord {
+        std::uint8_t version = phaseVersion;
+        std::uint8_t phase = 0;
+        std::int64_t endedUnixMs = 0;
+        bool hasStarted = false;
+
+        template <typename Archive> void serialize(Archive& archive)
+        {
+            archive(version, phase, endedUnixMs, hasStarted);
+        }
+    };
+
     //! False if the specification can't be that of an accepted job: its counts would exhaust the memory, or a step
     //! waits for one that does not come before it.
     bool isPlausible(const JobSpec& spec)
@@ -72,7 +75,7 @@
         return { task.isDone, task.failedRuns, task.highestRun, task.checkpoint };
     }
 
-    bool restore(const ProgressRecord& record, Job& job)
+    bool restore(ProgressRecord& record, Job& job)
     {
         if (record.tasks.size() != job.occurrences.size())
             return false;
@@ -85,13 +88,9 @@
                 if (record.tasks[occurrenceIndex][stepIndex].size() != step.tasks.size())
                     return false;
                 for (std::size_t taskIndex = 0; taskIndex < step.tasks.size(); ++taskIndex) {
-                    const auto& from = record.tasks[occurrenceIndex][stepIndex][taskIndex];
                     auto& task = step.tasks[taskIndex];
-                    task.isDone = from.isDone;
-                    task.failedRuns = from.failedRuns;
-                    task.highestRun = from.highestRun;
-                    task.checkpoint = from.checkpoint;
-                    step.done += from.isDone ? 1 : 0;
+                    restoreTask(task, std::move(record.tasks[occurrenceIndex][stepIndex][taskIndex]));
+                    step.done += task.isDone ? 1 : 0;
                 }
                 occurrence.stepsDone += step.done == step.tasks.size() ? 1 : 0;
             }
@@ -99,6 +98,19 @@
         return true;
     }
 
+    //! `Record` is either kind of progress record.
+    template <typename Record> bool restorePhase(const Record& record, Job& job)
+    {
+        if (record.phase > static_cast<std::uint8_t>(JobPhase::Cancelled))
+            return false;
+        auto phase = static_cast<JobPhase>(record.phase);
+        job.phase = isOpen(phase) ? JobPhase::Open : phase;
+        job.durablePhase = job.phase;
+        job.endedUnixMs = record.endedUnixMs;
+        job.hasStarted = record.hasStarted;
+        return true;
+    }
+
 } // namespace
 
 std::int64_t longestChainMs(const std::vector<StepSpec>& steps, const std::vector<std::int64_t>& durationsMs)
@@ -147,6 +159,11 @@
     return net::encode(record);
 }
 
+std::size_t acceptanceBytes(const JobSpec& spec)
+{
+    return net::encode(AcceptanceRecord { recordVersion, 0, spec }).size();
+}
+
 std::string encodeProgress(const Job& job)
 {
     ProgressRecord record;
@@ -167,6 +184,15 @@
     return net::encode(record);
 }
 
+std::string encodePhase(const Job& job)
+{
+    PhaseRecord record;
+    record.phase = static_cast<std::uint8_t>(job.phase);
+    record.endedUnixMs = job.endedUnixMs;
+    record.hasStarted = job.hasStarted;
+    return net::encode(record);
+}
+
 std::optional<Job> decodeAcceptance(std::string_view bytes)
 {
     AcceptanceRecord record;
@@ -178,27 +204,25 @@
     return job;
 }
 
-RecordFault faultOf(std::string_view bytes)
+RecordFault faultOf(RecordKind kind, std::string_view bytes)
 {
-    bool isNewer = !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) > recordVersion;
+    auto newest = kind == RecordKind::Progress ? phaseVersion : recordVersion;
+    bool isNewer = !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) > newest;
     return isNewer ? RecordFault::NewerVersion : RecordFault::Damaged;
 }
 
 bool decodeProgress(std::string_view bytes, Job& job)
 {
+    bool isPhaseAlone = !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == phaseVersion;
+    if (isPhaseAlone) {
+        PhaseRecord record;
+        job.parts.areUsed = true;
+        return net::decode(bytes, record) && restorePhase(record, job);
+    }
     ProgressRecord record;
     if (!net::decode(bytes, record) || record.version != recordVersion)
         return false;
-    if (record.phase > static_cast<std::uint8_t>(JobPhase::Cancelled))
-        return false;
-    auto phase = static_cast<JobPhase>(record.phase);
-    if (isOpen(phase) && !restore(record, job))
-        return false;
-    job.phase = isOpen(phase) ? JobPhase::Open : phase;
-    job.durablePhase = job.phase;
-    job.endedUnixMs = record.endedUnixMs;
-    job.hasStarted = record.hasStarted;
-    return true;
+    return restorePhase(record, job) && (job.phase != JobPhase::Open || restore(record, job));
 }
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/state.h
+++ b/src/agatevane/fleet/state.h
@@ -47,11 +47,12 @@
 //! One task of one occurrence of a job.
 struct Task {
     bool isDone = false;
-    std::vector<RunNumber> failedRuns;
+    std::uint32_t failures = 0; //!< runs that have failed
+    std::vector<RunNumber> failedRuns; //!< the newest of them, see noteFailedRun()
     RunNumber highestRun = 0; //!< highest number of any run of the task; each new run gets a higher one
     std::string checkpoint; //!< newest known checkpoint; empty: none
     std::optional<TaskRun> run; //!< nothing: the task is idle
-    std::vector<WorkerId> failedOn; //!< workers on which the task failed
+    std::vector<WorkerId> failedOn; //!< workers on which it last failed, see noteFailedWorker()
     int stalls = 0; //!< runs that this owner has stopped because they made no progress
 };
 
@@ -67,6 +68,18 @@
     std::uint32_t stepsDone = 0;
 };
 
+//! Number of a part of a job's tasks, see progress_parts.h.
+using PartNumber = std::uint32_t;
+
+//! The records in which the store holds a job's tasks, if they are too many for the job's progress record.
+struct JobParts {
+    bool areUsed = false; //!< the tasks are stored in parts from now on
+    bool areWithoutCheckpoints = false; //!< the store has refused a part with its checkpoints
+    bool isRemovalQueued = false;
+    std::set<PartNumber> changed; //!< have to be written
+    std::set<PartNumber> stored; //!< may be in the store
+};
+
 struct Job {
     JobSpec spec;
     desired_state::Queue policy; //!< settings of the job's queue, in the newest version known
@@ -81,6 +94,7 @@
     bool isInherited = false; //!< the job was accepted before this process became the owner
     bool hasStarted = false; //!< a worker has confirmed the start of a task
     std::vector<Occurrence> occurrences;
+    JobParts parts;
 };
 
 enum class RunState {
@@ -241,6 +255,7 @@
 enum class Mutation {
     Accept,
     Progress,
+    RemoveParts, //!< removes the parts of an ended job
     Prune,
     Deny, //!< writes a record of denials
     ForgetDenials //!< removes a record of denials
@@ -251,6 +266,10 @@
     CommitSequence sequence = 0;
     std::string subject; //!< id of a job; key of a record of denials
     Mutation mutation = Mutation::Progress;
+    Instant queuedAt;
+    Instant notBefore; //!< the store has refused the write, which is tried again from then on
+    bool isBegun = false; //!< some of its records may be in the store, and `parts` are the others
+    std::set<PartNumber> parts; //!< still to be written or removed
 };
 
 //! The phase that becomes a job's durable phase once its record is durable.
@@ -312,7 +331,9 @@
     std::map<JobId, CommitSequence> queuedProgress; //!< progress writes in `writes`
     std::multimap<CommitSequence, PhaseChange> phaseChanges; //!< phase changes that are not durable yet
     CommitSequence lastSequence = 0;
-    CommitSequence committedSequence = 0;
+    CommitSequence committedSequence = 0; //!< see isCommitted()
+    //! Positions of writes that later writes have overtaken, and that are not durable.
+    std::set<CommitSequence> overtakenWrites;
     std::set<std::string> tenantsWithinGuarantee; //!< open urgent jobs need no more than the guarantee
     std::map<StepId, StepAdvice> advice; //!< for open jobs in queues that need tickets
     std::vector<AdviceRequest> dueAdviceRequests;
@@ -385,6 +406,7 @@
 Task* findTask(Fleet& fleet, const TaskId& id);
 const Task* findTask(const Fleet& fleet, const TaskId& id);
 //! The task that holds the failed runs, the stalls and the checkpoint: for a gang, which shares them, its first task.
+TaskId sharedTaskId(const Job& job, const TaskId& id);
 Task& sharedTask(Job& job, const TaskId& id);
 const Task& sharedTask(const Job& job, const TaskId& id);
 Job* findJob(Fleet& fleet, const JobId& id);
@@ -393,6 +415,8 @@
 const Worker* findWorker(const Fleet& fleet, const WorkerId& id);
 
 //! Queues a write and returns its position. Returns the position of a progress write of the job that is still queued.
-CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation);
+CommitSequence queueWrite(Fleet& fleet, const JobId& job, Mutation mutation, Instant at);
+//! True if the write at this position is durable.
+bool isCommitted(const Fleet& fleet, CommitSequence sequence);
 
 } // namespace agatevane::fleet
--- a/src/agatevane/fleet/workers.cpp
+++ b/src/agatevane/fleet/workers.cpp
@@ -199,8 +199,7 @@
         const auto& ends = worker.unacknowledgedEnds;
         if (ends.empty())
             return false;
-        return ends.front().isReadable ? ends.front().sequence <= fleet.committedSequence
-                                       : ends.size() >= maxWaitingEnds;
+        return ends.front().isReadable ? isCommitted(fleet, ends.front().sequence) : ends.size() >= maxWaitingEnds;
     }
 
     void acknowledgeCommitted(const Fleet& fleet, Worker& worker)
--- a/src/agatevane/kv/kv.h
+++ b/src/agatevane/kv/kv.h
@@ -49,6 +49,7 @@
     Revision revision = 0;
     std::vector<Item> current;
     bool hasLeaseEnded = false; //!< with `Refused`: a lease that the transaction names has ended
+    bool isRefusalLasting = false; //!< with `Refused`: the store would refuse the same transaction again
 };
 
 struct ReadResult {
--- a/src/capacity/fleet_measure.cpp
+++ b/src/capacity/fleet_measure.cpp
@@ -116,7 +116,7 @@
                      { worker.lastAcknowledgedEnd + number, { task, entry->run->number }, fleet::EndKind::Done, {} });
                  fleet::applyPollAnswer(*fleet, worker.id, answer, unixMs, at);
                  auto batch = fleet::takeBatch(*fleet, fleet->writes.size());
-                 fleet::applyCommitted(*fleet, batch.lastSequence());
+                 fleet::applyCommitted(*fleet, batch);
                  fleet->jobs.erase(id);
              }) });
     }
@@ -165,7 +165,7 @@
         for (int i = 0; i < size; ++i)
             fleet::submit(fleet, makeSpec("job-" + std::to_string(i), tasksPerWorker), makeQueue(), unixMs, at);
         kv::Txn txn;
-        fleet::encodeBatch(fleet, fleet::takeBatch(fleet, fleet.writes.size()), txn);
+        fleet::encodeBatch(fleet::takeBatch(fleet, fleet.writes.size()), txn);
         std::size_t bytes = 0;
         for (const auto& put : txn.puts)
             bytes += put.key.size() + put.value.size();
--- a/src/node/committer.cpp
+++ b/src/node/committer.cpp
@@ -3,6 +3,8 @@
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
 #include "agatevane/fleet/worker_record.h"
+#include "agatevane/metrics/registry.h"
+#include <algorithm>
 
 namespace agatevane::node {
 
@@ -10,7 +12,7 @@
 
     using event_log::Line;
 
-    //! Longest time to wait for the answer to a commit.
+    //! Longest time to wait for the answer to a commit, besides the time that its values take on the way.
     constexpr Millis maxStoreTimeout { 1000 };
     //! Least time between commits while no caller waits, so that one transaction carries many progress changes.
     constexpr Millis progressCommitInterval { 40 };
@@ -18,10 +20,44 @@
     //! put.
     constexpr std::size_t maxBatchEntries = 30;
     constexpr Millis storeRetryDelay { 100 };
+    //! Bytes of values that a slow link carries in a millisecond: 8 Mbit/s, less what the encoding adds.
+    constexpr std::size_t slowLinkBytesPerMilli = 750;
 
     //! Least time between two records of workers, so that one names many workers. A worker that has just joined waits
     //! this long for its first start.
     constexpr Millis minWorkerRecordInterval { 100 };
+    //! Time to the next record of workers after the store has refused one for good.
+    constexpr Millis refusedWorkerRecordDelay { 5000 };
+
+    std::size_t valueBytes(const std::vector<kv::Put>& puts)
+    {
+        std::size_t bytes = 0;
+        for (const auto& put : puts)
+            bytes += put.key.size() + put.value.size();
+        return bytes;
+    }
+
+    Millis transferTime(const kv::Txn& txn)
+    {
+        return Millis(static_cast<std::int64_t>(valueBytes(txn.puts) / slowLinkBytesPerMilli));
+    }
+
+    void reportRefusedRecord(std::string_view key, std::size_t bytes, std::string_view effect)
+    {
+        Line("record_refused").with("key", key).with("bytes", bytes).with("effect", effect);
+        metrics::registry()
+            .counter("agatevane_records_refused_total", "Records that the store refuses while it takes others",
+                { { "effect", std::string(effect) } })
+            .add();
+    }
+
+    void reportRefusedBatch(const fleet::WriteBatch& batch, fleet::RefusalEffect effect)
+    {
+        for (const auto& put : batch.puts)
+            reportRefusedRecord(put.key, put.value.size(), nameOf(effect));
+        for (const auto& key : batch.deletes)
+            reportRefusedRecord(key, 0, nameOf(effect));
+    }
 
 } // namespace
 
@@ -31,6 +67,7 @@
     , fleet_(fleet)
     , revision_(revision)
     , callbacks_(std::move(callbacks))
+    , maxEntries_(maxBatchEntries)
     , timer_(context)
 {
     fleet_.doStartsNeedNaming = true;
@@ -42,20 +79,25 @@
         return;
     if (!callbacks_.hasWaitingCaller() && bootNow() - lastCommitAt_ < progressCommitInterval)
         return;
-    sentWorkerRecord_ = takeDueWorkerRecord();
-    batch_ = fleet::takeBatch(fleet_, maxBatchEntries - (sentWorkerRecord_ ? 1 : 0));
-    if (batch_.writes.empty() && auxiliaryRecords_.empty() && !sentWorkerRecord_)
+    sent_ = takeRecords();
+    if (sent_.batch.writes.empty() && sent_.auxiliary.empty() && !sent_.workers)
         return;
-    txnToken_ = randomToken(random_);
-    txn_ = {};
-    txn_.conditions = { { commitKey, revision_ } };
-    txn_.puts = { { commitKey, net::encode(CommitRecord { fleet_.tenure, txnToken_ }) } };
-    fleet::encodeBatch(fleet_, batch_, txn_);
-    addWorkerRecord();
-    addAuxiliaryRecords();
-    isInFlight_ = true;
-    mayBeApplied_ = false;
-    send();
+    sendRecords();
+}
+
+std::optional<Instant> Committer::oldestPendingChange() const
+{
+    auto oldest = Instant::max();
+    auto note = [&oldest](const fleet::PendingWrite& write) { oldest = std::min(oldest, write.queuedAt); };
+    for (const auto& write : fleet_.writes)
+        note(write);
+    for (const auto& taken : sent_.batch.writes)
+        note(taken.write);
+    if (suspect_) {
+        for (const auto& taken : suspect_->batch.writes)
+            note(taken.write);
+    }
+    return oldest == Instant::max() ? std::nullopt : std::optional(oldest);
 }
 
 //! The record of workers, if it is due and differs from the stored one.
@@ -77,29 +119,69 @@
     return record;
 }
 
-void Committer::addWorkerRecord()
+Committer::Records Committer::takeRecords()
 {
-    if (!sentWorkerRecord_)
-        return;
-    fleet::beginNaming(fleet_, sentWorkerRecord_->names);
-    txn_.puts.push_back({ knownWorkersKey, sentWorkerRecord_->bytes });
+    Records records;
+    records.workers = takeDueWorkerRecord();
+    fleet::BatchLimits limits { maxEntries_ - entriesOf(records) };
+    if (records.workers)
+        limits.bytes -= std::min(limits.bytes, records.workers->bytes.size());
+    if (limits.entries > 0 && limits.bytes > 0)
+        records.batch = fleet::takeBatch(fleet_, limits, bootNow());
+    addAuxiliaryRecords(records, limits.bytes - std::min(limits.bytes, valueBytes(records.batch.puts)));
+    return records;
 }
 
 //! Auxiliary records change rarely. Those that do not fit into this transaction wait for a later one.
-void Committer::addAuxiliaryRecords()
+void Committer::addAuxiliaryRecords(Records& records, std::size_t room)
 {
-    sentAuxiliaryRecords_.clear();
-    while (!auxiliaryRecords_.empty() && txn_.puts.size() + txn_.deletes.size() < maxBatchEntries + 1) {
-        auto record = auxiliaryRecords_.extract(auxiliaryRecords_.begin());
-        txn_.puts.push_back({ record.key(), record.mapped() });
-        sentAuxiliaryRecords_.insert(std::move(record));
+    while (!auxiliaryRecords_.empty() && entriesOf(records) < maxEntries_) {
+        auto first = auxiliaryRecords_.begin();
+        if (first->second.size() > room && entriesOf(records) > 0)
+            return;
+        room -= std::min(room, first->second.size());
+        records.auxiliary.insert(auxiliaryRecords_.extract(first));
     }
 }
 
+//! A newer value of an auxiliary record stays.
+void Committer::returnRecords(Records& records)
+{
+    fleet::returnBatch(fleet_, records.batch);
+    auxiliaryRecords_.merge(records.auxiliary);
+    fleet_.haveWorkersChanged = fleet_.haveWorkersChanged || records.workers;
+    records = {};
+}
+
+std::size_t Committer::entriesOf(const Records& records)
+{
+    return records.batch.puts.size() + records.batch.deletes.size() + records.auxiliary.size()
+        + (records.workers ? 1 : 0);
+}
+
+//! Sends a transaction with `sent_`, which may be empty.
+void Committer::sendRecords()
+{
+    txnToken_ = randomToken(random_);
+    txn_ = {};
+    txn_.conditions = { { commitKey, revision_ } };
+    txn_.puts = { { commitKey, net::encode(CommitRecord { fleet_.tenure, txnToken_ }) } };
+    fleet::encodeBatch(sent_.batch, txn_);
+    if (sent_.workers) {
+        fleet::beginNaming(fleet_, sent_.workers->names);
+        txn_.puts.push_back({ knownWorkersKey, sent_.workers->bytes });
+    }
+    for (const auto& [key, value] : sent_.auxiliary)
+        txn_.puts.push_back({ key, value });
+    isInFlight_ = true;
+    mayBeApplied_ = false;
+    send();
+}
+
 void Committer::send()
 {
     auto sentAt = now();
-    auto deadline = sentAt + responseTimeout(responseTimes_, maxStoreTimeout);
+    auto deadline = sentAt + responseTimeout(responseTimes_, maxStoreTimeout) + transferTime(txn_);
     store_.commit(txn_, deadline, liveness_.guard([this, sentAt](const kv::TxnResult& result) {
         if (result.error == Errc::Timeout)
             addTimeout(responseTimes_);
@@ -123,45 +205,86 @@
         }
         return callbacks_.ownershipLost("store_knows_later_owner");
     }
-    Line("commit_unanswered").with("records", txn_.puts.size()).with("error", result.error.message());
+    Line("commit_unanswered")
+        .with("records", txn_.puts.size())
+        .with("bytes", valueBytes(txn_.puts))
+        .with("error", result.error.message())
+        .with("lasting", result.isRefusalLasting);
+    // What the store does not take, it has not taken in an earlier attempt either.
+    if (result.isRefusalLasting)
+        return isolateRefusedRecord();
     mayBeApplied_ = mayBeApplied_ || result.error != Errc::Refused;
+    // The store has certainly not applied the records. They go back to the queue, where submissions can be withdrawn.
     if (!mayBeApplied_)
-        return returnBatchAndRetry();
+        return returnAndRetry(storeRetryDelay);
     // Sending the same transaction again is safe: once it is applied, its condition on the commit key fails.
     bool hasWaited = result.error == Errc::Timeout;
     timer_.arm(hasWaited ? Millis(0) : storeRetryDelay, [this] { send(); });
 }
 
-//! The store has certainly not applied the batch. It goes back to the queue, where submissions can be withdrawn again.
-void Committer::returnBatchAndRetry()
+void Committer::returnAndRetry(Millis delay)
 {
-    fleet::returnBatch(fleet_, batch_);
-    batch_ = {};
-    auxiliaryRecords_.merge(sentAuxiliaryRecords_);
-    sentAuxiliaryRecords_.clear();
-    fleet_.haveWorkersChanged = fleet_.haveWorkersChanged || sentWorkerRecord_;
-    sentWorkerRecord_.reset();
-    timer_.arm(storeRetryDelay, [this] {
+    if (suspect_)
+        returnRecords(*suspect_);
+    suspect_.reset();
+    returnRecords(sent_);
+    timer_.arm(delay, [this] {
         isInFlight_ = false;
         commitPending();
     });
 }
 
+//! The store has refused `txn_` for good.
+void Committer::isolateRefusedRecord()
+{
+    // A transaction without records was refused, too, so that the reason is not in the records.
+    if (suspect_)
+        return returnAndRetry(storeRetryDelay);
+    if (maxEntries_ > 1) {
+        maxEntries_ = std::clamp<std::size_t>(entriesOf(sent_) / 2, 1, maxEntries_ / 2);
+        return returnAndRetry(Millis(0));
+    }
+    suspect_ = std::exchange(sent_, {});
+    sendRecords();
+}
+
+//! The store takes other records than this one.
+void Committer::setAside(Records records)
+{
+    auto at = bootNow();
+    if (records.workers) {
+        reportRefusedRecord(knownWorkersKey, records.workers->bytes.size(), "delayed");
+        nextWorkerRecordAt_ = at + refusedWorkerRecordDelay;
+        fleet_.haveWorkersChanged = true;
+    }
+    for (const auto& [key, value] : records.auxiliary)
+        reportRefusedRecord(key, value.size(), "dropped");
+    if (records.batch.writes.empty())
+        return;
+    auto refused = fleet::handleLastingRefusal(fleet_, records.batch, at);
+    reportRefusedBatch(records.batch, refused.effect);
+    if (refused.effect == fleet::RefusalEffect::SubmissionRefused)
+        callbacks_.submissionRefused(refused.sequence);
+}
+
 void Committer::completeCommit(kv::Revision revision)
 {
     isInFlight_ = false;
     lastCommitAt_ = bootNow();
     revision_ = revision;
+    maxEntries_ = std::min(maxEntries_ * 2, maxBatchEntries);
+    auto committed = std::exchange(sent_, {});
     Line("committed")
-        .with("sequence", batch_.lastSequence())
+        .with("sequence", committed.batch.lastSequence())
         .with("revision", revision)
         .with("records", txn_.puts.size());
-    fleet::applyCommitted(fleet_, batch_.lastSequence());
-    if (sentWorkerRecord_) {
-        storedWorkerRecord_ = std::move(sentWorkerRecord_->bytes);
-        fleet::completeNaming(fleet_, sentWorkerRecord_->names);
-        sentWorkerRecord_.reset();
+    fleet::applyCommitted(fleet_, committed.batch);
+    if (committed.workers) {
+        storedWorkerRecord_ = std::move(committed.workers->bytes);
+        fleet::completeNaming(fleet_, committed.workers->names);
     }
+    if (suspect_)
+        setAside(*std::exchange(suspect_, std::nullopt));
     callbacks_.committed();
 }
 
--- a/src/node/committer.h
+++ b/src/node/committer.h
@@ -21,6 +21,9 @@
 
 //! Makes the changes of a fleet durable, one transaction at a time. Each transaction is conditional on the revision of
 //! the commit key and writes that key, so that it is applied at most once and never after a write of a later owner.
+//!
+//! If the store refuses a transaction for good, the next ones carry fewer records, until the record that it refuses is
+//! alone. Then a transaction without records shows whether the record is the reason; if so, it is set aside.
 class Committer {
 public:
     struct Callbacks {
@@ -28,6 +31,8 @@
         std::function<void(std::string_view reason)> ownershipLost;
         //! True if a caller waits until a change is durable.
         std::function<bool()> hasWaitingCaller;
+        //! The store does not take the record of the submission whose write has this position.
+        std::function<void(fleet::CommitSequence sequence)> submissionRefused;
     };
 
     //! `revision` is the revision of the commit key when the ownership began.
@@ -43,6 +48,8 @@
     //! sent.
     void enqueueRecord(const std::string& key, const std::string& value) { auxiliaryRecords_[key] = value; }
     kv::Revision revision() const { return revision_; }
+    //! When the oldest change was made that is not durable; nothing if all are.
+    std::optional<Instant> oldestPendingChange() const;
 
 private:
     struct WorkerRecord {
@@ -50,19 +57,34 @@
         std::set<fleet::WorkerId> names;
     };
 
+    //! The records of one transaction.
+    struct Records {
+        fleet::WriteBatch batch;
+        std::optional<WorkerRecord> workers;
+        std::map<std::string, std::string> auxiliary; //!< key to value
+    };
+
     std::optional<WorkerRecord> takeDueWorkerRecord();
-    void addWorkerRecord();
-    void addAuxiliaryRecords();
+    Records takeRecords();
+    void addAuxiliaryRecords(Records& records, std::size_t room);
+    void returnRecords(Records& records);
+    static std::size_t entriesOf(const Records& records);
+    void sendRecords();
     void send();
     void handleResult(const kv::TxnResult& result);
-    void returnBatchAndRetry();
+    void returnAndRetry(Millis delay);
+    void isolateRefusedRecord();
+    void setAside(Records records);
     void completeCommit(kv::Revision revision);
 
     kv::Store& store_;
     fleet::Fleet& fleet_;
     kv::Revision revision_ = 0; //!< revision of the commit key
     Callbacks callbacks_;
-    fleet::WriteBatch batch_;
+    Records sent_; //!< part of `txn_`
+    //! A single record that the store has refused, while a transaction without records is in flight.
+    std::optional<Records> suspect_;
+    std::size_t maxEntries_; //!< of the next transaction, without the commit key
     kv::Txn txn_;
     std::string txnToken_;
     bool isStopped_ = false;
@@ -71,10 +93,8 @@
     Instant lastCommitAt_;
     ResponseTimes responseTimes_; //!< of commits
     std::string storedWorkerRecord_; //!< the record of workers that the store holds; empty: none
-    std::optional<WorkerRecord> sentWorkerRecord_; //!< part of `txn_`
     Instant nextWorkerRecordAt_; //!< earliest time of the next record of workers
     std::map<std::string, std::string> auxiliaryRecords_; //!< key to value; not sent to the store yet
-    std::map<std::string, std::string> sentAuxiliaryRecords_; //!< key to value; part of `txn_`
     Random random_ = makeRandom();
     Timer timer_;
     Liveness liveness_;
--- a/src/node/fleet_loader.cpp
+++ b/src/node/fleet_loader.cpp
@@ -1,6 +1,7 @@
 #include "node/fleet_loader.h"
 
 #include "agatevane/fleet/group_commit.h"
+#include "agatevane/fleet/progress_parts.h"
 #include "agatevane/fleet/queue_record.h"
 #include "node/committer.h"
 #include "node/run_time_recorder.h"
@@ -23,6 +24,7 @@
     stored_.askedAt = bootNow();
     read(fleet::acceptancePrefix, stored_.acceptances);
     read(fleet::progressPrefix, stored_.progress);
+    read(fleet::partPrefix, stored_.parts);
     read(fleet::queuePrefix, stored_.queues);
     read(fleet::denialPrefix, stored_.denials);
     read(knownWorkersKey, stored_.knownWorkers);
--- a/src/node/fleet_loader.h
+++ b/src/node/fleet_loader.h
@@ -13,6 +13,7 @@
 struct StoredFleet {
     kv::ReadResult acceptances;
     kv::ReadResult progress;
+    kv::ReadResult parts; //!< of jobs with much progress, see progress_parts.h
     kv::ReadResult queues;
     kv::ReadResult denials; //!< cancellations that earlier owners have answered with "no such job"
     kv::ReadResult knownWorkers; //!< workers that earlier owners have named
--- a/src/node/fleet_owner.cpp
+++ b/src/node/fleet_owner.cpp
@@ -39,7 +39,8 @@
     kv::Revision commitRevision, const desired_state::DesiredState& desired)
     : environment_(environment)
     , committer_(environment.context, environment.store, fleet_, commitRevision,
-          { [this] { handleCommit(); }, environment.ownershipLost, [this] { return hasWaitingCaller(); } })
+          { [this] { handleCommit(); }, environment.ownershipLost, [this] { return hasWaitingCaller(); },
+              [this](fleet::CommitSequence sequence) { refuseSubmission(sequence); } })
     , runTimeRecorder_(fleet_, committer_)
     , tenureCheck_(environment.context, environment.store, tenure)
     , tickTimer_(environment.context)
--- a/src/node/fleet_owner.h
+++ b/src/node/fleet_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatevane/fleet/record.h"
 #include "agatevane/fleet/state.h"
 #include "agatevane/kv/kv.h"
 #include "node/committer.h"
@@ -62,6 +63,7 @@
     const fleet::Fleet& fleet() const { return fleet_; }
     std::size_t ignoredEntries() const { return ignoredEntries_.size(); }
     const PrefixFollower& workersFollower() const { return workersFollower_; }
+    std::optional<Instant> oldestPendingChange() const { return committer_.oldestPendingChange(); }
     const UpkeepController* upkeepController() const { return upkeepController_.get(); }
     const EvacuationFeed* evacuationFeed() const { return evacuationFeed_.get(); }
 
@@ -75,13 +77,20 @@
         Awaited awaited = Awaited::Acceptance;
         Answer answer;
     };
+    //! The records of one job; null: there is no such record.
+    struct StoredJob {
+        const kv::Item* acceptance = nullptr;
+        const kv::Item* progress = nullptr;
+        std::vector<std::pair<fleet::PartNumber, const kv::Item*>> parts;
+    };
     using Waiters = std::multimap<fleet::CommitSequence, std::shared_ptr<Waiter>>;
 
     void load(StoredFleet stored);
     void loadQueues(const kv::ReadResult& queues);
-    void loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress);
+    void loadJobs(const StoredFleet& stored);
+    void loadJob(const fleet::JobId& id, const StoredJob& records, std::int64_t unixMs, Instant at);
     void loadDenials(const kv::ReadResult& denials);
-    void holdJob(const kv::Item& item, const fleet::JobId& id);
+    void holdJob(fleet::RecordKind kind, const kv::Item& item, const fleet::JobId& id);
     std::optional<fleet::WorkerListing> decodeEntry(const kv::Item& item);
     void applyListings(const kv::ReadResult& listed);
     void loadKnownWorkers(const kv::ReadResult& known);
@@ -121,6 +130,7 @@
     void withdrawAndRefuse(const std::shared_ptr<Waiter>& waiter);
     void passToNextOwner(const std::shared_ptr<Waiter>& waiter);
     void timeOut(const std::shared_ptr<Waiter>& waiter);
+    void refuseSubmission(fleet::CommitSequence sequence);
 
     Environment environment_;
     fleet::Fleet fleet_;
--- a/src/node/fleet_owner_calls.cpp
+++ b/src/node/fleet_owner_calls.cpp
@@ -23,9 +23,14 @@
 {
     auto end = waiters_.upper_bound(fleet_.committedSequence);
     std::vector<std::shared_ptr<Waiter>> ready;
-    for (auto each = waiters_.begin(); each != end; ++each)
+    for (auto each = waiters_.begin(); each != end;) {
+        if (!fleet::isCommitted(fleet_, each->first)) {
+            ++each;
+            continue;
+        }
         ready.push_back(each->second);
-    waiters_.erase(waiters_.begin(), end);
+        each = waiters_.erase(each);
+    }
     for (auto& waiter : ready) {
         if (!waiter->answer)
             continue;
@@ -92,6 +97,10 @@
     auto spec = request.spec;
     spec.queue = queue.name;
     spec.tenant = tenant;
+    auto bytes = fleet::acceptanceBytes(spec);
+    if (bytes > fleet_.limits.maxValueBytes)
+        return answer({ CallStatus::Malformed, std::nullopt, std::nullopt,
+            "the job's record would have " + std::to_string(bytes) + " bytes, which the store does not take" });
     auto sequence = fleet::submit(fleet_, std::move(spec), queue, unixMillis(), bootNow());
     awaitCommit(sequence, { request.job, Awaited::Acceptance, std::move(answer) }, deadline);
 }
@@ -166,7 +175,7 @@
 
 void FleetOwner::awaitCommit(fleet::CommitSequence sequence, Waiter awaiting, Instant deadline)
 {
-    if (sequence <= fleet_.committedSequence)
+    if (fleet::isCommitted(fleet_, sequence))
         return awaiting.answer(durableAnswer(awaiting));
     auto waiter = std::make_shared<Waiter>(std::move(awaiting));
     waiters_.emplace(sequence, waiter);
@@ -200,6 +209,20 @@
     answer({ CallStatus::NotAccepted, std::nullopt, std::nullopt, "the store has not confirmed in time" });
 }
 
+//! The store does not take the records of the submission with this write, so that there is no such job.
+void FleetOwner::refuseSubmission(fleet::CommitSequence sequence)
+{
+    auto [begin, end] = waiters_.equal_range(sequence);
+    std::vector<std::shared_ptr<Waiter>> refused;
+    for (auto each = begin; each != end; ++each)
+        refused.push_back(each->second);
+    waiters_.erase(begin, end);
+    for (auto& waiter : refused) {
+        if (auto answer = std::exchange(waiter->answer, nullptr))
+            answer({ CallStatus::Malformed, std::nullopt, std::nullopt, "the store does not take the job's record" });
+    }
+}
+
 //! The ownership has ended. The caller may have time left in which the next owner can serve the call.
 void FleetOwner::passToNextOwner(const std::shared_ptr<Waiter>& waiter)
 {
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -1,7 +1,7 @@
 //! The part of FleetOwner that takes over what the store holds: all jobs once, the workers continuously.
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/progress_parts.h"
 #include "agatevane/fleet/queue_record.h"
-#include "agatevane/fleet/record.h"
 #include "node/fleet_owner.h"
 #include "node/unreadable_records.h"
 #include <algorithm>
@@ -22,7 +22,7 @@
 void FleetOwner::load(StoredFleet stored)
 {
     loadQueues(stored.queues);
-    loadJobs(stored.acceptances, stored.progress);
+    loadJobs(stored);
     loadDenials(stored.denials);
     loadKnownWorkers(stored.knownWorkers);
     runTimeRecorder_.load(stored.runTimes, bootNow());
@@ -55,33 +55,50 @@
     }
 }
 
-void FleetOwner::loadJobs(const kv::ReadResult& acceptances, const kv::ReadResult& progress)
+void FleetOwner::loadJobs(const StoredFleet& stored)
 {
-    std::map<std::string_view, const kv::Item*> progressOf;
-    for (const auto& item : progress.items)
-        progressOf.emplace(idOf(item, fleet::progressPrefix), &item);
+    std::map<fleet::JobId, StoredJob> jobs;
+    for (const auto& item : stored.acceptances.items)
+        jobs[fleet::JobId(idOf(item, fleet::acceptancePrefix))].acceptance = &item;
+    for (const auto& item : stored.progress.items)
+        jobs[fleet::JobId(idOf(item, fleet::progressPrefix))].progress = &item;
+    for (const auto& item : stored.parts.items) {
+        if (auto name = fleet::readPartKey(item.key))
+            jobs[name->job].parts.emplace_back(name->number, &item);
+        else
+            reportUnreadableRecord(item);
+    }
     auto unixMs = unixMillis();
     auto at = bootNow();
-    for (const auto& item : acceptances.items) {
-        auto id = idOf(item, fleet::acceptancePrefix);
-        auto ownProgress = progressOf.extract(id);
-        auto job = fleet::decodeAcceptance(item.value);
-        if (!job || job->spec.id != id)
-            holdJob(item, fleet::JobId(id));
-        else if (ownProgress && !fleet::decodeProgress(ownProgress.mapped()->value, *job))
-            holdJob(*ownProgress.mapped(), fleet::JobId(id));
-        else
-            fleet::inherit(fleet_, std::move(*job), unixMs, at);
+    for (const auto& [id, records] : jobs)
+        loadJob(id, records, unixMs, at);
+}
+
+void FleetOwner::loadJob(const fleet::JobId& id, const StoredJob& records, std::int64_t unixMs, Instant at)
+{
+    using fleet::RecordKind;
+    // A job's acceptance is removed together with its progress, and after its parts.
+    if (!records.acceptance) {
+        bool hasProgress = records.progress != nullptr;
+        return holdJob(hasProgress ? RecordKind::Progress : RecordKind::Part,
+            hasProgress ? *records.progress : *records.parts.front().second, id);
+    }
+    auto job = fleet::decodeAcceptance(records.acceptance->value);
+    if (!job || job->spec.id != id)
+        return holdJob(RecordKind::Acceptance, *records.acceptance, id);
+    if (records.progress && !fleet::decodeProgress(records.progress->value, *job))
+        return holdJob(RecordKind::Progress, *records.progress, id);
+    for (const auto& [number, item] : records.parts) {
+        if (!fleet::inheritPart(item->value, number, *job))
+            return holdJob(RecordKind::Part, *item, id);
     }
-    // A job's two records are deleted together.
-    for (const auto& [id, item] : progressOf)
-        holdJob(*item, fleet::JobId(id));
+    fleet::inherit(fleet_, std::move(*job), unixMs, at);
 }
 
 //! The item belongs to a job that was accepted, and can't be read.
-void FleetOwner::holdJob(const kv::Item& item, const fleet::JobId& id)
+void FleetOwner::holdJob(fleet::RecordKind kind, const kv::Item& item, const fleet::JobId& id)
 {
-    auto fault = fleet::faultOf(item.value);
+    auto fault = fleet::faultOf(kind, item.value);
     reportUnreadableRecord(item, fault);
     fleet_.unreadableJobs.emplace(id, fault);
 }
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -182,6 +182,10 @@
             .set(static_cast<double>(fleet.unreadableJobs.size()));
         registry.gauge("agatevane_denials_stored", "Jobs in stored records of cancellations that found no such job")
             .set(static_cast<double>(fleet.denials.storedJobs));
+        auto oldestChange = fleetOwner_->oldestPendingChange();
+        registry
+            .gauge("agatevane_oldest_unstored_change_seconds", "Age of the oldest change that the store does not hold")
+            .set(oldestChange ? secondsSince(*oldestChange) : 0);
         registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
         registry.gauge("agatevane_entries_ignored", "Entries among the workers' that name no worker to use")
             .set(static_cast<double>(fleetOwner_->ignoredEntries()));
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -111,7 +111,7 @@
                 const auto& step = job.occurrences[occurrence].steps[index];
                 std::size_t failed = 0;
                 for (const auto& task : step.tasks)
-                    failed += task.failedRuns.size();
+                    failed += task.failures;
                 auto expected = fleet::runTimeOf(view.fleet, job, job.spec.steps[index]);
                 steps.push_back({ { "occurrence", occurrence }, { "step", index }, { "tasks", step.tasks.size() },
                     { "done", step.done }, { "withWorker", step.active }, { "failedRuns", failed },
--- a/standins/platform/kv_model.cpp
+++ b/standins/platform/kv_model.cpp
@@ -42,6 +42,19 @@
     history_.push_back(change);
 }
 
+bool KvModel::isWithinLimits(const kv::Txn& txn)
+{
+    constexpr std::size_t maxEntries = 32;
+    bool hasLongValue = false;
+    for (const auto& put : txn.puts) {
+        if (put.value.size() <= maxValueBytes_)
+            continue;
+        hasLongValue = true;
+        longestRefusedValue_ = std::max(longestRefusedValue_, put.value.size());
+    }
+    return !hasLongValue && txn.conditions.size() + txn.puts.size() + txn.deletes.size() <= maxEntries;
+}
+
 kv::TxnResult KvModel::commit(const kv::Txn& txn, std::int64_t nowMs)
 {
     removeExpiredLeases(nowMs);
@@ -59,6 +72,11 @@
         return result;
     }
     result.current.clear();
+    if (!isWithinLimits(txn)) {
+        result.error = Errc::Refused;
+        result.isRefusalLasting = true;
+        return result;
+    }
     for (const auto& put : txn.puts) {
         if (put.lease != 0 && !leases_.contains(put.lease)) {
             result.error = Errc::Refused;
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -293,6 +293,8 @@
             answer = reply(platform::statusOk, { { "revision", result.revision } });
         else if (result.error == Errc::Conflict)
             answer = reply(statusConditionFailed, { { "items", items } });
+        else if (result.isRefusalLasting)
+            answer = reply(platform::statusBadRequest, { { "error", "a limit is exceeded" } });
     } else if (path == "/api/kv-lease" && !body.is_discarded()) {
         auto ttlMs = body.value("ttlMs", std::int64_t { 1000 });
         answer = reply(platform::statusOk, { { "lease", kv_.grant(ttlMs, modelMillis()) }, { "ttlMs", ttlMs } });
--- a/standins/platform/worker_model.cpp
+++ b/standins/platform/worker_model.cpp
@@ -16,9 +16,11 @@
             && a.first.step == b.first.step;
     }
 
-    std::string encodeCheckpoint(std::int64_t progressMs)
+    std::string encodeCheckpoint(std::int64_t progressMs, const TaskBehaviour& behaviour)
     {
-        return "done=" + std::to_string(progressMs);
+        auto checkpoint = "done=" + std::to_string(progressMs);
+        checkpoint.resize(std::max(checkpoint.size(), behaviour.checkpointBytes), ' ');
+        return checkpoint;
     }
 
     std::int64_t decodeCheckpoint(const std::string& checkpoint)
@@ -37,6 +39,10 @@
         auto equals = word.find('=');
         auto name = word.substr(0, equals);
         auto number = equals == std::string::npos ? 0 : std::stoll(word.substr(equals + 1));
+        if (name == "saves") {
+            behaviour.savesWork = true;
+            behaviour.checkpointBytes = static_cast<std::size_t>(number);
+        }
         if (name == "ms")
             behaviour.durationMs = number;
         else if (name == "gang")
@@ -45,8 +51,6 @@
             behaviour.fails = static_cast<std::uint32_t>(number);
         else if (name == "hangs")
             behaviour.hangs = true;
-        else if (name == "saves")
-            behaviour.savesWork = true;
         else if (name == "tail")
             behaviour.tailLatencyMs = number;
         else if (name == "disturbs")
@@ -269,7 +273,7 @@
     auto run = std::move(found->second);
     worker.runs.erase(found);
     if (run.behaviour.savesWork && kind == fleet::EndKind::Stopped)
-        run.checkpoint = encodeCheckpoint(run.progressMs);
+        run.checkpoint = encodeCheckpoint(run.progressMs, run.behaviour);
     history_[run.record].endedMs = nowMs;
     history_[run.record].end = kind;
     auto& highest = worker.highestEndedRun[key.first];
@@ -350,7 +354,8 @@
         if (!run.behaviour.hangs)
             run.progressMs += stepMs * run.pacePercent / fullPercent;
         if (run.behaviour.savesWork)
-            run.checkpoint = encodeCheckpoint(run.progressMs / times_.checkpointMs * times_.checkpointMs);
+            run.checkpoint
+                = encodeCheckpoint(run.progressMs / times_.checkpointMs * times_.checkpointMs, run.behaviour);
         if (worker.fails || (run.progressMs >= run.behaviour.durationMs && key.second <= run.behaviour.fails))
             finish(fleet::EndKind::Failed);
         else if (run.progressMs >= run.behaviour.durationMs)
--- a/standins/platform/worker_model.h
+++ b/standins/platform/worker_model.h
@@ -13,14 +13,15 @@
 //! capacity, run the members of a gang together and end their runs when their lease lapses.
 namespace agatevane::standin {
 
-//! The behaviour of a task, read from its payload, such as "ms=2500 gang=4 fails=2 hangs tail=40". The initializers are
-//! the values of parts that the payload does not contain.
+//! The behaviour of a task, read from its payload, such as "ms=2500 gang=4 fails=2 saves=300 tail=40". The initializers
+//! are the values of parts that the payload does not contain.
 struct TaskBehaviour {
     std::int64_t durationMs = 1000;
     std::size_t gang = 0; //!< number of members that must be present before the task makes progress; 0: not a gang
     std::uint32_t fails = 0; //!< runs with a number up to this one fail
     bool hangs = false; //!< the task makes no progress
     bool savesWork = false; //!< the task writes checkpoints
+    std::size_t checkpointBytes = 0; //!< length of a checkpoint; a shorter one has what is needed to resume
     //! Tail latency of a serving task without interference; 0: the task does not serve.
     std::int64_t tailLatencyMs = 0;
     //! What a filler at full pace adds to the tail latency of each serving task on its worker; 0: not a filler.
--- a/tests/fleet/advice_tests.cpp
+++ b/tests/fleet/advice_tests.cpp
@@ -25,7 +25,7 @@
         queue.needsTickets = true;
         simulation.submit(test::sampleJob(jobId, 1, 1, 1000), queue);
         auto batch = fleet::takeBatch(fleet(), 30);
-        fleet::applyCommitted(fleet(), batch.lastSequence());
+        fleet::applyCommitted(fleet(), batch);
     }
 
     fleet::Fleet& fleet() { return simulation.fleet(); }
--- a/tests/fleet/answering_fleet.h
+++ b/tests/fleet/answering_fleet.h
@@ -51,7 +51,7 @@
         job.steps.front().requiredLabel = label;
         fleet::submit(fleet, job, queue, ms, instantAt(ms));
         auto batch = fleet::takeBatch(fleet, maxEntries);
-        fleet::applyCommitted(fleet, batch.lastSequence());
+        fleet::applyCommitted(fleet, batch);
     }
 
     fleet::Orders advance(std::int64_t ms)
--- a/tests/fleet/denials_tests.cpp
+++ b/tests/fleet/denials_tests.cpp
@@ -25,8 +25,8 @@
     {
         kv::Txn txn;
         auto batch = fleet::takeBatch(fleet, maxEntries);
-        fleet::encodeBatch(fleet, batch, txn);
-        fleet::applyCommitted(fleet, batch.lastSequence());
+        fleet::encodeBatch(batch, txn);
+        fleet::applyCommitted(fleet, batch);
         for (const auto& put : txn.puts)
             stored[put.key] = put.value;
         for (const auto& key : txn.deletes)
--- a/tests/fleet/job_tests.cpp
+++ b/tests/fleet/job_tests.cpp
@@ -30,7 +30,7 @@
     BOOST_CHECK(!fleet::visibleState(fleet, jobId));
     BOOST_CHECK_EQUAL(fleet::submit(fleet, spec, queue, 0, instantAt(1)), ticket);
     auto batch = fleet::takeBatch(fleet, 30);
-    fleet::applyCommitted(fleet, batch.lastSequence());
+    fleet::applyCommitted(fleet, batch);
     BOOST_CHECK(fleet::visibleState(fleet, jobId) == fleet::VisibleState::Queued);
     BOOST_CHECK_EQUAL(fleet::waitingJobCount(fleet, queue.name), 1U);
 }
--- a/tests/fleet/odd_row_tests.cpp
+++ b/tests/fleet/odd_row_tests.cpp
@@ -64,7 +64,7 @@
     void commitAll()
     {
         auto batch = fleet::takeBatch(fleet, fleet.writes.size());
-        fleet::applyCommitted(fleet, batch.lastSequence());
+        fleet::applyCommitted(fleet, batch);
     }
 
     fleet::Worker& worker() { return fleet.workers.at("w1"); }
--- a/tests/fleet/prune_tests.cpp
+++ b/tests/fleet/prune_tests.cpp
@@ -27,7 +27,7 @@
     static void commit(fleet::Fleet& fleet)
     {
         auto batch = fleet::takeBatch(fleet, 30);
-        fleet::applyCommitted(fleet, batch.lastSequence());
+        fleet::applyCommitted(fleet, batch);
     }
 
     //! `clockLead`: the next owner's clock is that far ahead.
--- a/tests/fleet/randomised_tests.cpp
+++ b/tests/fleet/randomised_tests.cpp
@@ -51,3 +51,18 @@
                         .unreachableEveryMs = 11000 },
             30, 400000);
 }
+
+// Guards against tasks that are lost, or run again, because a new owner finds only some of the parts of a job.
+BOOST_AUTO_TEST_CASE(A_new_owner_adopts_jobs_that_are_stored_in_parts, *boost::unit_test::label("randomised"))
+{
+    // The first splits each job and leaves out all checkpoints.
+    for (std::size_t maxValueBytes : { 1, 200 }) {
+        for (std::uint64_t seed = 601; seed <= 620; ++seed)
+            runWorkload({ .seed = seed,
+                            .lostStartAnswerShare = 0.02,
+                            .takeoverEveryMs = 2300,
+                            .storeUnavailableMs = 700,
+                            .maxValueBytes = maxValueBytes },
+                40, 300000);
+    }
+}
--- a/tests/fleet/record_tests.cpp
+++ b/tests/fleet/record_tests.cpp
@@ -46,10 +46,10 @@
     auto newer = record;
     newer.front() = 2;
     BOOST_CHECK(!fleet::decodeAcceptance(newer));
-    BOOST_CHECK(fleet::faultOf(newer) == fleet::RecordFault::NewerVersion);
+    BOOST_CHECK(fleet::faultOf(fleet::RecordKind::Acceptance, newer) == fleet::RecordFault::NewerVersion);
     for (const auto& damaged : { std::string(), record.substr(0, 9), record + "x", std::string(40, '\0') }) {
         BOOST_CHECK(!fleet::decodeAcceptance(damaged));
-        BOOST_CHECK(fleet::faultOf(damaged) == fleet::RecordFault::Damaged);
+        BOOST_CHECK(fleet::faultOf(fleet::RecordKind::Acceptance, damaged) == fleet::RecordFault::Damaged);
     }
 }
 
--- a/tests/fleet/simulation.h
+++ b/tests/fleet/simulation.h
@@ -46,6 +46,7 @@
     std::int64_t longestCancelDelayMs = 3000; //!< from the submission to the cancellation
     std::int64_t longestTaskMs = 4000; //!< duration of the longest random task
     std::int64_t maxLeaseMs = 6000; //!< workers shorten a longer lease to this
+    std::size_t maxValueBytes = fleet::Limits {}.maxValueBytes; //!< a job with a longer progress record is split
     //! Each round is compared with one on a copy of the state that looks at every worker.
     bool comparesWithFullRounds = false;
 };
@@ -147,6 +148,7 @@
 
     void replaceOwner();
     void inheritJobs();
+    void inheritParts(fleet::Job& job);
     void step();
     void stepOwner(const OwnerPointer& owner);
     fleet::Orders advance(Owner& owner);
@@ -158,7 +160,7 @@
     void sendPoll(const OwnerPointer& owner, const fleet::PollOrder& order);
     void sendLatePoll(const OwnerPointer& owner, const fleet::PollOrder& order);
     void commit(const OwnerPointer& owner);
-    void applyCommitted(const OwnerPointer& owner, const kv::Txn& txn, fleet::CommitSequence sequence);
+    void applyCommitted(const OwnerPointer& owner, const kv::Txn& txn, const fleet::WriteBatch& batch);
     void acknowledgeCancels(Owner& owner);
     //! Stops an owner whose order a worker has rejected because it knows a later owner.
     static void applyFence(Owner& owner, bool isFenced);
--- a/tests/fleet/simulation_owners.cpp
+++ b/tests/fleet/simulation_owners.cpp
@@ -3,6 +3,7 @@
 
 #include "agatevane/fleet/due_workers.h"
 #include "agatevane/fleet/pacing.h"
+#include "agatevane/fleet/progress_parts.h"
 #include "agatevane/fleet/record.h"
 #include "agatevane/fleet/worker_record.h"
 
@@ -77,10 +78,20 @@
         auto progress = store_.find(fleet::progressPrefix + job->spec.id);
         if (progress != store_.end() && !fleet::decodeProgress(progress->second, *job))
             reportViolation("a progress record can't be read");
+        inheritParts(*job);
         fleet::inherit(fleet(), std::move(*job), nowMs_, at(nowMs_));
     }
 }
 
+void FleetSimulation::inheritParts(fleet::Job& job)
+{
+    for (const auto& [key, record] : store_) {
+        auto name = fleet::readPartKey(key);
+        if (name && name->job == job.spec.id && !fleet::inheritPart(record, name->number, job))
+            reportViolation("a part of a job can't be read");
+    }
+}
+
 void FleetSimulation::takeOver()
 {
     replaceOwner();
@@ -91,6 +102,7 @@
     fleet.fencingToken = storeTenure_;
     fleet.tookOverAt = at(nowMs_);
     fleet.limits.maxLease = Millis(options_.maxLeaseMs);
+    fleet.limits.maxValueBytes = options_.maxValueBytes;
     fleet.doStartsNeedNaming = true;
     for (const auto& [id, queue] : queues_)
         fleet.desired.queues.push_back(queue);
@@ -318,13 +330,13 @@
     if (batch.writes.empty() && !workers)
         return;
     kv::Txn txn;
-    fleet::encodeBatch(owner->fleet, batch, txn);
+    fleet::encodeBatch(batch, txn);
     owner->isCommitting = true;
     schedule(commitMs, [this, owner, txn, batch, workers] {
         // The commit key rejects the writes of an earlier owner, and an unavailable store applies nothing.
         if (owner->isReplaced || nowMs_ >= nextTakeoverMs_ - options_.storeUnavailableMs)
             return;
-        applyCommitted(owner, txn, batch.lastSequence());
+        applyCommitted(owner, txn, batch);
         if (workers) {
             storedWorkers_ = *workers;
             fleet::completeNaming(owner->fleet, idsOf(*workers));
@@ -332,14 +344,14 @@
     });
 }
 
-void FleetSimulation::applyCommitted(const OwnerPointer& owner, const kv::Txn& txn, fleet::CommitSequence sequence)
+void FleetSimulation::applyCommitted(const OwnerPointer& owner, const kv::Txn& txn, const fleet::WriteBatch& batch)
 {
     for (const auto& put : txn.puts)
         store_[put.key] = put.value;
     for (const auto& key : txn.deletes)
         store_.erase(key);
     owner->isCommitting = false;
-    fleet::applyCommitted(owner->fleet, sequence);
+    fleet::applyCommitted(owner->fleet, batch);
     fleet::scheduleAcknowledgements(owner->fleet, at(nowMs_));
     acknowledgeCancels(*owner);
 }
@@ -348,7 +360,7 @@
 {
     std::erase_if(owner.unacknowledgedCancels, [this, &owner](const auto& each) {
         const auto& [job, sequence] = each;
-        if (sequence > owner.fleet.committedSequence)
+        if (!fleet::isCommitted(owner.fleet, sequence))
             return false;
         if (stateOf(job) == fleet::VisibleState::Cancelled)
             cancelledMs_.emplace(job, nowMs_);
--- a/tests/fleet/tracking_tests.cpp
+++ b/tests/fleet/tracking_tests.cpp
@@ -92,7 +92,7 @@
     void commitAll()
     {
         auto batch = fleet::takeBatch(fleet, fleet.writes.size());
-        fleet::applyCommitted(fleet, batch.lastSequence());
+        fleet::applyCommitted(fleet, batch);
     }
 
     const fleet::Step& step() { return fleet::findJob(fleet, jobId)->occurrences[0].steps[0]; }
--- a/tests/fleet/visible_state_tests.cpp
+++ b/tests/fleet/visible_state_tests.cpp
@@ -25,7 +25,7 @@
     void commit()
     {
         auto batch = fleet::takeBatch(state, 30);
-        fleet::applyCommitted(state, batch.lastSequence());
+        fleet::applyCommitted(state, batch);
     }
 
     std::optional<VisibleState> shown() const { return fleet::visibleState(state, jobId); }
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -7,6 +7,7 @@
 #include "node/timer.h"
 #include "standins/platform/kv_model.h"
 #include "standins/platform/worker_model.h"
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -22,7 +23,8 @@
     Refusing, //!< answers calls with an error that says that they had no effect; watches time out
     LosesAnswers, //!< executes calls but does not answer them
     LosesListings, //!< does not answer listings
-    RefusesEverySecondCall //!< the others get no answer and aren't executed; watches time out
+    RefusesEverySecondCall, //!< the others get no answer and aren't executed; watches time out
+    RefusingForGood //!< answers each transaction as one that it will never take
 };
 
 //! The time that the models of the store and of the workers are called with.
@@ -47,6 +49,8 @@
     void setDelay(Millis delay) { delay_ = delay; }
     //! Watches of this prefix are not answered; empty: all are.
     void silenceWatches(std::string prefix) { silentPrefix_ = std::move(prefix); }
+    //! Transactions that write or remove a key with this prefix are refused for good; empty: none are.
+    void refuseKeys(std::string prefix) { refusedPrefix_ = std::move(prefix); }
     //! True if the prefix was listed or watched.
     bool hasBeenAskedFor(const std::string& prefix) const { return asked_.contains(prefix); }
     int commits() const { return commits_; }
@@ -75,7 +79,7 @@
     {
         answer<kv::TxnResult>(deadline, std::move(done), [this, txn] {
             ++commits_;
-            return model_.commit(txn, modelTimeMs());
+            return isRefusedForGood(txn) ? lastingRefusal() : model_.commit(txn, modelTimeMs());
         });
     }
     void grantLease(Millis ttl, Instant deadline, std::function<void(kv::LeaseResult)> done) override
@@ -98,6 +102,22 @@
     }
 
 private:
+    bool isRefusedForGood(const kv::Txn& txn) const
+    {
+        auto isRefused
+            = [this](const std::string& key) { return !refusedPrefix_.empty() && key.starts_with(refusedPrefix_); };
+        return fault_ == StoreFault::RefusingForGood || std::any_of(txn.deletes.begin(), txn.deletes.end(), isRefused)
+            || std::any_of(txn.puts.begin(), txn.puts.end(), [&](const kv::Put& put) { return isRefused(put.key); });
+    }
+
+    static kv::TxnResult lastingRefusal()
+    {
+        kv::TxnResult result;
+        result.error = Errc::Refused;
+        result.isRefusalLasting = true;
+        return result;
+    }
+
     static kv::LeaseResult leaseResult(bool isAlive)
     {
         kv::LeaseResult result;
@@ -206,6 +226,7 @@
     ModelledLink* link_ = nullptr; //!< null: answers take no time on the way
     Millis delay_ { 0 };
     std::string silentPrefix_;
+    std::string refusedPrefix_;
     std::set<std::string> asked_; //!< prefixes of listings and watches
     int commits_ = 0;
     int calls_ = 0; //!< without watches
--- a/tests/node/unreadable_record_tests.cpp
+++ b/tests/node/unreadable_record_tests.cpp
@@ -24,7 +24,7 @@
 
 std::string ofNewerVersion(const std::string& record)
 {
-    return "\x02" + record.substr(1) + "further fields";
+    return "\x03" + record.substr(1) + "further fields";
 }
 
 //! The acceptance of another job under this job's key.
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -60,12 +60,14 @@
 {
     Findings findings;
     auto text = std::string(settingsText)
-        + "\nbounds.stopMs=900\nbounds.restoreMs=100\nbounds.checkpointIntervalS=0.5\nbounds.evacuationMs=5000\n"
+        + "\nbounds.stopMs=900\nbounds.restoreMs=100\nbounds.checkpointIntervalS=0.5\nbounds.evacuationMs="
+          "5000\nplatform.valueBytes=65536\n"
           "limits.memoryMb=512\n";
     auto settings = readSettings(text, findings);
     BOOST_REQUIRE_MESSAGE(settings, format(findings));
     BOOST_CHECK(settings->fleetLimits.evacuationBound == Millis(5000));
     BOOST_CHECK(settings->fleetLimits.checkpointInterval == Millis(500));
+    BOOST_CHECK_EQUAL(settings->fleetLimits.maxValueBytes, 65536U);
     BOOST_CHECK(fleet::areStopsCostly(settings->fleetLimits));
     BOOST_CHECK_EQUAL(settings->memoryBytes, 512U * 1024 * 1024);
 }
@@ -294,6 +296,18 @@
         BOOST_CHECK(decodeTxn({ status, {}, {} }).error == Errc::Refused);
 }
 
+// Guards against a transaction that is sent again for ever although the store will never take it.
+BOOST_AUTO_TEST_CASE(A_lasting_refusal_of_the_store_is_told_from_a_passing_one, *boost::unit_test::label("platform"))
+{
+    for (int status : { 400, 403, 413, 422 }) {
+        auto result = decodeTxn({ status, {}, {} });
+        BOOST_CHECK(result.error == Errc::Refused);
+        BOOST_CHECK(result.isRefusalLasting);
+    }
+    for (int status : { 200, 404, 408, 412, 429, 500, 503 })
+        BOOST_CHECK(!decodeTxn({ status, {}, "{}" }).isRefusalLasting);
+}
+
 RC_BOOST_PROP(Decoders_tolerate_any_bytes, (const std::string& bytes))
 {
     Findings findings;
