--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -191,17 +191,15 @@
             entry["remainingMs"] = listing.timeLeft->count() / timeLeftStepMs * timeLeftStepMs;
         current[listing.id] = entry.dump();
     }
-    kv::Txn txn;
+    // Each worker writes its own entry.
     for (const auto& [id, text] : current) {
         if (published_[id] != text)
-            txn.puts.push_back({ "servers/" + id, text, 0 });
+            kv_.commit({ {}, { { "servers/" + id, text, 0 } }, {} }, modelMillis());
     }
     for (const auto& [id, text] : published_) {
         if (!current.contains(id))
-            txn.deletes.push_back("servers/" + id);
+            kv_.commit({ {}, {}, { "servers/" + id } }, modelMillis());
     }
-    if (!txn.puts.empty() || !txn.deletes.empty())
-        kv_.commit(txn, modelMillis());
     published_ = std::move(current);
 }
 
