Refuse bodies beyond the limit of the desired state at the first node

Cause: maxBodyBytes of the desired state was decoded and read nowhere.

Evidence: A_body_beyond_the_limit_is_refused_by_each_node failed before (200 in place of the refusal, at the owner and at another node). Ruled out: the limit of event_http (1 MiB for each request), which is the node's own and stays.

--- a/src/node/node_calls.cpp
+++ b/src/node/node_calls.cpp
@@ -94,6 +94,11 @@
     const auto* tenant = desired_state::findTenantByKey(*desired, translation_.apiKeyOf(request));
     if (!tenant && !queue->allowsAnonymous)
         return finish(call, denial(CallStatus::UnknownKey, "unknown key"));
+    if (desired->maxBodyBytes > 0 && request.body.size() > desired->maxBodyBytes)
+        return finish(call,
+            denial(CallStatus::Malformed,
+                "the body has " + std::to_string(request.body.size()) + " bytes, the limit is "
+                    + std::to_string(desired->maxBodyBytes)));
     Findings findings;
     auto decoded = translation_.decodeCall(request, path.substr(queue->prefix.size()), findings);
     if (!decoded)
--- a/tests/node/fakes.cpp
+++ b/tests/node/fakes.cpp
@@ -83,6 +83,7 @@
         state.version = std::stoll(item.value);
         state.revision = item.revision;
         state.queues.push_back(sampleQueue());
+        state.maxBodyBytes = maxBodyBytes;
         return std::optional(state);
     };
     translation.workerPrefix = "workers/";
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -17,6 +17,9 @@
 //! A store that can be given faults, and workers, both in the test's own process.
 namespace agatevane::test {
 
+//! Limit of a caller's request body in desired states.
+constexpr std::size_t maxBodyBytes = 1000;
+
 enum class StoreFault {
     None,
     Unresponsive, //!< neither executes calls nor answers them
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -28,6 +28,17 @@
     BOOST_CHECK_EQUAL(workerModel.history().size(), 1U);
 }
 
+// Guards against bodies beyond the operators' limit, whose jobs fill the memory of nodes and the store.
+BOOST_AUTO_TEST_CASE(A_body_beyond_the_limit_is_refused_by_each_node, *boost::unit_test::label("node"))
+{
+    constexpr int malformed = 500 + static_cast<int>(node::CallStatus::Malformed);
+    std::string digits(test::maxBodyBytes, '0');
+    for (auto* member : { owner(), follower() }) {
+        BOOST_CHECK_EQUAL(sendRequest(*member, "POST", jobId, nullptr, digits + "1"), malformed);
+        BOOST_CHECK_EQUAL(sendRequest(*member, "POST", jobId, nullptr, digits), 200);
+    }
+}
+
 // Guards against jobs that do not continue after the owner of the fleet has stopped.
 BOOST_AUTO_TEST_CASE(Another_node_continues_the_jobs_when_the_owner_resigns, *boost::unit_test::label("node"))
 {
