Store the record of many workers in parts

Change: beyond 64 KiB the record is split into 64 parts by the digest of the worker's id; those that have changed are written, in turn, with at most half of a transaction. The parts go first; then the key of the one record says that there are parts, and from then on they count. Until then the one record stays in force. A reader takes both, so that at no moment a worker may get a start that the store doesn't name. An owner of an earlier build can't read the mark, and waits for all workers, as for a damaged record.

Records_of_very_many_workers_stay_short: 19,000 workers in at most 30 writes, one more worker in one. Before, their record has more than 1,048,576 bytes, which the test also checks.

Ruled out: shorter names (no bound either); a record for each worker (19,000 keys at each takeover).

--- a/src/node/committer.cpp
+++ b/src/node/committer.cpp
@@ -100,32 +100,35 @@
     return oldest == Instant::max() ? std::nullopt : std::optional(oldest);
 }
 
-//! The record of workers, if it is due and differs from the stored one.
-std::optional<Committer::WorkerRecord> Committer::takeDueWorkerRecord()
+//! Records of workers, if they are due and differ from the stored ones. They take half of a transaction at most.
+std::optional<fleet::WorkersWrite> Committer::takeDueWorkersWrite()
 {
     auto at = bootNow();
-    if (!fleet_.haveWorkersChanged || at < nextWorkerRecordAt_ || !fleet::mayReplaceWorkerRecord(fleet_, at))
+    if (!fleet_.haveWorkersChanged || at < nextWorkersWriteAt_ || !fleet::mayReplaceWorkerRecord(fleet_, at))
         return std::nullopt;
-    fleet_.haveWorkersChanged = false;
     auto listings = fleet::workersToName(fleet_, at);
-    WorkerRecord record { net::encode(listings), {} };
-    for (const auto& listing : listings)
-        record.names.insert(listing.id);
-    if (record.bytes == storedWorkerRecord_) {
-        fleet::completeNaming(fleet_, record.names);
+    fleet::BatchLimits limits { maxEntries_ / 2, fleet::BatchLimits {}.bytes / 2 };
+    auto write = fleet::nextWorkersWrite(storedWorkers_, listings, limits);
+    fleet_.haveWorkersChanged = write && !write->isLast;
+    if (!write) {
+        std::set<fleet::WorkerId> names;
+        for (const auto& listing : listings)
+            names.insert(listing.id);
+        fleet::completeNaming(fleet_, names);
         return std::nullopt;
     }
-    nextWorkerRecordAt_ = at + minWorkerRecordInterval;
-    return record;
+    if (write->isLast)
+        nextWorkersWriteAt_ = at + minWorkerRecordInterval;
+    return write;
 }
 
 Committer::Records Committer::takeRecords()
 {
     Records records;
-    records.workers = takeDueWorkerRecord();
-    fleet::BatchLimits limits { maxEntries_ - entriesOf(records) };
+    records.workers = takeDueWorkersWrite();
+    fleet::BatchLimits limits { maxEntries_ - std::min(maxEntries_, entriesOf(records)) };
     if (records.workers)
-        limits.bytes -= std::min(limits.bytes, records.workers->bytes.size());
+        limits.bytes -= std::min(limits.bytes, valueBytes(fleet::putsOf(*records.workers)));
     if (limits.entries > 0 && limits.bytes > 0)
         records.batch = fleet::takeBatch(fleet_, limits, bootNow());
     addAuxiliaryRecords(records, limits.bytes - std::min(limits.bytes, valueBytes(records.batch.puts)));
@@ -156,7 +159,7 @@
 std::size_t Committer::entriesOf(const Records& records)
 {
     return records.batch.puts.size() + records.batch.deletes.size() + records.auxiliary.size()
-        + (records.workers ? 1 : 0);
+        + (records.workers ? fleet::putsOf(*records.workers).size() : 0);
 }
 
 //! Sends a transaction with `sent_`, which may be empty.
@@ -168,8 +171,9 @@
     txn_.puts = { { commitKey, net::encode(CommitRecord { fleet_.tenure, txnToken_ }) } };
     fleet::encodeBatch(sent_.batch, txn_);
     if (sent_.workers) {
-        fleet::beginNaming(fleet_, sent_.workers->names);
-        txn_.puts.push_back({ knownWorkersKey, sent_.workers->bytes });
+        fleet::beginNaming(fleet_, *sent_.workers);
+        auto puts = fleet::putsOf(*sent_.workers);
+        txn_.puts.insert(txn_.puts.end(), puts.begin(), puts.end());
     }
     for (const auto& [key, value] : sent_.auxiliary)
         txn_.puts.push_back({ key, value });
@@ -253,8 +257,9 @@
 {
     auto at = bootNow();
     if (records.workers) {
-        reportRefusedRecord(knownWorkersKey, records.workers->bytes.size(), "delayed");
-        nextWorkerRecordAt_ = at + refusedWorkerRecordDelay;
+        for (const auto& put : fleet::putsOf(*records.workers))
+            reportRefusedRecord(put.key, put.value.size(), "delayed");
+        nextWorkersWriteAt_ = at + refusedWorkerRecordDelay;
         fleet_.haveWorkersChanged = true;
     }
     for (const auto& [key, value] : records.auxiliary)
@@ -279,10 +284,8 @@
         .with("revision", revision)
         .with("records", txn_.puts.size());
     fleet::applyCommitted(fleet_, committed.batch);
-    if (committed.workers) {
-        storedWorkerRecord_ = std::move(committed.workers->bytes);
-        fleet::completeNaming(fleet_, committed.workers->names);
-    }
+    if (committed.workers)
+        fleet::completeNaming(fleet_, storedWorkers_, *committed.workers);
     if (suspect_)
         setAside(*std::exchange(suspect_, std::nullopt));
     callbacks_.committed();
--- a/src/node/committer.h
+++ b/src/node/committer.h
@@ -2,6 +2,7 @@
 
 #include "agatevane/base/random.h"
 #include "agatevane/fleet/group_commit.h"
+#include "agatevane/fleet/worker_parts.h"
 #include "agatevane/kv/kv.h"
 #include "node/records.h"
 #include "node/response_times.h"
@@ -16,8 +17,7 @@
 
 namespace agatevane::node {
 
-//! Key under which the current owner stores the workers on which starts may be open or running.
-constexpr const char* knownWorkersKey = "agatevane/workers";
+using fleet::knownWorkersKey;
 
 //! Makes the changes of a fleet durable, one transaction at a time. Each transaction is conditional on the revision of
 //! the commit key and writes that key, so that it is applied at most once and never after a write of a later owner.
@@ -42,8 +42,8 @@
     //! Sends the pending changes, unless a transaction is in flight.
     void commitPending();
     void stop() { isStopped_ = true; }
-    //! Sets the record of workers that the store holds, so that an equal one is not written again.
-    void setStoredWorkerRecord(const std::string& bytes) { storedWorkerRecord_ = bytes; }
+    //! Sets the records of workers that the store holds, so that equal ones are not written again.
+    void setStoredWorkers(fleet::StoredWorkers stored) { storedWorkers_ = std::move(stored); }
     //! Writes a record with one of the next transactions; nobody waits for it. A newer value replaces one that is not
     //! sent.
     void enqueueRecord(const std::string& key, const std::string& value) { auxiliaryRecords_[key] = value; }
@@ -52,19 +52,14 @@
     std::optional<Instant> oldestPendingChange() const;
 
 private:
-    struct WorkerRecord {
-        std::string bytes;
-        std::set<fleet::WorkerId> names;
-    };
-
     //! The records of one transaction.
     struct Records {
         fleet::WriteBatch batch;
-        std::optional<WorkerRecord> workers;
+        std::optional<fleet::WorkersWrite> workers;
         std::map<std::string, std::string> auxiliary; //!< key to value
     };
 
-    std::optional<WorkerRecord> takeDueWorkerRecord();
+    std::optional<fleet::WorkersWrite> takeDueWorkersWrite();
     Records takeRecords();
     void addAuxiliaryRecords(Records& records, std::size_t room);
     void returnRecords(Records& records);
@@ -92,8 +87,8 @@
     bool mayBeApplied_ = false; //!< an attempt to commit `txn_` ended without a definite answer
     Instant lastCommitAt_;
     ResponseTimes responseTimes_; //!< of commits
-    std::string storedWorkerRecord_; //!< the record of workers that the store holds; empty: none
-    Instant nextWorkerRecordAt_; //!< earliest time of the next record of workers
+    fleet::StoredWorkers storedWorkers_;
+    Instant nextWorkersWriteAt_; //!< earliest time of the next record of workers
     std::map<std::string, std::string> auxiliaryRecords_; //!< key to value; not sent to the store yet
     Random random_ = makeRandom();
     Timer timer_;
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -118,17 +118,15 @@
 //! nothing was started.
 void FleetOwner::loadKnownWorkers(const kv::ReadResult& known)
 {
-    auto item = std::find_if(
-        known.items.begin(), known.items.end(), [](const kv::Item& each) { return each.key == knownWorkersKey; });
-    if (item == known.items.end() && fleet_.jobs.empty() && fleet_.unreadableJobs.empty())
+    auto read = fleet::readWorkers(known.items);
+    committer_.setStoredWorkers(std::move(read.stored));
+    bool isNothingStarted = read.isMissing && fleet_.jobs.empty() && fleet_.unreadableJobs.empty();
+    if (isNothingStarted)
         return fleet::addKnownWorkers(fleet_, {}, bootNow());
-    std::vector<fleet::WorkerListing> listings;
-    if (item != known.items.end() && net::decode(item->value, listings)) {
-        committer_.setStoredWorkerRecord(item->value);
-        return fleet::addKnownWorkers(fleet_, listings, bootNow());
-    }
+    if (!read.isMissing && !read.unreadable)
+        return fleet::addKnownWorkers(fleet_, read.listings, bootNow());
     fleet_.earlierWorkers = fleet::EarlierWorkers::Unreadable;
-    reportUnreadableRecord(item == known.items.end() ? kv::Item { knownWorkersKey, {} } : *item);
+    reportUnreadableRecord(read.unreadable ? *read.unreadable : kv::Item { knownWorkersKey, {} });
 }
 
 //! No value if the entry names no worker to use. Its findings are logged once, however often it is written again.
