Use no worker's entry whose service nobody names

Cause: "an entry with a service that isn't named names no worker to use" (PROTOCOL.md) was never checked: the decoder doesn't know the services, and nothing behind it asked. So the entry began a new incarnation, which ends the runs of the earlier one, and what came from the sound worker counted as out of date.

Change: the owner asks fleet::isServiceNamed(): the desired state's services, its queues' services, those of accepted jobs (whose queue may be gone), or the worker's own so far. Other entries count as those that can't be read.

Evidence: 3 of the 4 cases of foreign_entries failed on (a third start of two tasks; an entry taken over by a new owner; a worker of an unnamed service used).

Ruled out: to wait for the worker's own word before its runs are given up, since a worker that restarted behind a cut can't give it, and its work would wait for the leases. Left: an entry of another program with a named service.

--- a/src/agatevane/fleet/worker_list.cpp
+++ b/src/agatevane/fleet/worker_list.cpp
@@ -4,6 +4,7 @@
 #include "agatevane/fleet/evacuation.h"
 #include "agatevane/fleet/incarnations.h"
 #include "agatevane/fleet/workers.h"
+#include <algorithm>
 
 namespace agatevane::fleet {
 
@@ -44,6 +45,14 @@
         return hasChanged;
     }
 
+    bool isServiceOfJob(const Fleet& fleet, const std::string& service)
+    {
+        return std::any_of(fleet.openJobs.begin(), fleet.openJobs.end(), [&](const JobId& id) {
+            const auto* job = findJob(fleet, id);
+            return job && job->policy.service == service;
+        });
+    }
+
     void logListing(const WorkerListing& listing)
     {
         Line("worker_listed")
@@ -55,6 +64,19 @@
 
 } // namespace
 
+bool isServiceNamed(const Fleet& fleet, const WorkerListing& listing)
+{
+    const auto& desired = fleet.desired;
+    const auto* known = findWorker(fleet, listing.id);
+    bool isKnown = known && known->service == listing.service;
+    auto isListed = [&listing](const desired_state::Service& service) { return service.name == listing.service; };
+    auto isServed = [&listing](const desired_state::Queue& queue) { return queue.service == listing.service; };
+    return isKnown || (desired.services.empty() && desired.queues.empty())
+        || std::any_of(desired.services.begin(), desired.services.end(), isListed)
+        || std::any_of(desired.queues.begin(), desired.queues.end(), isServed)
+        || isServiceOfJob(fleet, listing.service);
+}
+
 void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at)
 {
     if (updateFromListing(fleet, listing, at))
--- a/src/agatevane/fleet/workers.h
+++ b/src/agatevane/fleet/workers.h
@@ -61,6 +61,10 @@
     bool mayLackEnds = false; //!< `ended` is as long as an answer can be: further ends may wait at the worker
 };
 
+//! False if the listing names a service that is neither in the desired state nor that of an accepted job, nor the
+//! worker's own so far. Another program may have written such an entry, so that it says nothing of the worker.
+bool isServiceNamed(const Fleet& fleet, const WorkerListing& listing);
+
 void applyListing(Fleet& fleet, const WorkerListing& listing, Instant at);
 //! The platform has removed the worker's entry from its list.
 void applyUnlisted(Fleet& fleet, const WorkerId& id);
--- a/src/node/fleet_owner_reading.cpp
+++ b/src/node/fleet_owner_reading.cpp
@@ -134,10 +134,12 @@
 {
     Findings findings;
     auto listing = environment_.translation.decodeListing(item, findings);
-    if (listing) {
+    if (listing && fleet::isServiceNamed(fleet_, *listing)) {
         ignoredEntries_.erase(item.key);
         return listing;
     }
+    if (listing)
+        findings.push_back({ item.key, "names a service that is not in the desired state: " + listing->service });
     if (ignoredEntries_.insert(item.key).second) {
         for (const auto& finding : findings)
             Line("entry_ignored").with("place", finding.place).with("text", finding.text);
