Bound the memory of callers' requests that are under way

Cause: the connections' budget counts a request until it is handed on. From then on it is held decoded, as a message, encoded, and in the queue of the connection to the owner until the owner answers; nothing counted these.

Change: a request under way counts four times its body. Together they may take a quarter of the machine's memory (agatevane.clients.requestMb); beyond it, a request gets 503 at once, before it is parsed. agatevane_request_held_bytes.

Ruled out: to make each caller wait until there is room, since the caller can ask another node at once; a bound on the queue of RpcClient alone, which would leave the decoded requests.

--- a/src/agatevane/event_http/client_limits.cpp
+++ b/src/agatevane/event_http/client_limits.cpp
@@ -37,6 +37,11 @@
     return limits.budgetBytes > 0 ? limits.budgetBytes : machine.memoryBytes / memoryPerBudget;
 }
 
+std::size_t requestBytes(const ClientLimits& limits, const MachineLimits& machine)
+{
+    return limits.requestBytes > 0 ? limits.requestBytes : machine.memoryBytes / memoryPerBudget;
+}
+
 ServerLimits serverLimits(const ClientLimits& limits, const MachineLimits& machine, Audience audience)
 {
     ServerLimits server;
@@ -87,6 +92,9 @@
     require(criticalBytes(shareOf(Audience::Callers, budget)) >= bodiesInShare * limits.bodyBytes, "budgetMb",
         "is too little for " + std::to_string(bodiesInShare) + " bodies of " + std::to_string(limits.bodyBytes)
             + " bytes");
+    auto requests = requestBytes(limits, machine);
+    require(requests <= machine.memoryBytes / 2, "requestMb", "is more than half of the machine's memory");
+    require(requests >= bodiesInShare * limits.bodyBytes, "requestMb", "is too little for a body of full length");
     auto connections = serverLimits(limits, machine, Audience::Callers).connections;
     require(connections > 0 && connections <= machine.descriptors / 2, "connections",
         "is 0 or more than half of the machine's file descriptors");
--- a/src/agatevane/event_http/client_limits.h
+++ b/src/agatevane/event_http/client_limits.h
@@ -11,6 +11,7 @@
 //! segment, and a job has at most 4,000 bytes and its steps.
 struct ClientLimits {
     std::size_t budgetBytes = 0; //!< memory for all connections; 0: a quarter of the machine's memory
+    std::size_t requestBytes = 0; //!< memory for callers' requests under way; 0: a quarter of the machine's memory
     std::size_t connections = 0; //!< at the callers' address; 0: a share of the machine's file descriptors
     std::size_t connectionsPerSource = 0; //!< 0: unlimited, because many callers may share an address
     std::size_t headerBytes = 16384;
@@ -32,6 +33,7 @@
 };
 
 std::size_t budgetBytes(const ClientLimits& limits, const MachineLimits& machine);
+std::size_t requestBytes(const ClientLimits& limits, const MachineLimits& machine);
 //! The limits of the server at the address for `audience`.
 ServerLimits serverLimits(const ClientLimits& limits, const MachineLimits& machine, Audience audience);
 //! Adds a finding for each value with which the process could not serve its clients. `prefix` precedes the names of the
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -147,6 +147,7 @@
                                 //!< this one
     std::optional<Shutdown> shutdown_; //!< set once the node stops
     std::set<std::shared_ptr<CallState>> openCalls_; //!< calls without an answer
+    std::size_t requestBytes_ = 0; //!< memory that `openCalls_` are reckoned to take
     bool lastLoggedReadiness_ = false; //!< false before the first line
     std::uint64_t nextRequestNumber_ = 1;
 
--- a/src/node/node_calls.cpp
+++ b/src/node/node_calls.cpp
@@ -22,6 +22,9 @@
     //! A call with less time left is not forwarded, because its outcome could only be unknown.
     constexpr Millis minForwardTime = forwardMargin + Millis(10);
 
+    //! A request under way is held this often: decoded, as a message to the owner and encoded, and while it is sent.
+    constexpr std::size_t copiesOfBody = 4;
+
     //! The path of a caller's request is truncated to this length in log lines and error texts.
     constexpr std::size_t maxLoggedPathBytes = 64;
 
@@ -58,6 +61,7 @@
     bool isOwnerOfEarlierBuild = false; //!< the owner does not know the message that bounds a submission's age
     OwnerTime ownerAskedAt; //!< see SubmissionAnswer
     bool isAnswered = false;
+    std::size_t bytes = 0; //!< part of `Node::requestBytes_`
     int attempts = 0;
     std::optional<OwnershipConfirmation> confirmation; //!< when this node's owner answered; nothing: another node did
     event_http::Respond respond;
@@ -99,6 +103,12 @@
             denial(CallStatus::Malformed,
                 "the body has " + std::to_string(request.body.size()) + " bytes, the limit is "
                     + std::to_string(desired->maxBodyBytes)));
+    auto bytes = request.body.size() * copiesOfBody;
+    if (bytes > 0 && requestBytes_ + bytes > event_http::requestBytes(settings_.clientLimits, machineLimits(settings_)))
+        return finish(
+            call, { CallStatus::NotAccepted, std::nullopt, std::nullopt, "too many large requests are under way" });
+    call->bytes = bytes;
+    requestBytes_ += bytes;
     Findings findings;
     auto decoded = translation_.decodeCall(request, path.substr(queue->prefix.size()), findings);
     if (!decoded)
@@ -213,6 +223,7 @@
     if (std::exchange(call->isAnswered, true))
         return;
     openCalls_.erase(call);
+    requestBytes_ -= call->bytes;
     // A node to which the submission was forwarded may have accepted it, so a refusal could be wrong.
     bool mayHaveEffect = call->mayHaveEffect || call->isForwardInFlight;
     if (answer.status == CallStatus::NotAccepted && mayHaveEffect && call->request.kind == CallKind::Submit)
--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -147,6 +147,8 @@
         registry.gauge("agatevane_client_share_bytes", "Memory that the connections of clients may hold", labels)
             .set(static_cast<double>(connectionBudget_->share(audience)));
     };
+    registry.gauge("agatevane_request_held_bytes", "Memory that callers' requests under way are reckoned to take")
+        .set(static_cast<double>(requestBytes_));
     set(Audience::Callers, *callerServer_);
     set(Audience::Readiness, *readinessServer_);
     set(Audience::Operators, *metricsServer_);
--- a/tests/node/node_tests.cpp
+++ b/tests/node/node_tests.cpp
@@ -1,3 +1,4 @@
+#include "agatevane/base/hash.h"
 #include "agreeing_peer.h"
 #include "nodes_fixture.h"
 #include <boost/test/unit_test.hpp>
@@ -39,6 +40,32 @@
     }
 }
 
+// Guards against a crowd of valid requests that fill the memory of a node while they wait for the owner's answers.
+BOOST_AUTO_TEST_CASE(Requests_under_way_take_a_bounded_share_of_the_memory, *boost::unit_test::label("node"))
+{
+    constexpr int refused = 500 + static_cast<int>(node::CallStatus::NotAccepted);
+    constexpr int requests = 40;
+    clientLimits.requestBytes = 20 * test::maxBodyBytes;
+    addNode("n3");
+    auto& member = members.at("n3");
+    BOOST_REQUIRE(waitUntil(Millis(3000), [&] { return sendRequest(member, "POST", jobId) == 200; }));
+    std::string digits(test::maxBodyBytes, '0');
+    std::map<int, int> answers;
+    for (int number = 0; number < requests; ++number) {
+        client.send(member.settings.callerAddress,
+            { "POST", "/q/" + toHex(static_cast<std::uint64_t>(number) + 100), { { "x-queue-host", "jobs.example" } },
+                digits },
+            now() + Millis(3000), [&answers](std::error_code error, const event_http::Response& response) {
+                ++answers[error ? 0 : response.status];
+            });
+    }
+    BOOST_CHECK(waitUntil(Millis(4000), [&] { return answers[200] + answers[refused] == requests; }));
+    BOOST_CHECK_GT(answers[200], 0);
+    BOOST_CHECK_GT(answers[refused], 0);
+    // What was refused takes no memory any more.
+    BOOST_CHECK_EQUAL(sendRequest(member, "POST", jobId, nullptr, digits), 200);
+}
+
 // Guards against jobs that do not continue after the owner of the fleet has stopped.
 BOOST_AUTO_TEST_CASE(Another_node_continues_the_jobs_when_the_owner_resigns, *boost::unit_test::label("node"))
 {
--- a/tests/node/nodes_fixture.h
+++ b/tests/node/nodes_fixture.h
@@ -43,6 +43,7 @@
         Member member;
         auto& settings = member.settings;
         settings.name = name;
+        settings.clientLimits = clientLimits;
         settings.callerAddress = { "127.0.0.1", freePort() };
         settings.readinessAddress = { "127.0.0.1", freePort() };
         settings.peerListenAddress = settings.peerAddress = { "127.0.0.1", freePort() };
@@ -133,6 +134,7 @@
     FakeWorkers workers;
     node::Translation translation;
     event_http::Client client;
+    event_http::ClientLimits clientLimits; //!< of nodes that are added from now on
     std::map<std::string, Member> members;
 };
 
