--- a/src/node/node_operators.cpp
+++ b/src/node/node_operators.cpp
@@ -147,6 +147,8 @@
         registry.gauge("agatevane_client_share_bytes", "Memory that the connections of clients may hold", labels)
             .set(static_cast<double>(connectionBudget_->share(audience)));
     };
+    registry.gauge("agatevane_request_held_bytes", "Memory that callers' requests under way are reckoned to take")
+        .set(static_cast<double>(requestBytes_));
     set(Audience::Callers, *callerServer_);
     set(Audience::Readiness, *readinessServer_);
     set(Audience::Operators, *metricsServer_);
@@ -182,6 +184,10 @@
             .set(static_cast<double>(fleet.unreadableJobs.size()));
         registry.gauge("agatevane_denials_stored", "Jobs in stored records of cancellations that found no such job")
             .set(static_cast<double>(fleet.denials.storedJobs));
+        auto oldestChange = fleetOwner_->oldestPendingChange();
+        registry
+            .gauge("agatevane_oldest_unstored_change_seconds", "Age of the oldest change that the store does not hold")
+            .set(oldestChange ? secondsSince(*oldestChange) : 0);
         registry.gauge("agatevane_workers", "Workers known").set(static_cast<double>(fleet.workers.size()));
         registry.gauge("agatevane_entries_ignored", "Entries among the workers' that name no worker to use")
             .set(static_cast<double>(fleetOwner_->ignoredEntries()));
