--- a/src/node/committer.cpp
+++ b/src/node/committer.cpp
@@ -2,6 +2,7 @@
 
 #include "agatevane/base/error.h"
 #include "agatevane/event_log/event_log.h"
+#include "agatevane/fleet/refused_write.h"
 #include "agatevane/fleet/worker_record.h"
 #include "agatevane/metrics/registry.h"
 #include <algorithm>
