--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -13,6 +13,9 @@
     constexpr std::int64_t retryDelayMs = 400;
     constexpr std::int64_t queryIntervalMs = 250;
     constexpr int queriesPerRound = 4;
+    //! Every eighth job has checkpoints of this length, so that its progress does not fit into one record.
+    constexpr std::uint64_t longCheckpointInterval = 8;
+    constexpr int longCheckpointBytes = 40000;
     constexpr int statusOk = 200;
     constexpr int statusGone = 410;
     //! Tasks of jobs that are cancelled soon would last longer than the bound for the end of their runs.
@@ -113,7 +116,10 @@
 {
     const auto& job = ledger_.jobs.at(id);
     auto durationMs = durations_.at(id);
-    auto payload = "ms=" + std::to_string(durationMs) + (job.isGang ? " gang=" + std::to_string(job.tasks) : " saves");
+    bool hasLongCheckpoints = std::stoull(id, nullptr, 16) % longCheckpointInterval == 0;
+    auto checkpointBytes = hasLongCheckpoints ? longCheckpointBytes : 0;
+    auto payload = "ms=" + std::to_string(durationMs)
+        + (job.isGang ? " gang=" + std::to_string(job.tasks) : " saves=" + std::to_string(checkpointBytes));
     nlohmann::json step { { "count", job.tasks }, { "cpu", 1000 }, { "gpu", job.acceleratorsPerTask },
         { "estimatedMs", durationMs } };
     step[job.isGang ? "gang" : "enableCheckpoints"] = true;
